--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,186 @@
+//! A caller: asks which addresses to use, keeps the answer for a while,
+//! connects there itself.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use chicoryreach::{
+    daemon::{HttpClient, HttpError},
+    wire::callers::{
+        Addresses, Completion, CompletionRequest, Entry, ErrorBody, IDEMPOTENT, PRIORITY,
+        REQUEST_ID, TICKET, TIMEOUT_MS,
+    },
+};
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use serde::Deserialize;
+
+const ADDRESSES_TIMEOUT_MS: u64 = 1_000;
+
+/// One call of a plain service, as it stands in the data file.
+#[derive(Clone, Debug, Deserialize)]
+pub struct CallSpec {
+    /// The service.
+    pub service: String,
+    /// The HTTP method.
+    pub method: String,
+    /// The path at the service.
+    pub path: String,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// The body.
+    pub body: String,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug)]
+pub enum Ended {
+    /// With a whole answer.
+    Answer(Bytes),
+    /// With a refusal.
+    Refused(ErrorBody),
+    /// With a connection that could not be made or broke.
+    Cut(String),
+}
+
+/// A caller with its list of addresses.
+#[derive(Debug)]
+pub struct Caller {
+    http: HttpClient,
+    known: Vec<SocketAddr>,
+    entries: Vec<Entry>,
+    keep_until: Instant,
+    rng: SmallRng,
+}
+
+impl Caller {
+    /// Creates a caller that knows some addresses to start from.
+    #[must_use]
+    pub fn new(known: Vec<SocketAddr>, seed: u64) -> Self {
+        Self {
+            http: HttpClient::new(),
+            known,
+            entries: Vec::new(),
+            keep_until: Instant::now(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    async fn entry(&mut self) -> Option<Entry> {
+        if self.entries.is_empty() || Instant::now() >= self.keep_until {
+            self.refresh().await;
+        }
+        self.entries.choose(&mut self.rng).cloned()
+    }
+
+    async fn refresh(&mut self) {
+        let listed = self.entries.iter().map(|entry| entry.address);
+        let mut ask: Vec<SocketAddr> = listed.chain(self.known.iter().copied()).collect();
+        let start = self.rng.random_range(0..ask.len().max(1));
+        ask.rotate_left(start);
+        for address in ask {
+            let asked = Instant::now();
+            let answer = self
+                .http
+                .get_json(address, "/v1/addresses", ADDRESSES_TIMEOUT_MS)
+                .await;
+            let Ok(Addresses { entries, keep_ms }) = answer else {
+                continue;
+            };
+            if !entries.is_empty() {
+                self.keep_until = asked + Duration::from_millis(keep_ms);
+                self.entries = entries;
+                return;
+            }
+        }
+    }
+
+    /// Sends a completion request and waits for the whole answer.
+    pub async fn complete(
+        &mut self,
+        id: &str,
+        completion: &CompletionRequest,
+        timeout_ms: u64,
+    ) -> Ended {
+        let body = serde_json::to_vec(completion).unwrap_or_default();
+        self.send(
+            id,
+            Method::POST,
+            "/v1/completions",
+            body.into(),
+            true,
+            timeout_ms,
+        )
+        .await
+    }
+
+    /// Calls a plain service.
+    pub async fn call(&mut self, id: &str, spec: &CallSpec, timeout_ms: u64) -> Ended {
+        let method = Method::from_bytes(spec.method.as_bytes()).unwrap_or(Method::POST);
+        let path = format!("/services/{}/{}", spec.service, spec.path);
+        let body = spec.body.clone().into();
+        self.send(id, method, &path, body, spec.idempotent, timeout_ms)
+            .await
+    }
+
+    async fn send(
+        &mut self,
+        id: &str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        idempotent: bool,
+        timeout_ms: u64,
+    ) -> Ended {
+        const GRACE_MS: u64 = 2_000;
+        let Some(entry) = self.entry().await else {
+            return Ended::Cut("no address is known".to_owned());
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", entry.address))
+            .header(REQUEST_ID, id)
+            .header(TIMEOUT_MS, timeout_ms)
+            .header(PRIORITY, "interactive")
+            .header(IDEMPOTENT, idempotent.to_string())
+            .header(TICKET, &*entry.ticket)
+            .body(Full::new(body));
+        let Ok(request) = request else {
+            return Ended::Cut("the request cannot be built".to_owned());
+        };
+        match self
+            .http
+            .exchange(entry.address, request, timeout_ms + GRACE_MS)
+            .await
+        {
+            Ok(body) => Ended::Answer(body),
+            Err(HttpError::Status(status, body)) => refused(status, &body),
+            Err(error) => {
+                self.entries.retain(|other| other.address != entry.address);
+                Ended::Cut(error.to_string())
+            }
+        }
+    }
+}
+
+fn refused(status: StatusCode, body: &[u8]) -> Ended {
+    match serde_json::from_slice(body) {
+        Ok(body) => Ended::Refused(body),
+        Err(_) => Ended::Cut(format!(
+            "status {status} without a body from the closed list"
+        )),
+    }
+}
+
+/// Reads a completion.
+///
+/// # Errors
+///
+/// The reason for which it cannot be read.
+pub fn read_completion(body: &[u8]) -> Result<Completion, String> {
+    serde_json::from_slice(body).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for what chicoryreach talks to, and the tools that load and
+//! measure it.
+//!
+//! Nothing of this ships. Each stand-in listens on loopback, at a port that
+//! the kernel chooses.
+
+pub mod caller;
+pub mod drive;
+pub mod engine;
+pub mod http;
+pub mod oracle;
+pub mod platform;
+pub mod service;
+pub mod text;
+pub mod trainer;
+pub mod world;
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,161 @@
+//! The stand-ins' command line: see `standins --help`.
+
+use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
+
+use bpaf::Bpaf;
+use standins::{
+    drive::{self, DriveSettings, Driven},
+    engine::EngineSettings,
+    world::{World, WorldSize},
+};
+
+/// Stand-ins for what chicoryreach talks to, and the load that drives it.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+enum Command {
+    /// Runs the platform, engines and a plain service, and writes settings.
+    #[bpaf(command)]
+    World {
+        /// Where settings and addresses are written.
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// How many daemons get a settings file.
+        #[bpaf(argument("N"), fallback(3))]
+        daemons: usize,
+        /// How many engines run.
+        #[bpaf(argument("N"), fallback(4))]
+        engines: usize,
+        /// How many endpoints the plain service has.
+        #[bpaf(argument("N"), fallback(2))]
+        services: usize,
+        /// Over how many data centres all is spread.
+        #[bpaf(argument("N"), fallback(2))]
+        data_centres: usize,
+        /// After how many seconds the world ends by itself.
+        #[bpaf(argument("SECONDS"), fallback(600))]
+        seconds: u64,
+    },
+    /// Drives callers and a trainer, and judges what they saw.
+    #[bpaf(command)]
+    Drive {
+        /// The directory of a world.
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// How many daemons to wait for.
+        #[bpaf(argument("N"), fallback(3))]
+        daemons: usize,
+        /// How many callers send at the same time.
+        #[bpaf(argument("N"), fallback(8))]
+        callers: u64,
+        /// How many requests each caller sends.
+        #[bpaf(argument("N"), fallback(50))]
+        requests: u64,
+        /// How many steps the trainer trains.
+        #[bpaf(argument("N"), fallback(3))]
+        steps: u64,
+        /// Samples in a group.
+        #[bpaf(argument("N"), fallback(8))]
+        samples: u32,
+        /// After how many seconds all is given up.
+        #[bpaf(argument("SECONDS"), fallback(60))]
+        seconds: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let command = command().run();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(run(command)),
+        Err(error) => Err(error.to_string()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::World {
+            dir,
+            daemons,
+            engines,
+            services,
+            data_centres,
+            seconds,
+        } => {
+            let size = WorldSize {
+                daemons,
+                engines,
+                services,
+                data_centres,
+            };
+            let world = World::try_start(size, EngineSettings::default())
+                .await
+                .map_err(|error| error.to_string())?;
+            world
+                .write_files(size, &dir)
+                .map_err(|error| error.to_string())?;
+            tokio::time::sleep(Duration::from_secs(seconds)).await;
+            Ok(())
+        }
+        Command::Drive {
+            dir,
+            daemons,
+            callers,
+            requests,
+            steps,
+            samples,
+            seconds,
+        } => {
+            let settings = DriveSettings {
+                platform: read(&dir, "platform")?
+                    .parse()
+                    .map_err(|error| format!("{error}"))?,
+                daemons,
+                config: serde_json::from_str(&read(&dir, "config.json")?)
+                    .map_err(|error| error.to_string())?,
+                callers,
+                requests,
+                steps,
+                samples_per_group: samples,
+                timeout_ms: seconds * 1_000,
+            };
+            report(&drive::drive(settings).await?)
+        }
+    }
+}
+
+fn read(dir: &std::path::Path, name: &str) -> Result<String, String> {
+    fs::read_to_string(dir.join(name)).map_err(|error| format!("{name}: {error}"))
+}
+
+fn report(driven: &Driven) -> Result<(), String> {
+    print!("{}", driven.verdict);
+    for (name, histogram) in [
+        ("completions", &driven.completions_us),
+        ("plain calls", &driven.calls_us),
+    ] {
+        let (p50, p99) = (
+            histogram.value_at_quantile(0.5),
+            histogram.value_at_quantile(0.99),
+        );
+        println!("{name:<12} p50, p99 {p50}, {p99} us");
+    }
+    println!("trainer idle         {:.1}%", driven.idle_percent);
+    if driven.verdict.broken.is_empty() {
+        println!("every promise was kept");
+        Ok(())
+    } else {
+        Err(format!(
+            "{} promises were broken",
+            driven.verdict.broken.len()
+        ))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,7 @@
+//! The platform: table, object store, weight store, list of VMs.
+
+mod faults;
+mod server;
+mod store;
+
+pub use self::{faults::Faults, server::Platform, store::Store};
--- /dev/null
+++ b/crates/standins/src/platform/store.rs
@@ -0,0 +1,94 @@
+use std::{collections::BTreeMap, ops::Bound, sync::Arc};
+
+use bytes::Bytes;
+use chicoryreach::wire::platform::{Get, ListedVm, Row, Scan, Transaction, TransactionOutcome};
+use serde_json::Value;
+
+/// What the platform keeps.
+#[derive(Debug, Default)]
+pub struct Store {
+    rows: BTreeMap<Arc<str>, (u64, Value)>,
+    /// Versions go on after a row was deleted.
+    last_versions: BTreeMap<Arc<str>, u64>,
+    /// The objects, by name.
+    pub objects: BTreeMap<Arc<str>, Bytes>,
+    /// The list of VMs as it is shown.
+    pub vms: Vec<ListedVm>,
+    /// How many reads were served.
+    pub reads: u64,
+    /// How many writes took effect.
+    pub writes: u64,
+}
+
+impl Store {
+    /// Reads rows by key.
+    pub fn get(&mut self, get: &Get) -> Vec<Row> {
+        self.reads += 1;
+        get.keys.iter().map(|key| self.row(key)).collect()
+    }
+
+    fn row(&self, key: &Arc<str>) -> Row {
+        let (row_version, value) = self.rows.get(key).cloned().unwrap_or((0, Value::Null));
+        Row {
+            key: key.clone(),
+            row_version,
+            value,
+        }
+    }
+
+    /// Reads rows by prefix.
+    pub fn scan(&mut self, scan: &Scan) -> Vec<Row> {
+        self.reads += 1;
+        let from = if scan.after.is_empty() {
+            Bound::Included(scan.prefix.clone())
+        } else {
+            Bound::Excluded(scan.after.clone())
+        };
+        let rows = self.rows.range((from, Bound::Unbounded));
+        rows.take_while(|(key, _)| key.starts_with(&*scan.prefix))
+            .take(scan.limit as usize)
+            .map(|(key, (row_version, value))| Row {
+                key: key.clone(),
+                row_version: *row_version,
+                value: value.clone(),
+            })
+            .collect()
+    }
+
+    /// Writes rows together, if every check holds.
+    pub fn transact(&mut self, transaction: &Transaction) -> TransactionOutcome {
+        let committed = transaction
+            .checks
+            .iter()
+            .all(|check| self.version(&check.key) == check.row_version);
+        if committed {
+            self.writes += 1;
+            for write in &transaction.writes {
+                self.write(&write.key, write.value.clone());
+            }
+        }
+        let checked = transaction.checks.iter().map(|check| &check.key);
+        let written = transaction.writes.iter().map(|write| &write.key);
+        let row_versions = checked
+            .chain(written)
+            .map(|key| (key.clone(), self.version(key)))
+            .collect();
+        TransactionOutcome {
+            committed,
+            row_versions,
+        }
+    }
+
+    fn version(&self, key: &Arc<str>) -> u64 {
+        self.rows.get(key).map_or(0, |(version, _)| *version)
+    }
+
+    fn write(&mut self, key: &Arc<str>, value: Option<Value>) {
+        let last = self.last_versions.entry(key.clone()).or_default();
+        *last += 1;
+        match value {
+            Some(value) => self.rows.insert(key.clone(), (*last, value)),
+            None => self.rows.remove(key),
+        };
+    }
+}
--- /dev/null
+++ b/crates/standins/src/trainer.rs
@@ -0,0 +1,250 @@
+//! A trainer: opens steps, fetches samples, trains, publishes new weights.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use chicoryreach::{
+    core::{Name, config::Versioned},
+    daemon::{HttpClient, HttpError},
+    error::ErrorKind,
+    wire::{
+        callers::ErrorBody,
+        operators::{Accepted, Patch},
+        trainers::{Acknowledge, Done, Fetch, Fetched, OpenStep, Slot},
+    },
+};
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::json;
+
+use crate::oracle::Verdict;
+
+const TIMEOUT_MS: u64 = 15_000;
+const POLL_MS: u64 = 20;
+const RETRY_MS: u64 = 200;
+
+/// What a trainer asks for.
+#[derive(Clone, Debug)]
+pub struct TrainerSettings {
+    /// The trainer's name.
+    pub trainer: Name,
+    /// The service that generates for it.
+    pub service: Name,
+    /// The prompts, one a group.
+    pub prompts: Vec<Arc<str>>,
+    /// Samples in a group.
+    pub samples_per_group: u32,
+    /// The most tokens a sample has.
+    pub max_tokens: u32,
+    /// The agreed staleness bound, in versions.
+    pub staleness_bound: u64,
+    /// How many steps to train.
+    pub steps: u64,
+    /// How long training on a step's samples takes, in milliseconds.
+    pub train_ms: u64,
+    /// When to give up.
+    pub deadline: Instant,
+}
+
+/// A trainer and where it found its ledger.
+#[derive(Debug)]
+pub struct Trainer {
+    http: HttpClient,
+    settings: TrainerSettings,
+    callers: Vec<SocketAddr>,
+    control: Vec<SocketAddr>,
+    address: SocketAddr,
+    tries: usize,
+    cursor: u64,
+    weights_version: u64,
+    /// How long it waited for samples.
+    pub idle: Duration,
+    /// How long it ran.
+    pub total: Duration,
+}
+
+impl Trainer {
+    /// Creates a trainer that starts with weights version 1.
+    ///
+    /// # Panics
+    ///
+    /// If `callers` is empty.
+    #[must_use]
+    pub fn new(
+        settings: TrainerSettings,
+        callers: Vec<SocketAddr>,
+        control: Vec<SocketAddr>,
+    ) -> Self {
+        Self {
+            http: HttpClient::new(),
+            settings,
+            address: callers[0],
+            callers,
+            control,
+            tries: 0,
+            cursor: 0,
+            weights_version: 1,
+            idle: Duration::ZERO,
+            total: Duration::ZERO,
+        }
+    }
+
+    /// Trains every step, and notes in `verdict` what was seen.
+    pub async fn run(&mut self, verdict: &mut Verdict) {
+        let started = Instant::now();
+        let mut seen = BTreeSet::new();
+        for step in 1..=self.settings.steps {
+            self.open(step).await;
+            let waiting = Instant::now();
+            let missing = self.collect(step, &mut seen, verdict).await;
+            self.idle += waiting.elapsed();
+            verdict.lost += missing;
+            if missing > 0 {
+                verdict
+                    .broken
+                    .push(format!("step {step} misses {missing} samples"));
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(self.settings.train_ms)).await;
+            self.weights_version += 1;
+            self.publish().await;
+            println!(
+                "step {step} trained, weights {} published",
+                self.weights_version
+            );
+        }
+        self.total = started.elapsed();
+    }
+
+    async fn open(&mut self, step: u64) {
+        let request = OpenStep {
+            step,
+            weights_version: self.weights_version,
+            prompts: self.settings.prompts.clone(),
+            samples_per_group: self.settings.samples_per_group,
+            max_tokens: self.settings.max_tokens,
+            staleness_bound: self.settings.staleness_bound,
+        };
+        let _: Option<Done> = self.ask("steps", &request).await;
+    }
+
+    /// Fetches until the step is whole, and returns how many samples miss.
+    async fn collect(
+        &mut self,
+        step: u64,
+        seen: &mut BTreeSet<Slot>,
+        verdict: &mut Verdict,
+    ) -> u64 {
+        const LIMIT: u32 = 256;
+        let wanted =
+            self.settings.prompts.len() as u64 * u64::from(self.settings.samples_per_group);
+        let mut have = 0;
+        while have < wanted && Instant::now() < self.settings.deadline {
+            let fetch = Fetch {
+                cursor: self.cursor,
+                weights_version: self.weights_version,
+                limit: LIMIT,
+            };
+            let Some(fetched): Option<Fetched> = self.ask("fetch", &fetch).await else {
+                break;
+            };
+            for sample in &fetched.samples {
+                let (version, bound) = (self.weights_version, self.settings.staleness_bound);
+                verdict.check_sample(seen, sample, version, bound, self.settings.max_tokens);
+                have += u64::from(sample.slot.step == step);
+            }
+            self.cursor = fetched.next_cursor;
+            if fetched.samples.is_empty() {
+                tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+            } else {
+                let ack = Acknowledge {
+                    cursor: self.cursor,
+                    weights_version: self.weights_version,
+                };
+                let _: Option<Done> = self.ask("acknowledge", &ack).await;
+            }
+        }
+        wanted - have
+    }
+
+    /// Asks the ledger's holder, going where it is told, until the deadline.
+    async fn ask<T, A>(&mut self, what: &str, request: &T) -> Option<A>
+    where
+        T: Serialize + Sync,
+        A: DeserializeOwned,
+    {
+        let path = format!("/v1/trainers/{}/{what}", self.settings.trainer);
+        while Instant::now() < self.settings.deadline {
+            let answer = self
+                .http
+                .post_json(self.address, &path, request, TIMEOUT_MS)
+                .await;
+            let error = match answer {
+                Ok(answer) => return Some(answer),
+                Err(error) => error,
+            };
+            match moved_to(&error) {
+                Some(address) if address != self.address => self.address = address,
+                _ => {
+                    tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                    self.tries += 1;
+                    self.address = self.callers[self.tries % self.callers.len()];
+                }
+            }
+        }
+        None
+    }
+
+    /// Has the new weights brought onto the samplers.
+    async fn publish(&mut self) {
+        let id = format!("{}-weights-{}", self.settings.trainer, self.weights_version);
+        let services = json!({&*self.settings.service: {"weights_version": self.weights_version}});
+        for try_number in 0.. {
+            if Instant::now() >= self.settings.deadline {
+                return;
+            }
+            let control = self.control[try_number % self.control.len()];
+            let config: Result<Versioned, _> = self
+                .http
+                .get_json(control, "/operator/config", TIMEOUT_MS)
+                .await;
+            if let Ok(config) = config {
+                let merge = json!({"services": services});
+                let patch = Patch {
+                    id: id.as_str().into(),
+                    against: config.number,
+                    merge,
+                };
+                let answer: Result<Accepted, _> = self
+                    .http
+                    .post_json(control, "/operator/patch", &patch, TIMEOUT_MS)
+                    .await;
+                // An id that was used is this very patch, with an earlier number.
+                let is_done = answer.is_ok()
+                    || answer.is_err_and(|error| kind(&error) == Some(ErrorKind::IdReused));
+                if is_done {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+}
+
+fn error_body(error: &HttpError) -> Option<ErrorBody> {
+    let HttpError::Status(_, body) = error else {
+        return None;
+    };
+    serde_json::from_slice(body).ok()
+}
+
+fn kind(error: &HttpError) -> Option<ErrorKind> {
+    Some(error_body(error)?.kind)
+}
+
+fn moved_to(error: &HttpError) -> Option<SocketAddr> {
+    error_body(error)?.address?.parse().ok()
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs every test. Those that KNOWN-RED.txt names may fail; they are printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+# A line of KNOWN-RED.txt that starts with "test: " names one test.
+mapfile -t red < <(sed -n 's/^test: *\([^ ,]*\).*/\1/p' KNOWN-RED.txt)
+skip=()
+for name in "${red[@]}"; do skip+=(--skip "$name"); done
+cargo test --workspace --locked -- "${skip[@]}"
+for name in "${red[@]}"; do
+    echo "known red, not counted: $name"
+    cargo test --workspace --locked -- --exact "$name" || true
+done
--- /dev/null
+++ b/src/cli/start.rs
@@ -0,0 +1,101 @@
+use std::{fs, path::Path, process::ExitCode};
+
+use tracing_subscriber::EnvFilter;
+
+use super::{
+    args::{Command, LogFormat, command},
+    operate,
+};
+use crate::{
+    daemon,
+    settings::{Settings, check},
+};
+
+const EXIT_INVALID: u8 = 2;
+
+/// Runs the command line.
+///
+/// Exits with 0 on success, with 1 if the command failed, and with 2 if the
+/// settings are not valid.
+#[must_use]
+pub fn main() -> ExitCode {
+    match command().run() {
+        Command::Daemon {
+            settings,
+            log_format,
+            log_level,
+        } => start_daemon(&settings, log_format, &log_level),
+        Command::Check { file } => match read_settings(&file) {
+            Ok(_) => {
+                println!("{}: valid", file.display());
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        },
+        Command::Config { command } => with_runtime(operate::config(command)),
+        Command::Status { daemon, json } => with_runtime(operate::status(daemon, json)),
+        Command::Drain { daemon, name } => with_runtime(operate::drain(daemon, name.into())),
+    }
+}
+
+fn read_settings(path: &Path) -> Result<Settings, ExitCode> {
+    let text = fs::read_to_string(path).map_err(|error| {
+        eprintln!("{}: {error}", path.display());
+        ExitCode::from(EXIT_INVALID)
+    })?;
+    check(&text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{}: {fault}", path.display());
+        }
+        ExitCode::from(EXIT_INVALID)
+    })
+}
+
+fn start_daemon(path: &Path, format: LogFormat, level: &str) -> ExitCode {
+    let settings = match read_settings(path) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let filter = match EnvFilter::builder().parse(level) {
+        Ok(filter) => filter,
+        Err(error) => {
+            eprintln!("--log-level: {error}");
+            return ExitCode::from(EXIT_INVALID);
+        }
+    };
+    let subscriber = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match format {
+        LogFormat::Json => subscriber.json().init(),
+        LogFormat::Text => subscriber.init(),
+    }
+    with_runtime(async {
+        daemon::run(settings)
+            .await
+            .map_err(|error| error.to_string())
+    })
+}
+
+fn with_runtime<F>(future: F) -> ExitCode
+where
+    F: Future<Output = Result<(), String>>,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let result = runtime
+        .map_err(|error| error.to_string())
+        .and_then(|runtime| {
+            let result = runtime.block_on(future);
+            runtime.shutdown_background();
+            result
+        });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/core/config/patch.rs
@@ -0,0 +1,83 @@
+use std::{collections::BTreeSet, sync::Arc};
+
+use serde_json::Value;
+
+use super::{Document, Versioned};
+use crate::{
+    core::guard::{self, Guard},
+    error::{ErrorKind, Refusal},
+};
+
+/// Applies a JSON merge patch that was written against version `against`.
+///
+/// # Errors
+///
+/// [`ErrorKind::ConfigConflict`] if `against` is not the current number, and
+/// [`ErrorKind::ConfigInvalid`] if the result is not a valid document.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::config::{Versioned, apply};
+/// use serde_json::json;
+///
+/// let current = Versioned::default();
+/// let patch = json!({"draining_vms": ["vm-1"]});
+/// let next = apply(&current, 0, &patch).unwrap();
+/// assert_eq!(next.number, 1);
+/// assert!(apply(&next, 0, &patch).is_err());
+/// ```
+pub fn apply(current: &Versioned, against: u64, merge: &Value) -> Result<Versioned, Refusal> {
+    if guard::is_on(Guard::PatchVersion) && against != current.number {
+        let message = format!(
+            "the patch was written against version {against}, and version {} is in force",
+            current.number
+        );
+        return Err(Refusal::new(ErrorKind::ConfigConflict, message));
+    }
+    let mut value = serde_json::to_value(current.document.as_ref()).map_err(invalid)?;
+    json_patch::merge(&mut value, merge);
+    let document: Document = serde_path_to_error::deserialize(value).map_err(invalid)?;
+    check(&document)?;
+    Ok(Versioned {
+        number: current.number + 1,
+        document: Arc::new(document),
+    })
+}
+
+/// Returns the top two levels of keys that a merge patch names.
+#[must_use]
+pub fn changed_keys(merge: &Value) -> BTreeSet<Arc<str>> {
+    let mut keys = BTreeSet::new();
+    for (top, below) in merge.as_object().into_iter().flatten() {
+        match below.as_object() {
+            Some(below) if !below.is_empty() => {
+                keys.extend(below.keys().map(|key| format!("{top}.{key}").into()));
+            }
+            _ => {
+                keys.insert(top.as_str().into());
+            }
+        }
+    }
+    keys
+}
+
+fn check(document: &Document) -> Result<(), Refusal> {
+    for (name, trainer) in &document.trainers {
+        if !document.services.contains_key(&trainer.service) {
+            let message = format!(
+                "trainers.{name}.service: there is no service '{}'",
+                trainer.service
+            );
+            return Err(Refusal::new(ErrorKind::ConfigInvalid, message));
+        }
+    }
+    Ok(())
+}
+
+fn invalid<E>(error: E) -> Refusal
+where
+    E: std::fmt::Display,
+{
+    Refusal::new(ErrorKind::ConfigInvalid, error.to_string())
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,23 @@
+//! What decides: plain state machines without I/O, clock or randomness.
+//!
+//! Every part takes the time as `now_ms`, in milliseconds of a clock that
+//! never goes back, and gives its decisions back as typed values. The modules
+//! are public so that other programs can embed them.
+
+pub mod admission;
+pub mod config;
+mod digest;
+pub mod endpoint;
+pub mod guard;
+pub mod lease;
+pub mod membership;
+mod name;
+pub mod quarantine;
+pub mod rendezvous;
+pub mod request;
+pub mod retry;
+pub mod routing;
+pub mod sample;
+pub mod weights;
+
+pub use self::name::Name;
--- /dev/null
+++ b/src/core/rendezvous.rs
@@ -0,0 +1,54 @@
+//! Rendezvous hashing: who is responsible for what, without any message.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Name;
+
+/// Returns the weight of `member` for `key`.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::rendezvous::weight;
+///
+/// assert_eq!(weight("a", "ledger"), weight("a", "ledger"));
+/// assert_ne!(weight("a", "ledger"), weight("b", "ledger"));
+/// ```
+#[must_use]
+pub fn weight(member: &str, key: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(member.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(key.as_bytes());
+    hasher.digest()
+}
+
+/// Returns the `count` members with the highest weight for `key`, best first.
+///
+/// When a member goes, only the keys that it had move.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use chicoryreach::core::{Name, rendezvous::choose};
+///
+/// let members: Vec<Name> = vec!["a".into(), "b".into(), "c".into()];
+/// let owner = choose(&members, "ledger", 1);
+/// let others: Vec<Name> = members.iter().filter(|m| *m != &owner[0]).cloned().collect();
+/// assert_eq!(choose(&members, "ledger", 2)[1], choose(&others, "ledger", 1)[0]);
+/// ```
+#[must_use]
+pub fn choose(members: &[Name], key: &str, count: usize) -> Vec<Name> {
+    let mut ranked: Vec<_> = members
+        .iter()
+        .map(|member| (weight(member, key), member))
+        .collect();
+    ranked.sort_by(|a, b| b.cmp(a));
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, member)| member.clone())
+        .collect()
+}
--- /dev/null
+++ b/src/core/request/mod.rs
@@ -0,0 +1,32 @@
+//! What happens to one request: its attempts, its answer, its identity.
+
+mod call;
+mod deduplication;
+mod generation;
+mod ticket;
+
+use std::sync::Arc;
+
+pub use self::{
+    call::{Call, CallEffect, CallFailure},
+    deduplication::{Deduplication, Seen},
+    generation::{AttemptFailure, Effect, Event, Generation, Spec},
+    ticket::Ticket,
+};
+use crate::core::digest::hex_digest;
+
+/// Returns a fingerprint of what a request asks, apart from its id.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::request::fingerprint;
+///
+/// assert_eq!(fingerprint("slip-api", b"12"), fingerprint("slip-api", b"12"));
+/// assert_ne!(fingerprint("slip-api", b"12"), fingerprint("slip-api", b"13"));
+/// ```
+#[must_use]
+pub fn fingerprint(service: &str, body: &[u8]) -> Arc<str> {
+    const BYTES: usize = 16;
+    hex_digest(&[service.as_bytes(), &[0], body], BYTES).into()
+}
--- /dev/null
+++ b/src/daemon/answer.rs
@@ -0,0 +1,79 @@
+use poem::{Response, http::StatusCode};
+use serde::Serialize;
+
+use super::{
+    clock::{now_ms, unix_ms},
+    state::Daemon,
+};
+use crate::{
+    error::{Refusal, Retry},
+    wire::callers::ErrorBody,
+};
+
+/// How long after a refusal a caller may come back, where none was named.
+const DEFAULT_RETRY_MS: u64 = 1_000;
+
+/// Turns a refusal into the body that the other side gets, and counts it.
+pub(crate) fn error_body(daemon: &Daemon, refusal: &Refusal) -> ErrorBody {
+    let detail = refusal.detail();
+    daemon.metrics.on_refusal(detail.kind);
+    let answer = refusal.answer();
+    let wait_ms = match answer.retry {
+        Retry::Never => None,
+        Retry::Elsewhere => Some(0),
+        Retry::Later => {
+            let now_ms = now_ms();
+            Some(
+                detail
+                    .retry_at_ms
+                    .map_or(DEFAULT_RETRY_MS, |at_ms| at_ms.saturating_sub(now_ms)),
+            )
+        }
+    };
+    ErrorBody {
+        kind: detail.kind,
+        message: detail.message.clone(),
+        not_run: answer.not_run,
+        retry_at_ms: wait_ms.map(|wait_ms| unix_ms() + wait_ms),
+        address: detail.address.clone(),
+    }
+}
+
+/// Turns a refusal into an HTTP response.
+pub(crate) fn refuse(daemon: &Daemon, refusal: &Refusal) -> Response {
+    let body = error_body(daemon, refusal);
+    let status = StatusCode::from_u16(refusal.answer().status).unwrap_or_default();
+    let retry_after_s = body
+        .retry_at_ms
+        .map(|at_ms| at_ms.saturating_sub(unix_ms()).div_ceil(1_000));
+    let mut response = json(&body);
+    response.set_status(status);
+    if let Some(retry_after_s) = retry_after_s {
+        response
+            .headers_mut()
+            .insert("retry-after", retry_after_s.into());
+    }
+    response
+}
+
+/// Answers with JSON.
+pub(crate) fn json<T>(body: &T) -> Response
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    Response::builder()
+        .content_type("application/json")
+        .body(body)
+}
+
+/// Answers with JSON, or with a refusal.
+pub(crate) fn json_or_refuse<T>(daemon: &Daemon, result: Result<T, Refusal>) -> Response
+where
+    T: Serialize,
+{
+    match result {
+        Ok(body) => json(&body),
+        Err(refusal) => refuse(daemon, &refusal),
+    }
+}
--- /dev/null
+++ b/src/daemon/http.rs
@@ -0,0 +1,231 @@
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use quick_error::quick_error;
+use serde::{Serialize, de::DeserializeOwned};
+
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+quick_error! {
+    /// Why an exchange gave no answer that can be used.
+    #[derive(Debug)]
+    pub enum HttpError {
+        /// No connection could be made: nothing was sent.
+        Connect(address: SocketAddr) {
+            display("no connection to {address}")
+        }
+        /// The connection broke after something may have been sent.
+        Broken(address: SocketAddr) {
+            display("the connection to {address} broke")
+        }
+        /// There was no whole answer in time.
+        Timeout(address: SocketAddr) {
+            display("no answer from {address} in time")
+        }
+        /// The other side refused.
+        Status(status: StatusCode, body: Bytes) {
+            display("the answer has status {status}: {}", String::from_utf8_lossy(body))
+        }
+        /// The answer could not be read.
+        Invalid(message: String) {
+            display("the answer is not valid: {message}")
+        }
+    }
+}
+
+impl HttpError {
+    /// Returns whether any byte may have reached the other side.
+    #[must_use]
+    pub const fn was_sent(&self) -> bool {
+        !matches!(self, Self::Connect(_))
+    }
+}
+
+/// An HTTP/1.1 client that keeps connections.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpClient {
+    /// Creates a client that keeps idle connections for reuse.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::with_idle(64)
+    }
+
+    /// Creates a client that makes a new connection for each request, so that
+    /// a request never meets a connection that is just being closed.
+    #[must_use]
+    pub fn new_unpooled() -> Self {
+        Self::with_idle(0)
+    }
+
+    fn with_idle(max_idle: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(max_idle)
+            .pool_idle_timeout(Duration::from_secs(30))
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Connect`] if nothing was sent, [`HttpError::Broken`]
+    /// otherwise.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpError> {
+        self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                HttpError::Connect(address)
+            } else {
+                HttpError::Broken(address)
+            }
+        })
+    }
+
+    /// Sends a request and returns the whole answer, if its status is a success.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`]; [`HttpError::Timeout`] after `timeout_ms`, and
+    /// [`HttpError::Status`] for any other status.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+    ) -> Result<Bytes, HttpError> {
+        let exchange = async {
+            let response = self.send(address, request).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let body = body
+                .collect()
+                .await
+                .map_err(|_| HttpError::Broken(address))?
+                .to_bytes();
+            if status.is_success() {
+                Ok(body)
+            } else {
+                Err(HttpError::Status(status, body))
+            }
+        };
+        tokio::time::timeout(Duration::from_millis(timeout_ms), exchange)
+            .await
+            .unwrap_or(Err(HttpError::Timeout(address)))
+    }
+
+    /// Sends JSON and reads JSON.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::exchange`]; [`HttpError::Invalid`] if the answer is not
+    /// of the expected type.
+    pub async fn post_json<T, A>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &T,
+        timeout_ms: u64,
+    ) -> Result<A, HttpError>
+    where
+        T: Serialize + Sync,
+        A: DeserializeOwned,
+    {
+        let body =
+            serde_json::to_vec(body).map_err(|error| HttpError::Invalid(error.to_string()))?;
+        let request = request(Method::POST, address, path, "application/json", body.into())?;
+        let answer = self.exchange(address, request, timeout_ms).await?;
+        serde_json::from_slice(&answer).map_err(|error| HttpError::Invalid(error.to_string()))
+    }
+
+    /// Gets JSON.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::post_json`].
+    pub async fn get_json<A>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+    ) -> Result<A, HttpError>
+    where
+        A: DeserializeOwned,
+    {
+        let request = request(Method::GET, address, path, "application/json", Bytes::new())?;
+        let answer = self.exchange(address, request, timeout_ms).await?;
+        serde_json::from_slice(&answer).map_err(|error| HttpError::Invalid(error.to_string()))
+    }
+
+    /// Sends `MessagePack` and reads `MessagePack`.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::post_json`].
+    pub async fn post_rmp<T, A>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &T,
+        timeout_ms: u64,
+    ) -> Result<A, HttpError>
+    where
+        T: Serialize + Sync,
+        A: DeserializeOwned,
+    {
+        let body =
+            rmp_serde::to_vec(body).map_err(|error| HttpError::Invalid(error.to_string()))?;
+        let request = request(
+            Method::POST,
+            address,
+            path,
+            "application/msgpack",
+            body.into(),
+        )?;
+        let answer = self.exchange(address, request, timeout_ms).await?;
+        rmp_serde::from_slice(&answer).map_err(|error| HttpError::Invalid(error.to_string()))
+    }
+}
+
+/// Builds a request.
+///
+/// # Errors
+///
+/// [`HttpError::Invalid`] if the path cannot stand in a request.
+pub(crate) fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    content_type: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, HttpError> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(header::CONTENT_TYPE, content_type)
+        .body(Full::new(body))
+        .map_err(|error| HttpError::Invalid(error.to_string()))
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,29 @@
+//! What does: the process of one VM, with its sockets, files and timers.
+//!
+//! One file a neighbour. Each turns what [`crate::core`] decides into I/O, and
+//! what comes of it into events.
+
+mod answer;
+mod callers;
+mod clock;
+mod config;
+mod endpoints;
+mod http;
+mod lease_keeper;
+mod metrics;
+mod operators;
+mod peers;
+mod platform;
+mod rollout_task;
+mod run;
+mod shutdown;
+mod state;
+mod trainer_task;
+mod trainers;
+mod watch;
+
+pub use self::{
+    clock::now_ms,
+    http::{HttpClient, HttpError},
+    run::run,
+};
--- /dev/null
+++ b/src/daemon/operators.rs
@@ -0,0 +1,114 @@
+//! Operators: the numbered configuration, the status, drains.
+
+use std::sync::Arc;
+
+use poem::{Body, Response, handler, web::Data};
+
+use super::{
+    answer::{json, json_or_refuse},
+    clock::now_ms,
+    config,
+    state::{Daemon, lock},
+};
+use crate::{
+    core::{Name, endpoint::Endpoint},
+    error::{ErrorKind, Refusal},
+    wire::{
+        operators::{EndpointStatus, LeaseStatus, Patch, Status, VmStatus},
+        peers::MemberRecord,
+    },
+};
+
+const MAX_PATCH_BYTES: usize = 8 * 1024 * 1024;
+
+/// `GET /operator/config`: the configuration in force here.
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "poem hands extractors over by value"
+)]
+#[handler]
+pub(crate) fn get_config(daemon: Data<&Arc<Daemon>>) -> Response {
+    json(&*daemon.config.borrow())
+}
+
+/// `POST /operator/patch`: submits a patch.
+#[handler]
+pub(crate) async fn patch(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
+    let result = async {
+        let bytes = body.into_bytes_limit(MAX_PATCH_BYTES).await;
+        let bytes =
+            bytes.map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
+        let patch: Patch = serde_json::from_slice(&bytes)
+            .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
+        config::submit(&daemon, &patch).await
+    };
+    json_or_refuse(&daemon, result.await)
+}
+
+/// `GET /operator/history`: every change of the configuration.
+#[handler]
+pub(crate) async fn history(daemon: Data<&Arc<Daemon>>) -> Response {
+    json_or_refuse(&daemon, config::history(&daemon).await)
+}
+
+/// `GET /operator/status`: what this daemon knows.
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "poem hands extractors over by value"
+)]
+#[handler]
+pub(crate) fn status(daemon: Data<&Arc<Daemon>>) -> Response {
+    let config_number = daemon.config.borrow().number;
+    let vms = lock(&daemon.membership)
+        .records()
+        .map(|record| vm_status(&daemon, record, config_number))
+        .collect();
+    let now_ms = now_ms();
+    let endpoints = lock(&daemon.endpoints)
+        .iter()
+        .map(|(service, endpoint)| endpoint_status(service, endpoint, now_ms))
+        .collect();
+    let trainers = lock(&daemon.trainers);
+    let trainer_leases = trainers.values().map(|task| &task.lease);
+    let rollouts = lock(&daemon.rollouts);
+    let rollout_leases = rollouts.values().map(|task| &task.lease);
+    let leases = trainer_leases.chain(rollout_leases).filter_map(|lease| {
+        let fence = lease.fence()?;
+        Some(LeaseStatus {
+            lease: lease.name(),
+            fence,
+        })
+    });
+    let leases = leases.collect();
+    json(&Status {
+        vm: daemon.me.vm.clone(),
+        config_number,
+        vms,
+        endpoints,
+        leases,
+    })
+}
+
+fn vm_status(daemon: &Daemon, record: &MemberRecord, config_number: u64) -> VmStatus {
+    VmStatus {
+        vm: record.vm.clone(),
+        data_centre: record.data_centre.clone(),
+        state: <&str>::from(record.state).into(),
+        config_number: if record.vm == daemon.me.vm {
+            config_number
+        } else {
+            0
+        },
+    }
+}
+
+fn endpoint_status(service: &Name, endpoint: &Endpoint, now_ms: u64) -> EndpointStatus {
+    EndpointStatus {
+        service: service.clone(),
+        endpoint: endpoint.name.clone(),
+        data_centre: endpoint.settings.data_centre.clone(),
+        state: <&str>::from(endpoint.state(now_ms)).into(),
+        weights_version: endpoint.load.weights_version,
+        in_flight: endpoint.in_flight,
+    }
+}
--- /dev/null
+++ b/src/daemon/rollout_task.rs
@@ -0,0 +1,143 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use hyper::Method;
+use tokio::task::JoinSet;
+
+use super::{
+    clock::now_ms,
+    http::{HttpError, request},
+    lease_keeper::LeaseKeeper,
+    state::{Daemon, lock},
+};
+use crate::{
+    core::{
+        Name,
+        config::ServiceKind,
+        weights::{Rollout, Sampler},
+    },
+    wire::engine::Order,
+};
+
+const IDLE_MS: u64 = 250;
+const NOT_CANDIDATE_MS: u64 = 1_000;
+const ORDER_TIMEOUT_MS: u64 = 1_000;
+
+/// Brings the configured weights onto the samplers of one service, if this VM
+/// holds the service's lease.
+#[derive(Debug)]
+pub(crate) struct RolloutTask {
+    service: Name,
+    pub(crate) lease: LeaseKeeper,
+    rollout: Mutex<Rollout>,
+}
+
+impl RolloutTask {
+    fn new(daemon: &Daemon, service: Name) -> Self {
+        let lease = LeaseKeeper::new(daemon, format!("weights/{service}").into());
+        Self {
+            service,
+            lease,
+            rollout: Mutex::default(),
+        }
+    }
+
+    async fn run(self: Arc<Self>, daemon: Arc<Daemon>) {
+        let mut stop = daemon.stop.subscribe();
+        while !*stop.borrow_and_update() {
+            let wait_ms = self.turn(&daemon).await;
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {}
+                _ = stop.changed() => {}
+            }
+        }
+        self.lease.release(&daemon).await;
+    }
+
+    /// Does what is due, and returns how long to wait.
+    async fn turn(&self, daemon: &Daemon) -> u64 {
+        if !self.lease.is_candidate(daemon) {
+            return NOT_CANDIDATE_MS;
+        }
+        let at_ms = self.lease.turn(daemon).await;
+        if let Some(fence) = self.lease.fence() {
+            self.send_orders(daemon, fence).await;
+        }
+        at_ms.saturating_sub(now_ms()).clamp(10, IDLE_MS)
+    }
+
+    async fn send_orders(&self, daemon: &Daemon, fence: u64) {
+        let Ok(service) = daemon.service(&self.service) else {
+            return;
+        };
+        let samplers: Vec<Sampler> = lock(&daemon.endpoints)
+            .of_service(&self.service)
+            .filter(|endpoint| endpoint.reported_at_ms > 0)
+            .map(|endpoint| Sampler {
+                name: endpoint.name.clone(),
+                weights_version: endpoint.load.weights_version,
+            })
+            .collect();
+        let target = service.weights_version;
+        let orders = lock(&self.rollout).orders(now_ms(), target, fence, &samplers);
+        let sends = orders.into_iter().filter_map(|(name, order)| {
+            let address = service.endpoints.get(&name)?.address;
+            Some(self.send(daemon, address, order))
+        });
+        join_all(sends).await;
+    }
+
+    /// Sends one order; whether it worked is seen from what the sampler reports.
+    async fn send(&self, daemon: &Daemon, address: SocketAddr, order: Order) {
+        // The lease is looked at again just before sending: engines that do
+        // not check the number depend on it.
+        if self.lease.fence() != Some(order.fence) {
+            return;
+        }
+        daemon.metrics.orders.inc();
+        let body: Bytes = serde_json::to_vec(&order).unwrap_or_default().into();
+        let Ok(request) = request(Method::POST, address, "/orders", "application/json", body)
+        else {
+            return;
+        };
+        let result = daemon
+            .http
+            .exchange(address, request, ORDER_TIMEOUT_MS)
+            .await;
+        if let Err(HttpError::Status(status, _)) = result {
+            tracing::warn!(service = %self.service, %address, %status, "an order was refused");
+        }
+    }
+}
+
+/// Keeps one task for each model service of the configuration.
+pub(crate) async fn supervise(daemon: Arc<Daemon>) {
+    let mut config = daemon.config.subscribe();
+    let mut stop = daemon.stop.subscribe();
+    let mut tasks = JoinSet::new();
+    loop {
+        let document = config.borrow_and_update().document.clone();
+        let models = document
+            .services
+            .iter()
+            .filter(|(_, service)| service.kind == ServiceKind::Model);
+        for (name, _) in models {
+            let mut rollouts = lock(&daemon.rollouts);
+            if !rollouts.contains_key(name) {
+                let task = Arc::new(RolloutTask::new(&daemon, name.clone()));
+                rollouts.insert(name.clone(), task.clone());
+                tasks.spawn(task.run(daemon.clone()));
+            }
+        }
+        tokio::select! {
+            _ = config.changed() => {}
+            _ = stop.changed() => break,
+        }
+    }
+    while tasks.join_next().await.is_some() {}
+}
--- /dev/null
+++ b/src/daemon/run.rs
@@ -0,0 +1,162 @@
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use poem::{
+    EndpointExt, IntoEndpoint, Response, Route, Server, get, handler,
+    listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
+    post,
+    web::Data,
+};
+use tokio::task::JoinSet;
+
+use super::{
+    callers, config, operators, peers, rollout_task,
+    shutdown::{self, Signals},
+    state::{Daemon, lock},
+    trainer_task, trainers, watch,
+};
+use crate::{
+    settings::Settings,
+    wire::peers::{MemberRecord, MemberState},
+};
+
+const EXPIRE_MS: u64 = 1_000;
+/// How long answers that are written may take to leave.
+const FLUSH_MS: u64 = 5_000;
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Those of binding the two addresses, and of listening for signals.
+pub async fn run(settings: Settings) -> io::Result<()> {
+    let mut signals = Signals::try_new()?;
+    let callers = TcpListener::bind(settings.caller_address)
+        .into_acceptor()
+        .await?;
+    let control = TcpListener::bind(settings.control_address)
+        .into_acceptor()
+        .await?;
+    let me = MemberRecord {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        caller_address: local_address(&callers)?,
+        control_address: local_address(&control)?,
+        incarnation: super::clock::unix_ms(),
+        generation: 0,
+        state: MemberState::Alive,
+    };
+    tracing::info!(vm = %me.vm, callers = %me.caller_address, control = %me.control_address, "listening");
+    let daemon = Arc::new(Daemon::new(settings, me));
+    let mut tasks = JoinSet::new();
+    tasks.spawn(serve(callers, caller_routes(), daemon.clone()));
+    tasks.spawn(serve(control, control_routes(), daemon.clone()));
+    tasks.spawn(keep_announced(daemon.clone()));
+    tasks.spawn(config::poll(daemon.clone()));
+    tasks.spawn(peers::gossip_loop(daemon.clone()));
+    tasks.spawn(watch::watch_loop(daemon.clone()));
+    tasks.spawn(trainer_task::supervise(daemon.clone()));
+    tasks.spawn(rollout_task::supervise(daemon.clone()));
+    tasks.spawn(expire(daemon.clone()));
+    shutdown::wait(daemon.clone(), &mut signals).await;
+    daemon.stop.send_replace(true);
+    let all = async { while tasks.join_next().await.is_some() {} };
+    // What has not ended by then waits for a connection that is idle.
+    let _ = tokio::time::timeout(Duration::from_millis(FLUSH_MS), all).await;
+    Ok(())
+}
+
+fn local_address(acceptor: &TcpAcceptor) -> io::Result<SocketAddr> {
+    let address = acceptor.local_addr().into_iter().next();
+    let address = address.and_then(|address| address.as_socket_addr().copied());
+    address.ok_or_else(|| io::Error::other("a listener has no address"))
+}
+
+fn caller_routes() -> Route {
+    Route::new()
+        .at("/v1/addresses", get(callers::addresses))
+        .at("/v1/completions", post(callers::completions))
+        .at("/services/:service/*path", callers::plain_call)
+        .at("/v1/trainers/:trainer/steps", post(trainers::open_step))
+        .at("/v1/trainers/:trainer/fetch", post(trainers::fetch))
+        .at(
+            "/v1/trainers/:trainer/acknowledge",
+            post(trainers::acknowledge),
+        )
+}
+
+fn control_routes() -> Route {
+    Route::new()
+        .at("/peer/gossip", post(peers::exchange))
+        .at("/operator/config", get(operators::get_config))
+        .at("/operator/patch", post(operators::patch))
+        .at("/operator/history", get(operators::history))
+        .at("/operator/status", get(operators::status))
+        .at("/metrics", get(metrics))
+        .at("/healthz", get(healthz))
+        .at("/readyz", get(readyz))
+}
+
+async fn serve(acceptor: TcpAcceptor, routes: Route, daemon: Arc<Daemon>) {
+    let mut stop = daemon.stop.subscribe();
+    let stopped = async move {
+        // An error means that the daemon is gone: stop as well.
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    let endpoint = routes.data(daemon).into_endpoint();
+    let server = Server::new_with_acceptor(acceptor);
+    let result = server
+        .run_with_graceful_shutdown(endpoint, stopped, Some(Duration::from_millis(FLUSH_MS)))
+        .await;
+    if let Err(error) = result {
+        tracing::error!(%error, "a listener failed");
+    }
+}
+
+async fn keep_announced(daemon: Arc<Daemon>) {
+    const AFTER_FAILURE_MS: u64 = 1_000;
+    while !peers::announce(&daemon).await {
+        tokio::time::sleep(Duration::from_millis(AFTER_FAILURE_MS)).await;
+    }
+}
+
+async fn expire(daemon: Arc<Daemon>) {
+    let mut stop = daemon.stop.subscribe();
+    while !*stop.borrow_and_update() {
+        lock(&daemon.deduplication).expire(super::clock::now_ms());
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(EXPIRE_MS)) => {}
+            _ = stop.changed() => {}
+        }
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "poem hands extractors over by value"
+)]
+#[handler]
+fn metrics(daemon: Data<&Arc<Daemon>>) -> Response {
+    Response::builder()
+        .content_type("text/plain; version=0.0.4")
+        .body(daemon.metrics.to_text())
+}
+
+#[handler]
+const fn healthz() -> &'static str {
+    "ok\n"
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "poem hands extractors over by value"
+)]
+#[handler]
+fn readyz(daemon: Data<&Arc<Daemon>>) -> Response {
+    let is_ready = daemon.config.borrow().number > 0
+        && !daemon.is_draining.load(std::sync::atomic::Ordering::SeqCst);
+    let status = if is_ready { 200 } else { 503 };
+    let status = poem::http::StatusCode::from_u16(status).unwrap_or_default();
+    Response::builder()
+        .status(status)
+        .body(if is_ready { "ready\n" } else { "not ready\n" })
+}
--- /dev/null
+++ b/src/daemon/state.rs
@@ -0,0 +1,114 @@
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32},
+    },
+};
+
+use bytes::Bytes;
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::watch;
+
+use super::{
+    http::HttpClient, metrics::Metrics, platform::Platform, rollout_task::RolloutTask,
+    trainer_task::TrainerTask,
+};
+use crate::{
+    core::{
+        Name,
+        admission::Limit,
+        config::{Service, Versioned},
+        endpoint::EndpointTable,
+        membership::Membership,
+        quarantine::Quarantine,
+        request::Deduplication,
+        retry::Budget,
+    },
+    error::{ErrorKind, Refusal},
+    settings::Settings,
+    wire::peers::MemberRecord,
+};
+
+/// A whole answer, kept for resends.
+#[derive(Clone, Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: u16,
+    pub(crate) content_type: Arc<str>,
+    pub(crate) body: Bytes,
+}
+
+/// How a caller's request ended.
+pub(crate) type Outcome = Result<WholeAnswer, Refusal>;
+
+/// Everything that the tasks of one daemon share.
+///
+/// Each part has its own lock, which is held only while the part decides.
+pub(crate) struct Daemon {
+    pub(crate) settings: Settings,
+    pub(crate) me: MemberRecord,
+    pub(crate) http: HttpClient,
+    pub(crate) http_once: HttpClient,
+    pub(crate) platform: Platform,
+    pub(crate) metrics: Metrics,
+    pub(crate) config: watch::Sender<Versioned>,
+    pub(crate) endpoints: Mutex<EndpointTable>,
+    pub(crate) membership: Mutex<Membership>,
+    pub(crate) limit: Mutex<Limit>,
+    pub(crate) budgets: Mutex<BTreeMap<Name, Budget>>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) deduplication: Mutex<Deduplication<Outcome>>,
+    pub(crate) running: Mutex<BTreeMap<Arc<str>, watch::Receiver<Option<Outcome>>>>,
+    pub(crate) trainers: Mutex<BTreeMap<Name, Arc<TrainerTask>>>,
+    pub(crate) rollouts: Mutex<BTreeMap<Name, Arc<RolloutTask>>>,
+    pub(crate) rng: Mutex<SmallRng>,
+    pub(crate) is_draining: AtomicBool,
+    pub(crate) in_progress: AtomicU32,
+    pub(crate) stop: watch::Sender<bool>,
+}
+
+impl Daemon {
+    pub(crate) fn new(settings: Settings, me: MemberRecord) -> Self {
+        let http = HttpClient::new();
+        let platform = Platform::new(http.clone(), &settings.platform_addresses);
+        let limit = Limit::new(settings.limits.max_requests);
+        Self {
+            http_once: HttpClient::new_unpooled(),
+            platform,
+            metrics: Metrics::new(),
+            config: watch::Sender::new(Versioned::default()),
+            endpoints: Mutex::default(),
+            membership: Mutex::new(Membership::new(me.clone())),
+            limit: Mutex::new(limit),
+            budgets: Mutex::default(),
+            quarantine: Mutex::default(),
+            deduplication: Mutex::default(),
+            running: Mutex::default(),
+            trainers: Mutex::default(),
+            rollouts: Mutex::default(),
+            rng: Mutex::new(SmallRng::from_os_rng()),
+            is_draining: AtomicBool::new(false),
+            in_progress: AtomicU32::new(0),
+            stop: watch::Sender::new(false),
+            settings,
+            me,
+            http,
+        }
+    }
+
+    /// Returns a service of the configuration in force.
+    pub(crate) fn service(&self, name: &str) -> Result<Service, Refusal> {
+        let config = self.config.borrow();
+        config.document.services.get(name).cloned().ok_or_else(|| {
+            Refusal::new(
+                ErrorKind::UnknownService,
+                format!("there is no service '{name}'"),
+            )
+        })
+    }
+}
+
+/// Locks a part; a panic elsewhere while it was locked is no reason to stop.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,26 @@
+//! A rollout service for reinforcement learning beside live traffic.
+//!
+//! The crate has two halves. [`core`], [`error`], [`settings`] and [`wire`]
+//! decide and describe: they do no I/O, and time comes in as an argument.
+//! [`daemon`] and [`cli`] do: sockets, files and timers.
+//!
+//! # Embedding a part
+//!
+//! Each part of [`core`] is a plain struct. A lease, for instance, says what
+//! to read and write, and is told what came of it:
+//!
+//! ```
+//! use chicoryreach::core::lease::{Lease, Step};
+//!
+//! let mut lease = Lease::new("vm-1".into(), 1);
+//! assert_eq!(lease.step(0), Step::Read);
+//! lease.on_read(0, None, 0);
+//! assert!(matches!(lease.step(0), Step::Write { .. }));
+//! ```
+
+pub mod cli;
+pub mod core;
+pub mod daemon;
+pub mod error;
+pub mod settings;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The one binary: see `chicoryreach --help`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicoryreach::cli::main()
+}
