--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -60,6 +61,7 @@
     tries: usize,
     cursor: u64,
     weights_version: u64,
+    seen: BTreeSet<Slot>,
     /// How long it waited for samples.
     pub idle: Duration,
     /// How long it ran.
@@ -87,6 +89,7 @@
             tries: 0,
             cursor: 0,
             weights_version: 1,
+            seen: BTreeSet::new(),
             idle: Duration::ZERO,
             total: Duration::ZERO,
         }
@@ -94,12 +97,22 @@
 
     /// Trains every step, and notes in `verdict` what was seen.
     pub async fn run(&mut self, verdict: &mut Verdict) {
+        self.run_steps(1..=self.settings.steps, verdict).await;
+    }
+
+    /// Returns where the ledger was found last.
+    #[must_use]
+    pub const fn holder(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Trains some steps, and notes in `verdict` what was seen.
+    pub async fn run_steps(&mut self, steps: RangeInclusive<u64>, verdict: &mut Verdict) {
         let started = Instant::now();
-        let mut seen = BTreeSet::new();
-        for step in 1..=self.settings.steps {
+        for step in steps {
             self.open(step).await;
             let waiting = Instant::now();
-            let missing = self.collect(step, &mut seen, verdict).await;
+            let missing = self.collect(step, verdict).await;
             self.idle += waiting.elapsed();
             verdict.lost += missing;
             if missing > 0 {
@@ -116,7 +129,7 @@
                 self.weights_version
             );
         }
-        self.total = started.elapsed();
+        self.total += started.elapsed();
     }
 
     async fn open(&mut self, step: u64) {
@@ -132,12 +145,7 @@
     }
 
     /// Fetches until the step is whole, and returns how many samples miss.
-    async fn collect(
-        &mut self,
-        step: u64,
-        seen: &mut BTreeSet<Slot>,
-        verdict: &mut Verdict,
-    ) -> u64 {
+    async fn collect(&mut self, step: u64, verdict: &mut Verdict) -> u64 {
         const LIMIT: u32 = 256;
         let wanted =
             self.settings.prompts.len() as u64 * u64::from(self.settings.samples_per_group);
@@ -153,7 +161,13 @@
             };
             for sample in &fetched.samples {
                 let (version, bound) = (self.weights_version, self.settings.staleness_bound);
-                verdict.check_sample(seen, sample, version, bound, self.settings.max_tokens);
+                verdict.check_sample(
+                    &mut self.seen,
+                    sample,
+                    version,
+                    bound,
+                    self.settings.max_tokens,
+                );
                 have += u64::from(sample.slot.step == step);
             }
             self.cursor = fetched.next_cursor;
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -21,6 +21,7 @@
 use super::{
     answer::{error_body, json, refuse},
     clock::now_ms,
+    dispatch,
     endpoints::{self, Generated, PlainCall},
     state::{Daemon, Outcome, WholeAnswer, lock},
 };
@@ -270,7 +271,7 @@
             return running.get(id).cloned().ok_or(lost);
         }
     }
-    if let Err(refusal) = admit(daemon) {
+    if let Err(refusal) = dispatch::admit(daemon) {
         lock(&daemon.deduplication).cancel(id);
         return Err(refusal);
     }
@@ -287,25 +288,9 @@
     Ok(receiver)
 }
 
-fn admit(daemon: &Daemon) -> Result<(), Refusal> {
-    if daemon.is_draining.load(Ordering::SeqCst) {
-        return Err(Refusal::new(
-            ErrorKind::Draining,
-            "this VM is shutting down",
-        ));
-    }
-    if !lock(&daemon.limit).try_start() {
-        return Err(Refusal::new(
-            ErrorKind::Overloaded,
-            "too many requests run on this VM",
-        ));
-    }
-    Ok(())
-}
-
 /// Notes how a request ended; one that did not run may be sent again.
 fn end(daemon: &Daemon, id: &Arc<str>, outcome: &Outcome) {
-    lock(&daemon.limit).end();
+    dispatch::on_end(daemon);
     let mut running = lock(&daemon.running);
     running.remove(id);
     let mut deduplication = lock(&daemon.deduplication);
--- a/src/daemon/endpoints.rs
+++ b/src/daemon/endpoints.rs
@@ -14,6 +14,7 @@
 
 use super::{
     clock::{now_ms, sleep_until},
+    dispatch,
     http::{HttpError, request},
     state::{Daemon, WholeAnswer, lock},
 };
@@ -22,8 +23,7 @@
         Name,
         config::EndpointSettings,
         request::{AttemptFailure, Call, CallEffect, Effect, Event, Generation, Spec},
-        retry::{Budget, RetryReason},
-        routing,
+        retry::RetryReason,
     },
     error::{ErrorKind, Refusal},
     wire::{
@@ -32,8 +32,6 @@
     },
 };
 
-const RETRY_SHARE_PERMILLE: u32 = 200;
-const RETRY_BOUND_PERMILLE: u32 = 20_000;
 const CHUNK_TIMEOUT_MS: u64 = 5_000;
 
 /// A whole generated text.
@@ -44,49 +42,6 @@
     pub(crate) finish_reason: Arc<str>,
 }
 
-/// Chooses an endpoint for a request.
-fn choose(
-    daemon: &Daemon,
-    service: &str,
-    avoid: &BTreeSet<Name>,
-) -> Option<(Name, EndpointSettings)> {
-    let most = daemon.service(service).ok()?.max_in_flight_per_endpoint;
-    let request = routing::Request {
-        service,
-        data_centre: &daemon.settings.data_centre,
-        max_in_flight_per_endpoint: most,
-        avoid,
-    };
-    let mut endpoints = lock(&daemon.endpoints);
-    let name = routing::choose(&endpoints, now_ms(), &request, &mut *lock(&daemon.rng))?;
-    let settings = endpoints
-        .of_service(service)
-        .find(|endpoint| endpoint.name == name)
-        .map(|endpoint| endpoint.settings.clone())?;
-    endpoints.on_start(service, &name);
-    Some((name, settings))
-}
-
-/// Asks the service's retry budget for one retry.
-fn try_spend_retry(daemon: &Daemon, service: &str, reason: RetryReason) -> bool {
-    let may_retry = with_budget(daemon, service, Budget::try_spend);
-    if may_retry {
-        daemon.metrics.on_retry(reason);
-    }
-    may_retry
-}
-
-fn with_budget<F, T>(daemon: &Daemon, service: &str, act: F) -> T
-where
-    F: FnOnce(&mut Budget) -> T,
-{
-    let mut budgets = lock(&daemon.budgets);
-    let budget = budgets
-        .entry(service.into())
-        .or_insert_with(|| Budget::new(RETRY_SHARE_PERMILLE, RETRY_BOUND_PERMILLE));
-    act(budget)
-}
-
 /// One attempt that runs at an endpoint, counted there until it ends.
 struct Attempt {
     id: Arc<str>,
@@ -108,7 +63,7 @@
 where
     F: FnMut(&[Arc<str>], VersionSpan) + Send,
 {
-    with_budget(daemon, service, Budget::on_first_try);
+    dispatch::on_first_try(daemon, service);
     let mut effects = Vec::new();
     let mut machine = Generation::new(spec, &mut effects);
     let mut queue = VecDeque::from(effects);
@@ -125,7 +80,7 @@
         };
         match effect {
             Effect::Choose { avoid } => {
-                chosen = choose(daemon, service, &avoid);
+                chosen = dispatch::choose(daemon, service, &avoid);
                 let name = chosen.as_ref().map(|(name, _)| name.clone());
                 machine.handle(Event::Chosen(name), &mut next);
             }
@@ -217,7 +172,7 @@
             let is_down = failure.reason != RetryReason::EndpointRefused;
             lock(&daemon.endpoints).on_end(now_ms(), service, &endpoint, is_down);
             cancel(daemon, &settings, &id);
-            let may_retry = try_spend_retry(daemon, service, failure.reason);
+            let may_retry = dispatch::try_spend_retry(daemon, service, failure.reason);
             Event::Failed {
                 attempt: id,
                 failure,
@@ -334,11 +289,11 @@
     call: &PlainCall,
 ) -> Result<WholeAnswer, Refusal> {
     const MAX_ATTEMPTS: u32 = 3;
-    with_budget(daemon, service, Budget::on_first_try);
+    dispatch::on_first_try(daemon, service);
     let mut machine = Call::new(call.is_idempotent, MAX_ATTEMPTS);
     let mut avoid = BTreeSet::new();
     loop {
-        let chosen = choose(daemon, service, &avoid);
+        let chosen = dispatch::choose(daemon, service, &avoid);
         if let Some(refusal) = machine.on_chosen(chosen.as_ref().map(|(name, _)| name)) {
             return Err(refusal);
         }
@@ -356,7 +311,7 @@
             Some(Ok(answer)) => return Ok(answer),
             Some(Err(error)) => failure(&error),
         };
-        let may_retry = try_spend_retry(daemon, service, failure.reason);
+        let may_retry = dispatch::try_spend_retry(daemon, service, failure.reason);
         match machine.on_failed(failure, may_retry) {
             CallEffect::Choose { avoid: next } => avoid = next,
             CallEffect::Refuse(refusal) => return Err(refusal),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod clock;
 mod config;
+mod dispatch;
 mod endpoints;
 mod http;
 mod lease_keeper;
--- /dev/null
+++ b/tests/process_path.rs
@@ -0,0 +1,86 @@
+//! The whole path with real processes, and daemons that die in its middle.
+
+mod cluster;
+
+use std::{sync::Arc, time::Instant};
+
+use chicoryreach::wire::callers::CompletionRequest;
+use cluster::{Cluster, PATIENCE};
+use standins::{
+    caller::{Caller, Ended, read_completion},
+    drive::prompts,
+    engine::EngineSettings,
+    oracle::Verdict,
+    trainer::{Trainer, TrainerSettings},
+    world::WorldSize,
+};
+
+const SIZE: WorldSize = WorldSize {
+    daemons: 3,
+    engines: 3,
+    services: 1,
+    data_centres: 2,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_and_its_own() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let mut caller = Caller::new(cluster.caller_addresses(), 1);
+    let prompt = prompts()[0].clone();
+    let request = CompletionRequest {
+        model: "demand-lm".into(),
+        prompt,
+        max_tokens: 32,
+        seed: 7,
+        stream: false,
+    };
+    let Ended::Answer(body) = caller.complete("request-1", &request, 20_000).await else {
+        panic!("the request was not answered");
+    };
+    let completion = read_completion(&body).expect("the answer can be read");
+    let mut verdict = Verdict::default();
+    let text = &completion.choices[0].text;
+    verdict.check_text(
+        &request.prompt,
+        request.seed,
+        request.max_tokens,
+        text,
+        &completion.weights,
+    );
+    assert_eq!(verdict.broken, Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn samples_arrive_once_though_the_holder_is_killed() {
+    let mut cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let settings = TrainerSettings {
+        trainer: "pricing".into(),
+        service: "demand-lm".into(),
+        prompts: prompts().into_iter().take(6).collect::<Vec<Arc<str>>>(),
+        samples_per_group: 4,
+        max_tokens: 64,
+        staleness_bound: 1,
+        steps: 2,
+        train_ms: 0,
+        deadline: Instant::now() + PATIENCE,
+    };
+    let mut trainer = Trainer::new(
+        settings,
+        cluster.caller_addresses(),
+        cluster.control_addresses(),
+    );
+    let mut verdict = Verdict::default();
+    trainer.run_steps(1..=1, &mut verdict).await;
+    let holder = trainer.holder();
+    let number = cluster
+        .records
+        .iter()
+        .position(|record| record.caller_address == holder);
+    cluster.kill(number.expect("the holder is known"));
+    trainer.run_steps(2..=2, &mut verdict).await;
+    assert_eq!(verdict.broken, Vec::<String>::new());
+    assert_eq!(
+        (verdict.delivered, verdict.doubled, verdict.lost),
+        (48, 0, 0)
+    );
+}
--- /dev/null
+++ b/tests/sim/mod.rs
@@ -0,0 +1,131 @@
+//! Virtual time, a faulty network and a fake table for scenarios.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use chicoryreach::wire::platform::{Transaction, TransactionOutcome};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::Deserialize;
+use serde_json::Value;
+
+/// How messages fare between two fakes.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Network {
+    /// The shortest way, in milliseconds.
+    pub min_delay_ms: u64,
+    /// The longest way, in milliseconds.
+    pub max_delay_ms: u64,
+    /// How many of a thousand messages are lost.
+    pub lost_permille: u32,
+    /// How many of a thousand messages arrive twice.
+    pub doubled_permille: u32,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            min_delay_ms: 1,
+            max_delay_ms: 5,
+            lost_permille: 0,
+            doubled_permille: 0,
+        }
+    }
+}
+
+/// Events in the order of their times; the same seed gives the same order.
+#[derive(Debug)]
+pub struct Sim<E> {
+    /// The time now, in milliseconds.
+    pub now_ms: u64,
+    /// Randomness for the fakes.
+    pub rng: SmallRng,
+    queue: BTreeMap<(u64, u64), E>,
+    scheduled: u64,
+}
+
+impl<E> Sim<E>
+where
+    E: Clone,
+{
+    /// Creates an empty queue at time 0.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now_ms: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            scheduled: 0,
+        }
+    }
+
+    /// Schedules an event.
+    pub fn at(&mut self, at_ms: u64, event: E) {
+        self.scheduled += 1;
+        let at_ms = at_ms.max(self.now_ms);
+        self.queue.insert((at_ms, self.scheduled), event);
+    }
+
+    /// Sends a message over a network: late, lost or twice.
+    pub fn send(&mut self, network: Network, event: &E) {
+        if self.rng.random_ratio(network.lost_permille, 1_000) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_ratio(network.doubled_permille, 1_000));
+        for _ in 0..copies {
+            let delay_ms = self
+                .rng
+                .random_range(network.min_delay_ms..=network.max_delay_ms);
+            self.at(self.now_ms + delay_ms, event.clone());
+        }
+    }
+
+    /// Goes on to the next event before `end_ms`.
+    pub fn next(&mut self, end_ms: u64) -> Option<E> {
+        let entry = self.queue.first_entry()?;
+        if entry.key().0 >= end_ms {
+            return None;
+        }
+        let ((at_ms, _), event) = entry.remove_entry();
+        self.now_ms = at_ms;
+        Some(event)
+    }
+}
+
+/// A table as the platform has it: rows with versions, written by checks.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<Arc<str>, (u64, Value)>,
+    last_versions: BTreeMap<Arc<str>, u64>,
+}
+
+impl Table {
+    /// Returns a row and its version; version 0 where there is none.
+    pub fn get(&self, key: &str) -> (u64, Value) {
+        self.rows.get(key).cloned().unwrap_or((0, Value::Null))
+    }
+
+    /// Writes rows together, if every check holds.
+    pub fn transact(&mut self, transaction: &Transaction) -> TransactionOutcome {
+        let checks = &transaction.checks;
+        let committed = checks
+            .iter()
+            .all(|check| self.get(&check.key).0 == check.row_version);
+        let writes = transaction.writes.iter().filter(|_| committed);
+        for write in writes {
+            let version = self.last_versions.entry(write.key.clone()).or_default();
+            *version += 1;
+            match &write.value {
+                Some(value) => self
+                    .rows
+                    .insert(write.key.clone(), (*version, value.clone())),
+                None => self.rows.remove(&write.key),
+            };
+        }
+        let keys = checks.iter().map(|check| &check.key);
+        let keys = keys.chain(transaction.writes.iter().map(|write| &write.key));
+        let row_versions = keys.map(|key| (key.clone(), self.get(key).0)).collect();
+        TransactionOutcome {
+            committed,
+            row_versions,
+        }
+    }
+}
