--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -52,7 +52,7 @@
         assert!(
             broken.is_empty(),
             "{}\n{}: seed {seed}: {broken:?}",
-            story.story,
+            story.text,
             story.promise
         );
     }
