Tell a change that may have been written apart from one that was not

Cause: a patch or a step whose write got no answer was refused as platform_unavailable, whose row says not_run; yet the write may have taken effect, which breaks 'a request refused as not run really did not run'. Ruled out: outcome_unknown, which tells callers never to send again; here sending again is safe and wanted. Before: not_run true, 503. Conclusion: not_run is claimed only where nothing was sent.

--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -97,7 +97,7 @@
         }
     }
     Err(Refusal::new(
-        ErrorKind::PlatformUnavailable,
+        ErrorKind::NotConfirmed,
         "the patch is not known to be written; send it again",
     ))
 }
--- a/src/daemon/trainers.rs
+++ b/src/daemon/trainers.rs
@@ -103,7 +103,7 @@
             acknowledged_cursor: progress.acknowledged_cursor,
         }),
         _ => Err(Refusal::new(
-            ErrorKind::PlatformUnavailable,
+            ErrorKind::NotConfirmed,
             "the change is not known to be written; send it again",
         )),
     }
--- a/src/error/answer.rs
+++ b/src/error/answer.rs
@@ -50,6 +50,7 @@
             Self::TimedOut => (504, false, Retry::Never),
             Self::Overloaded => (429, true, Retry::Later),
             Self::NoEndpoint | Self::PlatformUnavailable => (503, true, Retry::Later),
+            Self::NotConfirmed => (503, false, Retry::Later),
             Self::Draining | Self::ConfigTooOld => (503, true, Retry::Elsewhere),
             Self::Quarantined | Self::ConfigInvalid => (422, true, Retry::Never),
             Self::OutcomeUnknown => (502, false, Retry::Never),
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -65,6 +65,8 @@
     TicketInvalid,
     /// The platform's table or object store does not answer.
     PlatformUnavailable,
+    /// The change may have been written; sending it again is safe.
+    NotConfirmed,
     /// The patch was written against an outdated configuration version.
     ConfigConflict,
     /// The patch does not give a valid configuration.
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,57 @@
+//! The pages say what the code does.
+
+use std::{fs, path::PathBuf};
+
+use chicoryreach::error::{ErrorKind, Retry};
+use rstest::rstest;
+use strum::IntoEnumIterator;
+
+#[test]
+fn every_error_kind_stands_on_its_page() {
+    let page = fs::read_to_string("docs/ERRORS.md").expect("the page can be read");
+    for kind in ErrorKind::iter() {
+        let answer = kind.answer();
+        let not_run = if answer.not_run { "yes" } else { "no" };
+        let retry = match answer.retry {
+            Retry::Never => "never",
+            Retry::Elsewhere => "elsewhere",
+            Retry::Later => "later",
+        };
+        let row = format!("| `{kind}` | {} | {not_run} | {retry} |", answer.status);
+        assert!(page.contains(&row), "docs/ERRORS.md lacks the row {row}");
+    }
+    let rows = page.lines().filter(|line| line.starts_with("| `")).count();
+    assert_eq!(
+        rows,
+        ErrorKind::iter().count(),
+        "docs/ERRORS.md has rows of no kind"
+    );
+}
+
+#[rstest]
+fn every_story_stands_on_the_page_of_proofs(#[files("tests/scenarios/**/*.json")] path: PathBuf) {
+    let page = fs::read_to_string("docs/PROOFS.md").expect("the page can be read");
+    let name = path
+        .file_stem()
+        .expect("a story has a name")
+        .to_string_lossy()
+        .into_owned();
+    assert!(
+        page.contains(&format!("`{name}`")),
+        "docs/PROOFS.md lacks '{name}'"
+    );
+}
+
+#[test]
+fn every_page_is_linked_from_the_front() {
+    let front = fs::read_to_string("README.md").expect("the page can be read");
+    for entry in fs::read_dir("docs").expect("the folder can be read") {
+        let name = entry.expect("the entry can be read").file_name();
+        let name = name.to_string_lossy();
+        let is_page = name.ends_with(".md");
+        assert!(
+            !is_page || front.contains(&format!("docs/{name}")),
+            "README.md does not link {name}"
+        );
+    }
+}
