Play one fault in the middle of the demo

Cause: the demo showed the path only in good weather. Done: scripts/demo.sh takes a fault (kill, freeze, terminate, platform, lost-answers), played once the load has started; drive is split so that the script can tell when that is. A first try played the fault after a fixed second and met daemons that had no configuration yet ('the configuration is not in force on vm-2'); the script now waits for a file that drive writes.

--- a/crates/standins/src/drive.rs
+++ b/crates/standins/src/drive.rs
@@ -163,16 +163,12 @@
     Ok(())
 }
 
-/// Drives load and returns what came of it.
+/// Waits for the daemons and puts the configuration in force on them.
 ///
 /// # Errors
 ///
-/// A sentence if the daemons cannot be driven at all.
-///
-/// # Panics
-///
-/// Never: the bounds of the histograms are valid.
-pub async fn drive(settings: DriveSettings) -> Result<Driven, String> {
+/// A sentence if that does not come about in time.
+pub async fn prepare(settings: &DriveSettings) -> Result<Vec<MemberRecord>, String> {
     let deadline = Instant::now() + Duration::from_millis(settings.timeout_ms);
     let daemons = wait_for_daemons(settings.platform, settings.daemons, deadline).await?;
     configure(&daemons, settings.config.clone(), deadline).await?;
@@ -180,6 +176,20 @@
         "{} daemons run with the configuration in force",
         daemons.len()
     );
+    Ok(daemons)
+}
+
+/// Drives load on prepared daemons and returns what came of it.
+///
+/// # Errors
+///
+/// A sentence if a caller's task fails.
+///
+/// # Panics
+///
+/// If there are no daemons.
+pub async fn drive(settings: &DriveSettings, daemons: &[MemberRecord]) -> Result<Driven, String> {
+    let deadline = Instant::now() + Duration::from_millis(settings.timeout_ms);
     let addresses: Vec<_> = daemons.iter().map(|daemon| daemon.caller_address).collect();
     let control = daemons
         .iter()
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod drive;
 pub mod engine;
+pub mod fault;
 pub mod http;
 pub mod oracle;
 pub mod platform;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,11 +1,19 @@
 //! The stand-ins' command line: see `standins --help`.
 
-use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
 
 use bpaf::Bpaf;
 use standins::{
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
+    fault,
+    platform::Faults,
     world::{World, WorldSize},
 };
 
@@ -35,6 +43,24 @@
         #[bpaf(argument("SECONDS"), fallback(600))]
         seconds: u64,
     },
+    /// Switches faults of the platform on for a while.
+    #[bpaf(command)]
+    Fault {
+        /// The directory of a world.
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// Every request is refused.
+        down: bool,
+        /// How long every request waits first, in milliseconds.
+        #[bpaf(argument("MS"), fallback(0))]
+        delay_ms: u64,
+        /// How many answers of writes are lost after the write took effect.
+        #[bpaf(argument("N"), fallback(0))]
+        lose_answers: u32,
+        /// For how long, in milliseconds.
+        #[bpaf(argument("MS"), fallback(5_000))]
+        for_ms: u64,
+    },
     /// Drives callers and a trainer, and judges what they saw.
     #[bpaf(command)]
     Drive {
@@ -105,6 +131,21 @@
             tokio::time::sleep(Duration::from_secs(seconds)).await;
             Ok(())
         }
+        Command::Fault {
+            dir,
+            down,
+            delay_ms,
+            lose_answers,
+            for_ms,
+        } => {
+            let faults = Faults {
+                is_down: down,
+                delay_ms,
+                lose_answers,
+                ..Faults::default()
+            };
+            fault::play(platform(&dir)?, faults, for_ms).await
+        }
         Command::Drive {
             dir,
             daemons,
@@ -115,9 +156,7 @@
             seconds,
         } => {
             let settings = DriveSettings {
-                platform: read(&dir, "platform")?
-                    .parse()
-                    .map_err(|error| format!("{error}"))?,
+                platform: platform(&dir)?,
                 daemons,
                 config: serde_json::from_str(&read(&dir, "config.json")?)
                     .map_err(|error| error.to_string())?,
@@ -127,12 +166,21 @@
                 samples_per_group: samples,
                 timeout_ms: seconds * 1_000,
             };
-            report(&drive::drive(settings).await?)
+            let prepared = drive::prepare(&settings).await?;
+            // Tells the demo's script that a fault may be played now.
+            fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
+            report(&drive::drive(&settings, &prepared).await?)
         }
     }
 }
 
-fn read(dir: &std::path::Path, name: &str) -> Result<String, String> {
+fn platform(dir: &Path) -> Result<SocketAddr, String> {
+    read(dir, "platform")?
+        .parse()
+        .map_err(|error| format!("platform: {error}"))
+}
+
+fn read(dir: &Path, name: &str) -> Result<String, String> {
     fs::read_to_string(dir.join(name)).map_err(|error| format!("{name}: {error}"))
 }
 
