--- a/src/core/guard.rs
+++ b/src/core/guard.rs
@@ -28,10 +28,18 @@
     AttemptId,
     /// Chunks are taken only at the offset that is due.
     ChunkOffset,
+    /// An attempt that brings nothing for too long is dropped.
+    StallDeadline,
+    /// A run that no caller waits for is cancelled only after a while.
+    CallerGoneGrace,
     /// A request id runs once.
     RequestDeduplication,
     /// A ticket of another incarnation is never run unsettled.
     TicketIncarnation,
+    /// A ticket lapses before the ids that ran under it are forgotten.
+    TicketLifetime,
+    /// An id that another VM was told never ran here is sealed.
+    SettleSeal,
     /// A non-idempotent request is never sent a second time.
     AtMostOnce,
     /// Once sent, a request is no longer called "not run".
@@ -48,6 +56,8 @@
     VersionsFromChunks,
     /// Contents that crash endpoints are isolated.
     Quarantine,
+    /// A crash is blamed on earlier suspects alone, where one ran there.
+    BlameIntersection,
     /// Endpoints that leave get no new work.
     EndpointLeaving,
     /// A VM that leaves waits until callers have dropped its address.
--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -2,4 +2,6 @@
 
 mod quarantine;
 
-pub use self::quarantine::Quarantine;
+pub use self::quarantine::{
+    BLAME_MS, MAX_CRASHES, MAX_SHARED_CRASHES, Permit, Quarantine, RunEnd, SETTLE_MS,
+};
--- a/src/core/request/deduplication.rs
+++ b/src/core/request/deduplication.rs
@@ -3,11 +3,19 @@
     sync::Arc,
 };
 
-use crate::core::guard::{self, Guard};
+use super::ticket::{MAX_SKEW_MS, TICKET_LIFETIME_MS};
+use crate::core::{
+    Name,
+    guard::{self, Guard},
+};
 
 /// How long an id is remembered after its request ended.
 pub const REMEMBER_MS: u64 = 120_000;
 
+/// Whatever ran under a ticket is remembered for longer than the ticket lets
+/// unknown ids run.
+const _: () = assert!(REMEMBER_MS > TICKET_LIFETIME_MS + MAX_SKEW_MS);
+
 /// What is known of a request id.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Seen<T> {
@@ -19,9 +27,52 @@
     Ended(T),
     /// It was used with another body.
     Reused,
+    /// This VM was told to run it.
+    Sealed(Name),
+    /// It is not known, and may have been forgotten.
+    Forgotten,
+}
+
+/// What the VM that a ticket names says of an id.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Settled<T> {
+    /// It never ran here, and never will.
+    NeverRan,
+    /// It runs now.
+    Running,
+    /// It ended with this.
+    Ended(T),
+    /// It was used with another body.
+    Reused,
+    /// This VM was told to run it.
+    Sealed(Name),
+    /// Nothing is known of it that can be answered for.
+    Unknown,
+}
+
+/// One start of one daemon.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Asker {
+    /// The VM.
+    pub vm: Name,
+    /// The incarnation of its daemon.
+    pub incarnation: u64,
 }
 
 /// Runs each request id once, and gives resends the first answer.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::request::{Asker, Deduplication, Seen, Settled};
+///
+/// let mut ids: Deduplication<u32> = Deduplication::default();
+/// let asker = Asker { vm: "vm-2".into(), incarnation: 1 };
+/// let settled = ids.settle(0, &"slip-7".into(), &"body".into(), &asker, true);
+/// assert_eq!(settled, Settled::NeverRan);
+/// let seen = ids.start(&"slip-7".into(), &"body".into(), true);
+/// assert_eq!(seen, Seen::Sealed("vm-2".into()));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Deduplication<T> {
     entries: BTreeMap<Arc<str>, Entry<T>>,
@@ -31,7 +82,14 @@
 #[derive(Clone, Debug)]
 struct Entry<T> {
     fingerprint: Arc<str>,
-    ended: Option<T>,
+    state: State<T>,
+}
+
+#[derive(Clone, Debug)]
+enum State<T> {
+    Running,
+    Ended(T),
+    Sealed(Asker),
 }
 
 impl<T> Default for Deduplication<T> {
@@ -47,15 +105,18 @@
 where
     T: Clone,
 {
-    /// Looks up an id, and starts it if it is new.
-    pub fn start(&mut self, id: &Arc<str>, fingerprint: &Arc<str>) -> Seen<T> {
+    /// Looks up an id, and starts it if it is new and `may_start`.
+    pub fn start(&mut self, id: &Arc<str>, fingerprint: &Arc<str>, may_start: bool) -> Seen<T> {
         if !guard::is_on(Guard::RequestDeduplication) {
             return Seen::New;
         }
         let Some(entry) = self.entries.get(id) else {
+            if !may_start {
+                return Seen::Forgotten;
+            }
             let entry = Entry {
                 fingerprint: fingerprint.clone(),
-                ended: None,
+                state: State::Running,
             };
             self.entries.insert(id.clone(), entry);
             return Seen::New;
@@ -63,13 +124,57 @@
         if entry.fingerprint != *fingerprint {
             return Seen::Reused;
         }
-        entry.ended.clone().map_or(Seen::Running, Seen::Ended)
+        match &entry.state {
+            State::Running => Seen::Running,
+            State::Ended(with) => Seen::Ended(with.clone()),
+            State::Sealed(asker) => Seen::Sealed(asker.vm.clone()),
+        }
+    }
+
+    /// Answers another VM that was sent a ticket of this one.
+    ///
+    /// An id that is not known is sealed for the asker, if `may_seal`: the
+    /// asker may run it, nobody else will. The same asker is told the same
+    /// again, for its answer may have been lost; it remembers itself whether
+    /// it has run the id since.
+    pub fn settle(
+        &mut self,
+        now_ms: u64,
+        id: &Arc<str>,
+        fingerprint: &Arc<str>,
+        asker: &Asker,
+        may_seal: bool,
+    ) -> Settled<T> {
+        let Some(entry) = self.entries.get(id) else {
+            if !may_seal {
+                return Settled::Unknown;
+            }
+            if guard::is_on(Guard::SettleSeal) {
+                let entry = Entry {
+                    fingerprint: fingerprint.clone(),
+                    state: State::Sealed(asker.clone()),
+                };
+                self.entries.insert(id.clone(), entry);
+                self.forget.insert((now_ms + REMEMBER_MS, id.clone()));
+            }
+            return Settled::NeverRan;
+        };
+        if entry.fingerprint != *fingerprint {
+            return Settled::Reused;
+        }
+        match &entry.state {
+            State::Running => Settled::Running,
+            State::Ended(with) => Settled::Ended(with.clone()),
+            State::Sealed(sealed) if sealed != asker => Settled::Sealed(sealed.vm.clone()),
+            State::Sealed(_) if may_seal => Settled::NeverRan,
+            State::Sealed(_) => Settled::Unknown,
+        }
     }
 
     /// Notes how a request ended.
     pub fn end(&mut self, now_ms: u64, id: &Arc<str>, with: T) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.ended = Some(with);
+            entry.state = State::Ended(with);
             self.forget.insert((now_ms + REMEMBER_MS, id.clone()));
         }
     }
--- a/src/core/request/generation.rs
+++ b/src/core/request/generation.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// How long an attempt may bring nothing that counts.
+pub const STALL_MS: u64 = 5_000;
+
 /// What is asked of a model service.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -28,6 +31,8 @@
     pub priority: u8,
     /// When the request is given up.
     pub deadline_ms: u64,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
     /// The most attempts.
     pub max_attempts: u32,
     /// Whether tokens of two endpoints may stand in one answer.
@@ -80,6 +85,13 @@
         /// What to send.
         generate: Generate,
     },
+    /// Send this to the endpoint that ran the attempt before.
+    Resume {
+        /// The endpoint.
+        endpoint: Name,
+        /// What to send.
+        generate: Generate,
+    },
     /// Tell the endpoint that the attempt is dropped.
     Cancel {
         /// The endpoint.
@@ -107,7 +119,33 @@
 ///
 /// Tokens are handed on once each and in order, whatever the attempts do: a
 /// piece counts only if it belongs to the attempt that runs now and starts at
-/// the token that is due.
+/// the token that is due. An attempt that brings no such piece for [`STALL_MS`]
+/// is dropped. After a failure the answer goes on at the token that is due: at
+/// another endpoint if the service allows tokens of two in one answer or none
+/// was handed on yet, else at the same one.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::request::{Effect, Event, Generation, Spec};
+///
+/// let spec = Spec {
+///     id: "vm-1.9.r".into(),
+///     prompt: "floor 3".into(),
+///     max_tokens: 8,
+///     seed: 1,
+///     priority: 0,
+///     deadline_ms: 10_000,
+///     is_idempotent: true,
+///     max_attempts: 3,
+///     continue_elsewhere: true,
+/// };
+/// let mut effects = Vec::new();
+/// let mut generation = Generation::new(spec, &mut effects);
+/// effects.clear();
+/// generation.handle(0, Event::Chosen(Some("sampler-1".into())), &mut effects);
+/// assert!(matches!(effects[0], Effect::Start { .. }));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Generation {
     spec: Spec,
@@ -124,6 +162,8 @@
 struct Running {
     attempt: Arc<str>,
     endpoint: Name,
+    /// When the attempt is dropped if no piece that counts comes before.
+    stalls_at_ms: u64,
 }
 
 impl Generation {
@@ -146,20 +186,23 @@
     }
 
     /// Takes an event and appends what to do to `effects`.
-    pub fn handle(&mut self, event: Event, effects: &mut Vec<Effect>) {
+    pub fn handle(&mut self, now_ms: u64, event: Event, effects: &mut Vec<Effect>) {
         if self.is_over {
             return;
         }
         match event {
-            Event::Chosen(Some(endpoint)) => self.start(endpoint, effects),
+            Event::Chosen(Some(endpoint)) => {
+                let generate = self.start(now_ms, endpoint.clone());
+                effects.push(Effect::Start { endpoint, generate });
+            }
             Event::Chosen(None) => self.on_no_endpoint(effects),
-            Event::Chunk(chunk) => self.on_chunk(chunk, effects),
+            Event::Chunk(chunk) => self.on_chunk(now_ms, chunk, effects),
             Event::Failed {
                 attempt,
                 failure,
                 may_retry,
             } => {
-                self.on_failed(&attempt, failure, may_retry, effects);
+                self.on_failed(now_ms, &attempt, failure, may_retry, effects);
             }
             Event::Deadline => self.on_deadline(effects),
             Event::CallerGone => self.refuse(ErrorKind::CallerGone, "the caller is gone", effects),
@@ -172,6 +215,13 @@
         self.spec.deadline_ms
     }
 
+    /// Returns when the running attempt is dropped if nothing comes before.
+    #[must_use]
+    pub fn stalls_at_ms(&self) -> Option<u64> {
+        let running = self.running.as_ref()?;
+        guard::is_on(Guard::StallDeadline).then_some(running.stalls_at_ms)
+    }
+
     /// Returns the tokens handed on so far.
     #[must_use]
     pub fn tokens(&self) -> &[Arc<str>] {
@@ -184,7 +234,7 @@
         &self.spans
     }
 
-    fn start(&mut self, endpoint: Name, effects: &mut Vec<Effect>) {
+    fn start(&mut self, now_ms: u64, endpoint: Name) -> Generate {
         self.attempts += 1;
         let attempt: Arc<str> = format!("{}-{}", self.spec.id, self.attempts).into();
         let generate = Generate {
@@ -197,25 +247,34 @@
         };
         self.running = Some(Running {
             attempt,
-            endpoint: endpoint.clone(),
+            endpoint,
+            stalls_at_ms: now_ms + STALL_MS,
         });
-        effects.push(Effect::Start { endpoint, generate });
+        generate
     }
 
     fn on_no_endpoint(&mut self, effects: &mut Vec<Effect>) {
-        let kind = if self.was_sent {
-            ErrorKind::AttemptsExhausted
-        } else {
-            ErrorKind::NoEndpoint
-        };
+        let kind = self.final_kind();
         self.refuse(kind, "no endpoint of the service takes work now", effects);
     }
 
-    fn on_chunk(&mut self, chunk: Chunk, effects: &mut Vec<Effect>) {
+    fn final_kind(&self) -> ErrorKind {
+        let claims_not_run = !self.was_sent || !guard::is_on(Guard::NotRunOnlyBeforeSend);
+        match (claims_not_run, self.spec.is_idempotent) {
+            (true, _) => ErrorKind::NoEndpoint,
+            (false, true) => ErrorKind::AttemptsExhausted,
+            (false, false) => ErrorKind::OutcomeUnknown,
+        }
+    }
+
+    fn on_chunk(&mut self, now_ms: u64, chunk: Chunk, effects: &mut Vec<Effect>) {
         self.was_sent = true;
         if !self.is_due(&chunk) {
             return;
         }
+        if let Some(running) = &mut self.running {
+            running.stalls_at_ms = now_ms + STALL_MS;
+        }
         let from_token = self.token_count();
         let finish = chunk.finish;
         if !chunk.tokens.is_empty() {
@@ -263,27 +322,31 @@
 
     fn on_failed(
         &mut self,
+        now_ms: u64,
         attempt: &Arc<str>,
         failure: AttemptFailure,
         may_retry: bool,
         effects: &mut Vec<Effect>,
     ) {
         let is_current = |running: &mut Running| running.attempt == *attempt;
-        let Some(running) = self.running.take_if(is_current) else {
+        let Some(Running { endpoint, .. }) = self.running.take_if(is_current) else {
             return;
         };
         self.was_sent |= failure.was_sent;
-        self.avoid.insert(running.endpoint);
-        let is_stuck = !self.tokens.is_empty() && !self.spec.continue_elsewhere;
-        if !may_retry || is_stuck || self.attempts >= self.spec.max_attempts {
-            let kind = if self.was_sent {
-                ErrorKind::AttemptsExhausted
-            } else {
-                ErrorKind::NoEndpoint
-            };
+        self.avoid.insert(endpoint.clone());
+        let is_spent = self.was_sent && !self.spec.is_idempotent && guard::is_on(Guard::AtMostOnce);
+        let is_bound = !self.tokens.is_empty() && !self.spec.continue_elsewhere;
+        let is_gone = is_bound && !failure.was_sent;
+        if is_spent || is_gone || !may_retry || self.attempts >= self.spec.max_attempts {
+            let kind = self.final_kind();
             self.refuse(kind, "the attempts that are allowed have failed", effects);
             return;
         }
+        if is_bound {
+            let generate = self.start(now_ms, endpoint.clone());
+            effects.push(Effect::Resume { endpoint, generate });
+            return;
+        }
         effects.push(Effect::Choose {
             avoid: self.avoid.clone(),
         });
@@ -291,17 +354,20 @@
 
     fn on_deadline(&mut self, effects: &mut Vec<Effect>) {
         let has_run = self.was_sent || self.running.is_some();
-        let kind = if has_run {
-            ErrorKind::TimedOut
-        } else {
-            ErrorKind::DeadlinePassed
+        let kind = match (has_run, self.spec.is_idempotent) {
+            (false, _) => ErrorKind::DeadlinePassed,
+            (true, true) => ErrorKind::TimedOut,
+            (true, false) => ErrorKind::OutcomeUnknown,
         };
         self.refuse(kind, "the deadline passed", effects);
     }
 
     fn refuse(&mut self, kind: ErrorKind, message: &str, effects: &mut Vec<Effect>) {
         self.is_over = true;
-        if let Some(Running { attempt, endpoint }) = self.running.take() {
+        if let Some(Running {
+            attempt, endpoint, ..
+        }) = self.running.take()
+        {
             effects.push(Effect::Cancel { endpoint, attempt });
         }
         effects.push(Effect::Refuse(Refusal::new(kind, message)));
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -2,16 +2,20 @@
 
 mod call;
 mod deduplication;
+mod drain;
 mod generation;
 mod ticket;
+mod waiters;
 
 use std::sync::Arc;
 
 pub use self::{
     call::{Call, CallEffect, CallFailure},
-    deduplication::{Deduplication, Seen},
-    generation::{AttemptFailure, Effect, Event, Generation, Spec},
-    ticket::Ticket,
+    deduplication::{Asker, Deduplication, REMEMBER_MS, Seen, Settled},
+    drain::{Drain, DrainStep},
+    generation::{AttemptFailure, Effect, Event, Generation, STALL_MS, Spec},
+    ticket::{MAX_SKEW_MS, TICKET_LIFETIME_MS, Ticket, TicketClock, Window},
+    waiters::{CALLER_GONE_GRACE_MS, Waiters},
 };
 use crate::core::digest::hex_digest;
 
--- a/src/core/retry/reason.rs
+++ b/src/core/retry/reason.rs
@@ -12,6 +12,8 @@
     EndpointRefused,
     /// The connection broke, or the answer was not whole.
     AnswerCut,
+    /// The endpoint brought nothing for too long.
+    AnswerStalled,
     /// The answer did not follow the protocol.
     AnswerInvalid,
     /// A group's last sample was slow.
--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -1,17 +1,20 @@
 use poem::{Response, http::StatusCode};
+use rand::Rng;
 use serde::Serialize;
 
 use super::{
     clock::{now_ms, unix_ms},
-    state::Daemon,
+    state::{Daemon, lock},
 };
 use crate::{
     error::{Refusal, Retry},
     wire::callers::ErrorBody,
 };
 
-/// How long after a refusal a caller may come back, where none was named.
-const DEFAULT_RETRY_MS: u64 = 1_000;
+/// The least time after which a refused caller may come back, where none was named.
+const MIN_RETRY_MS: u64 = 1_000;
+/// Over how long callers that are refused together come back.
+const RETRY_SPREAD_MS: u64 = 1_000;
 
 /// Turns a refusal into the body that the other side gets, and counts it.
 pub(crate) fn error_body(daemon: &Daemon, refusal: &Refusal) -> ErrorBody {
@@ -22,12 +25,10 @@
         Retry::Never => None,
         Retry::Elsewhere => Some(0),
         Retry::Later => {
-            let now_ms = now_ms();
-            Some(
-                detail
-                    .retry_at_ms
-                    .map_or(DEFAULT_RETRY_MS, |at_ms| at_ms.saturating_sub(now_ms)),
-            )
+            let named_ms = detail.retry_at_ms;
+            let wait_ms = named_ms.map_or(MIN_RETRY_MS, |at_ms| at_ms.saturating_sub(now_ms()));
+            let spread_ms = lock(&daemon.rng).random_range(0..=RETRY_SPREAD_MS);
+            Some(wait_ms + spread_ms)
         }
     };
     ErrorBody {
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -16,13 +16,14 @@
     },
 };
 use serde::Deserialize;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use super::{
     answer::{error_body, json, refuse},
     clock::now_ms,
-    dispatch,
+    crash,
     endpoints::{self, Generated, PlainCall},
+    settle::{self, Awaited},
     state::{Daemon, Outcome, WholeAnswer, lock},
 };
 use crate::{
@@ -30,7 +31,7 @@
         Name,
         admission::Priority,
         config::ServiceKind,
-        request::{Seen, Spec, Ticket, fingerprint},
+        request::{Spec, Ticket, fingerprint},
     },
     error::{ErrorKind, Refusal},
     wire::{
@@ -47,12 +48,12 @@
 
 /// What the headers say of a request.
 #[derive(Clone, Debug)]
-struct CallerHeaders {
-    id: Arc<str>,
-    deadline_ms: u64,
-    priority: Priority,
-    is_idempotent: bool,
-    ticket: Option<Ticket>,
+pub(crate) struct CallerHeaders {
+    pub(crate) id: Arc<str>,
+    pub(crate) deadline_ms: u64,
+    pub(crate) priority: Priority,
+    pub(crate) is_idempotent: bool,
+    pub(crate) ticket: Option<Ticket>,
 }
 
 /// Counts a request for as long as it runs, so that a shutdown can wait for it.
@@ -83,6 +84,7 @@
 )]
 #[handler]
 pub(crate) fn addresses(daemon: Data<&Arc<Daemon>>, query: Query<AddressQuery>) -> Response {
+    let issued_ms = daemon.ticket_clock.time_ms(now_ms());
     let members = lock(&daemon.membership);
     let mut entries: Vec<Entry> = members
         .records()
@@ -91,6 +93,7 @@
             let ticket = Ticket {
                 vm: record.vm.clone(),
                 incarnation: record.incarnation,
+                issued_ms,
             };
             Entry {
                 vm: record.vm.clone(),
@@ -157,46 +160,49 @@
         )));
     }
     let fingerprint = fingerprint(&completion.model, &body);
-    check_quarantine(daemon, &fingerprint)?;
+    let content = endpoints::content(&completion.model, &completion.prompt);
+    crash::check(daemon, &content)?;
+    let run_number = daemon.runs.fetch_add(1, Ordering::Relaxed);
+    let me = &daemon.me;
     let spec = Spec {
-        id: format!("{}.{}.{}", daemon.me.vm, daemon.me.incarnation, headers.id).into(),
+        // An id may run again, and then its attempts must be others.
+        id: format!("{}.{}.{run_number}.{}", me.vm, me.incarnation, headers.id).into(),
         prompt: completion.prompt.clone(),
         max_tokens: completion.max_tokens,
         seed: completion.seed,
         priority: headers.priority as u8,
         deadline_ms: headers.deadline_ms,
-        max_attempts: if headers.is_idempotent {
-            MAX_ATTEMPTS
-        } else {
-            1
-        },
+        is_idempotent: headers.is_idempotent,
+        max_attempts: MAX_ATTEMPTS,
         continue_elsewhere: service.continue_elsewhere,
     };
     let (pieces, received) = mpsc::unbounded_channel();
     let pieces = completion.stream.then_some(pieces);
     let run_daemon = daemon.clone();
     let (id, model) = (headers.id.clone(), completion.model.clone());
-    let run = async move {
+    let run = move |waiting| async move {
+        let gone = settle::abandoned(run_daemon.clone(), id.clone(), waiting);
         let on_tokens = |tokens: &[Arc<str>], span: VersionSpan| {
             if let Some(pieces) = &pieces {
                 // A caller that has gone takes its answer with another request.
                 let _ = pieces.send((tokens.concat(), span));
             }
         };
-        let generated = endpoints::generate(&run_daemon, &model, spec, on_tokens).await?;
+        let generated = endpoints::generate(&run_daemon, &model, spec, on_tokens, gone).await?;
         Ok(whole_completion(&id, &model, &generated))
     };
-    let outcome = start_once(daemon, &headers, &fingerprint, run)?;
+    let may_abandon = headers.is_idempotent;
+    let awaited = settle::start_once(daemon, &headers, &fingerprint, may_abandon, run)?;
     if completion.stream {
         return Ok(stream_answer(
             daemon.clone(),
             headers.id,
             completion.model,
             received,
-            outcome,
+            awaited,
         ));
     }
-    wait_for(outcome, headers.deadline_ms)
+    wait_for(awaited, headers.deadline_ms)
         .await
         .map(whole_response)
 }
@@ -220,116 +226,28 @@
         .map(|query| format!("?{query}"))
         .unwrap_or_default();
     let content_type = request.content_type().unwrap_or("application/octet-stream");
+    let target = format!("/{path}{query}");
+    let content = [target.as_bytes(), b"\0", &body].concat();
+    let fingerprint = fingerprint(service, &content);
+    crash::check(daemon, &fingerprint)?;
     let call = PlainCall {
         method: request.method().clone(),
-        path: format!("/{path}{query}"),
+        path: target,
+        fingerprint: fingerprint.clone(),
         content_type: content_type.to_owned(),
         id: headers.id.clone(),
         body,
         deadline_ms: headers.deadline_ms,
         is_idempotent: headers.is_idempotent,
     };
-    let content = [call.path.as_bytes(), b"\0", &call.body].concat();
-    let fingerprint = fingerprint(service, &content);
-    check_quarantine(daemon, &fingerprint)?;
     let (run_daemon, service) = (daemon.clone(), service.to_owned());
-    let run = async move { endpoints::call(&run_daemon, &service, &call).await };
-    let outcome = start_once(daemon, &headers, &fingerprint, run)?;
-    wait_for(outcome, headers.deadline_ms)
+    let run = move |_| async move { endpoints::call(&run_daemon, &service, &call).await };
+    let awaited = settle::start_once(daemon, &headers, &fingerprint, false, run)?;
+    wait_for(awaited, headers.deadline_ms)
         .await
         .map(whole_response)
 }
 
-/// Runs a request unless its id is known, and returns where its outcome will be.
-fn start_once<F>(
-    daemon: &Arc<Daemon>,
-    headers: &CallerHeaders,
-    fingerprint: &Arc<str>,
-    run: F,
-) -> Result<watch::Receiver<Option<Outcome>>, Refusal>
-where
-    F: Future<Output = Outcome> + Send + 'static,
-{
-    check_ticket(daemon, headers)?;
-    let id = &headers.id;
-    let mut running = lock(&daemon.running);
-    match lock(&daemon.deduplication).start(id, fingerprint) {
-        Seen::New => {}
-        Seen::Reused => {
-            return Err(Refusal::new(
-                ErrorKind::IdReused,
-                format!("the id '{id}' was used with another body"),
-            ));
-        }
-        Seen::Ended(outcome) => {
-            daemon.metrics.resends.inc();
-            return Ok(watch::Sender::new(Some(outcome)).subscribe());
-        }
-        Seen::Running => {
-            daemon.metrics.resends.inc();
-            let lost = Refusal::new(ErrorKind::Internal, "a running request is not known");
-            return running.get(id).cloned().ok_or(lost);
-        }
-    }
-    if let Err(refusal) = dispatch::admit(daemon) {
-        lock(&daemon.deduplication).cancel(id);
-        return Err(refusal);
-    }
-    let (sender, receiver) = watch::channel(None);
-    running.insert(id.clone(), receiver.clone());
-    let in_progress = InProgress::new(daemon.clone());
-    let (daemon, id) = (daemon.clone(), id.clone());
-    tokio::spawn(async move {
-        let outcome = run.await;
-        end(&daemon, &id, &outcome);
-        sender.send_replace(Some(outcome));
-        drop(in_progress);
-    });
-    Ok(receiver)
-}
-
-/// Notes how a request ended; one that did not run may be sent again.
-fn end(daemon: &Daemon, id: &Arc<str>, outcome: &Outcome) {
-    dispatch::on_end(daemon);
-    let mut running = lock(&daemon.running);
-    running.remove(id);
-    let mut deduplication = lock(&daemon.deduplication);
-    match outcome {
-        Err(refusal) if refusal.answer().not_run => deduplication.cancel(id),
-        _ => deduplication.end(now_ms(), id, outcome.clone()),
-    }
-}
-
-/// A non-idempotent request runs only under a ticket of this very incarnation.
-fn check_ticket(daemon: &Daemon, headers: &CallerHeaders) -> Result<(), Refusal> {
-    if headers.is_idempotent {
-        return Ok(());
-    }
-    let Some(ticket) = &headers.ticket else {
-        return Err(Refusal::new(
-            ErrorKind::TicketInvalid,
-            "a non-idempotent request needs a ticket",
-        ));
-    };
-    let is_own = ticket.vm == daemon.me.vm && ticket.incarnation == daemon.me.incarnation;
-    if is_own {
-        return Ok(());
-    }
-    let message = format!(
-        "'{}' issued the ticket, and may have run the request",
-        ticket.vm
-    );
-    Err(Refusal::new(ErrorKind::OutcomeUnknown, message))
-}
-
-fn check_quarantine(daemon: &Daemon, fingerprint: &str) -> Result<(), Refusal> {
-    if lock(&daemon.quarantine).is_isolated(fingerprint) {
-        let message = "requests with this content have crashed endpoints";
-        return Err(Refusal::new(ErrorKind::Quarantined, message));
-    }
-    Ok(())
-}
-
 fn read_headers(daemon: &Daemon, headers: &HeaderMap) -> Result<CallerHeaders, Refusal> {
     let text = |name: &str| headers.get(name).map(|value| value.to_str().unwrap_or("?"));
     let id = text(REQUEST_ID).filter(|id| is_id(id));
@@ -401,12 +319,12 @@
     Refusal::new(ErrorKind::BadRequest, message)
 }
 
-async fn wait_for(mut outcome: watch::Receiver<Option<Outcome>>, deadline_ms: u64) -> Outcome {
+async fn wait_for(mut awaited: Awaited, deadline_ms: u64) -> Outcome {
     /// The run sees the same deadline itself; this is only for a resend that
     /// joins a run with a later one.
     const GRACE_MS: u64 = 100;
     let left_ms = (deadline_ms + GRACE_MS).saturating_sub(now_ms());
-    let waiting = outcome.wait_for(Option::is_some);
+    let waiting = awaited.outcome.wait_for(Option::is_some);
     match tokio::time::timeout(Duration::from_millis(left_ms), waiting).await {
         Ok(Ok(outcome)) => outcome
             .clone()
@@ -466,7 +384,7 @@
     id: Arc<str>,
     model: Name,
     pieces: Pieces,
-    outcome: watch::Receiver<Option<Outcome>>,
+    awaited: Awaited,
 ) -> Response {
     let (first_id, first_model) = (id.clone(), model.clone());
     let texts = stream::unfold((pieces, 0_usize), |(mut pieces, sent)| async move {
@@ -479,8 +397,11 @@
         sent.store(true, Ordering::Relaxed);
         sse_json(&piece(&first_id, &first_model, text, None, vec![span]))
     });
+    // Counted until the last piece has been taken to be written.
+    let in_progress = InProgress::new(daemon.clone());
     let last = stream::once(async move {
-        let outcome = wait_for(outcome, u64::MAX / 2).await;
+        let _in_progress = in_progress;
+        let outcome = wait_for(awaited, u64::MAX / 2).await;
         let answer = match outcome {
             Ok(answer) => answer,
             Err(refusal) => {
--- a/src/daemon/endpoints.rs
+++ b/src/daemon/endpoints.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeSet, VecDeque},
+    pin::pin,
     sync::Arc,
     time::Duration,
 };
@@ -14,15 +15,16 @@
 
 use super::{
     clock::{now_ms, sleep_until},
+    crash::{self, Choice, EndedRun, EndpointRun},
     dispatch,
     http::{HttpError, request},
-    state::{Daemon, WholeAnswer, lock},
+    state::{Daemon, WholeAnswer},
 };
 use crate::{
     core::{
         Name,
         config::EndpointSettings,
-        request::{AttemptFailure, Call, CallEffect, Effect, Event, Generation, Spec},
+        request::{AttemptFailure, Call, CallEffect, Effect, Event, Generation, Spec, fingerprint},
         retry::RetryReason,
     },
     error::{ErrorKind, Refusal},
@@ -32,8 +34,6 @@
     },
 };
 
-const CHUNK_TIMEOUT_MS: u64 = 5_000;
-
 /// A whole generated text.
 #[derive(Clone, Debug)]
 pub(crate) struct Generated {
@@ -42,64 +42,76 @@
     pub(crate) finish_reason: Arc<str>,
 }
 
-/// One attempt that runs at an endpoint, counted there until it ends.
+/// One attempt that runs at an endpoint.
 struct Attempt {
     id: Arc<str>,
-    endpoint: Name,
-    settings: EndpointSettings,
+    run: EndpointRun,
     chunks: BoxStream<'static, Result<Chunk, AttemptFailure>>,
 }
 
-/// Drives one request to a model service until it ends.
+/// Returns the fingerprint by which a model request is blamed for crashes.
+///
+/// The seed and the lengths are left out: a caller that changes them sends the
+/// same content again.
+pub(crate) fn content(service: &str, prompt: &str) -> Arc<str> {
+    fingerprint(service, prompt.as_bytes())
+}
+
+/// Drives one request to a model service until it ends, or until `gone` says
+/// that nobody wants its answer any more.
 ///
 /// Dropping the future drops the connection, by which the engine sees that the
 /// attempt is not wanted any more.
-pub(crate) async fn generate<F>(
-    daemon: &Daemon,
+pub(crate) async fn generate<F, G>(
+    daemon: &Arc<Daemon>,
     service: &str,
     spec: Spec,
     mut on_tokens: F,
+    gone: G,
 ) -> Result<Generated, Refusal>
 where
     F: FnMut(&[Arc<str>], VersionSpan) + Send,
+    G: Future<Output = ()> + Send,
 {
     dispatch::on_first_try(daemon, service);
+    let fingerprint = content(service, &spec.prompt);
+    let mut gone = pin!(gone);
     let mut effects = Vec::new();
     let mut machine = Generation::new(spec, &mut effects);
     let mut queue = VecDeque::from(effects);
-    let mut chosen: Option<(Name, EndpointSettings)> = None;
+    let mut chosen: Option<EndpointRun> = None;
+    let mut last: Option<EndedRun> = None;
     let mut attempt: Option<Attempt> = None;
     loop {
         let mut next = Vec::new();
         let Some(effect) = queue.pop_front() else {
-            let event = next_event(&mut attempt, machine.deadline_ms()).await;
-            let event = settle_attempt(daemon, service, event, &mut attempt);
-            machine.handle(event, &mut next);
+            let arrived = tokio::select! {
+                biased;
+                () = &mut gone => Arrived::CallerGone,
+                arrived = next_event(&mut attempt, &machine) => arrived,
+            };
+            let event = settle_attempt(daemon, service, arrived, &mut attempt, &mut last).await;
+            machine.handle(now_ms(), event, &mut next);
             queue.extend(next);
             continue;
         };
         match effect {
             Effect::Choose { avoid } => {
-                chosen = dispatch::choose(daemon, service, &avoid);
-                let name = chosen.as_ref().map(|(name, _)| name.clone());
-                machine.handle(Event::Chosen(name), &mut next);
+                let deadline_ms = machine.deadline_ms();
+                chosen = choose_in_time(daemon, service, &fingerprint, &avoid, deadline_ms).await?;
+                let name = chosen.as_ref().map(|run| run.endpoint.clone());
+                machine.handle(now_ms(), Event::Chosen(name), &mut next);
             }
             Effect::Start { generate, .. } => {
-                if let Some((endpoint, settings)) = chosen.take() {
-                    let id = generate.attempt.clone();
-                    let chunks = chunks(daemon, &settings, generate);
-                    attempt = Some(Attempt {
-                        id,
-                        endpoint,
-                        settings,
-                        chunks,
-                    });
-                }
+                attempt = chosen.take().map(|run| start(daemon, run, generate));
             }
-            Effect::Cancel { attempt: id, .. } => {
+            Effect::Resume { generate, .. } => {
+                let run = last.take().map(EndedRun::again);
+                attempt = run.map(|run| start(daemon, run, generate));
+            }
+            Effect::Cancel { .. } => {
                 if let Some(attempt) = attempt.take() {
-                    lock(&daemon.endpoints).on_end(now_ms(), service, &attempt.endpoint, false);
-                    cancel(daemon, &attempt.settings, &id);
+                    cancel(daemon, &attempt.run.settings, &attempt.id);
                 }
             }
             Effect::Forward { tokens, span } => {
@@ -107,8 +119,8 @@
                 on_tokens(&tokens, span);
             }
             Effect::Finish { reason } => {
-                if let Some(attempt) = attempt.take() {
-                    lock(&daemon.endpoints).on_end(now_ms(), service, &attempt.endpoint, false);
+                if let Some(mut attempt) = attempt.take() {
+                    attempt.run.end_well();
                 }
                 return Ok(Generated {
                     tokens: machine.tokens().to_vec(),
@@ -122,63 +134,92 @@
     }
 }
 
-/// What the running attempt or the deadline brought.
+fn start(daemon: &Daemon, run: EndpointRun, generate: Generate) -> Attempt {
+    Attempt {
+        id: generate.attempt.clone(),
+        chunks: chunks(daemon, &run.settings, generate),
+        run,
+    }
+}
+
+/// Chooses an endpoint; waits, until the deadline, while the content is on trial.
+async fn choose_in_time(
+    daemon: &Arc<Daemon>,
+    service: &str,
+    fingerprint: &Arc<str>,
+    avoid: &BTreeSet<Name>,
+    deadline_ms: u64,
+) -> Result<Option<EndpointRun>, Refusal> {
+    const LOOK_MS: u64 = 10;
+    loop {
+        match crash::choose(daemon, service, fingerprint, avoid)? {
+            Choice::Chosen(run) => return Ok(Some(run)),
+            Choice::None => return Ok(None),
+            Choice::Wait if now_ms() >= deadline_ms => return Ok(None),
+            Choice::Wait => tokio::time::sleep(Duration::from_millis(LOOK_MS)).await,
+        }
+    }
+}
+
+/// What the running attempt, the caller or a deadline brought.
 enum Arrived {
     Chunk(Chunk),
     Failed(AttemptFailure),
     Deadline,
+    CallerGone,
 }
 
-async fn next_event(attempt: &mut Option<Attempt>, deadline_ms: u64) -> Arrived {
+async fn next_event(attempt: &mut Option<Attempt>, machine: &Generation) -> Arrived {
+    let deadline_ms = machine.deadline_ms();
     let Some(attempt) = attempt else {
         sleep_until(deadline_ms).await;
         return Arrived::Deadline;
     };
-    let cut = AttemptFailure {
-        reason: RetryReason::AnswerCut,
-        was_sent: true,
+    let failed = |reason| {
+        Arrived::Failed(AttemptFailure {
+            reason,
+            was_sent: true,
+        })
     };
     tokio::select! {
         biased;
         chunk = attempt.chunks.next() => match chunk {
             Some(Ok(chunk)) => Arrived::Chunk(chunk),
             Some(Err(failure)) => Arrived::Failed(failure),
-            None => Arrived::Failed(cut),
+            None => failed(RetryReason::AnswerCut),
         },
         () = sleep_until(deadline_ms) => Arrived::Deadline,
-        () = tokio::time::sleep(Duration::from_millis(CHUNK_TIMEOUT_MS)) => Arrived::Failed(cut),
+        () = sleep_until(machine.stalls_at_ms().unwrap_or(u64::MAX)) => {
+            failed(RetryReason::AnswerStalled)
+        }
     }
 }
 
-fn settle_attempt(
+async fn settle_attempt(
     daemon: &Daemon,
     service: &str,
     arrived: Arrived,
     attempt: &mut Option<Attempt>,
+    last: &mut Option<EndedRun>,
 ) -> Event {
-    match arrived {
-        Arrived::Chunk(chunk) => Event::Chunk(chunk),
-        Arrived::Deadline => Event::Deadline,
-        Arrived::Failed(failure) => {
-            let Some(Attempt {
-                id,
-                endpoint,
-                settings,
-                ..
-            }) = attempt.take()
-            else {
-                return Event::Deadline;
-            };
-            let is_down = failure.reason != RetryReason::EndpointRefused;
-            lock(&daemon.endpoints).on_end(now_ms(), service, &endpoint, is_down);
-            cancel(daemon, &settings, &id);
-            let may_retry = dispatch::try_spend_retry(daemon, service, failure.reason);
-            Event::Failed {
-                attempt: id,
-                failure,
-                may_retry,
-            }
-        }
+    let failure = match arrived {
+        Arrived::Chunk(chunk) => return Event::Chunk(chunk),
+        Arrived::Deadline => return Event::Deadline,
+        Arrived::CallerGone => return Event::CallerGone,
+        Arrived::Failed(failure) => failure,
+    };
+    let Some(Attempt { id, mut run, .. }) = attempt.take() else {
+        return Event::Deadline;
+    };
+    run.fail(failure).await;
+    cancel(daemon, &run.settings, &id);
+    // Kept for the case that the answer has to go on at the same endpoint.
+    *last = Some(run.end());
+    let may_retry = dispatch::try_spend_retry(daemon, service, failure.reason);
+    Event::Failed {
+        attempt: id,
+        failure,
+        may_retry,
     }
 }
 
@@ -277,6 +318,7 @@
     pub(crate) path: String,
     pub(crate) content_type: String,
     pub(crate) id: Arc<str>,
+    pub(crate) fingerprint: Arc<str>,
     pub(crate) body: Bytes,
     pub(crate) deadline_ms: u64,
     pub(crate) is_idempotent: bool,
@@ -284,7 +326,7 @@
 
 /// Drives one call of a plain service until it ends.
 pub(crate) async fn call(
-    daemon: &Daemon,
+    daemon: &Arc<Daemon>,
     service: &str,
     call: &PlainCall,
 ) -> Result<WholeAnswer, Refusal> {
@@ -293,24 +335,27 @@
     let mut machine = Call::new(call.is_idempotent, MAX_ATTEMPTS);
     let mut avoid = BTreeSet::new();
     loop {
-        let chosen = dispatch::choose(daemon, service, &avoid);
-        if let Some(refusal) = machine.on_chosen(chosen.as_ref().map(|(name, _)| name)) {
+        let chosen =
+            choose_in_time(daemon, service, &call.fingerprint, &avoid, call.deadline_ms).await?;
+        if let Some(refusal) = machine.on_chosen(chosen.as_ref().map(|run| &run.endpoint)) {
             return Err(refusal);
         }
-        let Some((endpoint, settings)) = chosen else {
+        let Some(mut run) = chosen else {
             return Err(Refusal::new(ErrorKind::Internal, "no endpoint was chosen"));
         };
         let result = tokio::select! {
-            result = call_once(daemon, &settings, call) => Some(result),
-            () = sleep_until(call.deadline_ms) => None,
+            result = call_once(daemon, &run.settings, call) => result,
+            () = sleep_until(call.deadline_ms) => return Err(machine.on_deadline(true)),
         };
-        let has_failed = matches!(result, Some(Err(_)));
-        lock(&daemon.endpoints).on_end(now_ms(), service, &endpoint, has_failed);
         let failure = match result {
-            None => return Err(machine.on_deadline(true)),
-            Some(Ok(answer)) => return Ok(answer),
-            Some(Err(error)) => failure(&error),
+            Ok(answer) => {
+                run.end_well();
+                return Ok(answer);
+            }
+            Err(error) => failure(&error),
         };
+        run.fail(failure).await;
+        drop(run);
         let may_retry = dispatch::try_spend_retry(daemon, service, failure.reason);
         match machine.on_failed(failure, may_retry) {
             CallEffect::Choose { avoid: next } => avoid = next,
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -26,6 +26,9 @@
     pub(crate) control_messages: Counter,
     pub(crate) control_bytes: Counter,
     pub(crate) orders: Counter,
+    pub(crate) endpoint_crashes: Counter,
+    pub(crate) abandoned: Counter,
+    pub(crate) settled: Counter,
     pub(crate) config_number: Gauge,
 }
 
@@ -46,6 +49,9 @@
             control_messages: Counter::default(),
             control_bytes: Counter::default(),
             orders: Counter::default(),
+            endpoint_crashes: Counter::default(),
+            abandoned: Counter::default(),
+            settled: Counter::default(),
             config_number: Gauge::default(),
         };
         metrics.register();
@@ -113,6 +119,21 @@
                 &self.control_bytes,
             ),
             ("orders", "Orders sent to engines", &self.orders),
+            (
+                "endpoint_crashes",
+                "Crashes of endpoints that were seen here",
+                &self.endpoint_crashes,
+            ),
+            (
+                "abandoned",
+                "Requests given up since no caller waited",
+                &self.abandoned,
+            ),
+            (
+                "settled",
+                "Requests settled with the VM of their ticket",
+                &self.settled,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::{
-    callers, config, operators, peers, rollout_task,
+    callers, config, crash, operators, peers, rollout_task, settle,
     shutdown::{self, Signals},
     state::{Daemon, lock},
     trainer_task, trainers, watch,
@@ -20,8 +20,6 @@
 };
 
 const EXPIRE_MS: u64 = 1_000;
-/// How long answers that are written may take to leave.
-const FLUSH_MS: u64 = 5_000;
 
 /// Runs a daemon until it is told to stop.
 ///
@@ -57,11 +55,19 @@
     tasks.spawn(trainer_task::supervise(daemon.clone()));
     tasks.spawn(rollout_task::supervise(daemon.clone()));
     tasks.spawn(expire(daemon.clone()));
-    shutdown::wait(daemon.clone(), &mut signals).await;
+    if !shutdown::wait(daemon.clone(), &mut signals).await {
+        return Ok(());
+    }
     daemon.stop.send_replace(true);
+    daemon.close.send_replace(true);
+    // Answers to slow readers are still being written. No answer may take
+    // longer than a request.
+    let flush_ms = daemon.settings.limits.max_request_ms;
     let all = async { while tasks.join_next().await.is_some() {} };
-    // What has not ended by then waits for a connection that is idle.
-    let _ = tokio::time::timeout(Duration::from_millis(FLUSH_MS), all).await;
+    tokio::select! {
+        _ = tokio::time::timeout(Duration::from_millis(flush_ms), all) => {}
+        () = signals.next() => {}
+    }
     Ok(())
 }
 
@@ -87,6 +93,8 @@
 fn control_routes() -> Route {
     Route::new()
         .at("/peer/gossip", post(peers::exchange))
+        .at("/peer/settle", post(settle::settle))
+        .at("/peer/crash", post(crash::take_news))
         .at("/operator/config", get(operators::get_config))
         .at("/operator/patch", post(operators::patch))
         .at("/operator/history", get(operators::history))
@@ -97,15 +105,15 @@
 }
 
 async fn serve(acceptor: TcpAcceptor, routes: Route, daemon: Arc<Daemon>) {
-    let mut stop = daemon.stop.subscribe();
-    let stopped = async move {
-        // An error means that the daemon is gone: stop as well.
-        let _ = stop.wait_for(|stop| *stop).await;
+    let mut close = daemon.close.subscribe();
+    let closed = async move {
+        // An error means that the daemon is gone: close as well.
+        let _ = close.wait_for(|close| *close).await;
     };
     let endpoint = routes.data(daemon).into_endpoint();
     let server = Server::new_with_acceptor(acceptor);
     let result = server
-        .run_with_graceful_shutdown(endpoint, stopped, Some(Duration::from_millis(FLUSH_MS)))
+        .run_with_graceful_shutdown(endpoint, closed, None)
         .await;
     if let Err(error) = result {
         tracing::error!(%error, "a listener failed");
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -12,7 +12,7 @@
     peers::announce,
     state::{Daemon, lock},
 };
-use crate::core::guard::{self, Guard};
+use crate::core::request::{Drain, DrainStep};
 
 /// How long after leaving the members are told before callers' lists lapse.
 const SPREAD_MS: u64 = 1_000;
@@ -32,7 +32,7 @@
         })
     }
 
-    async fn next(&mut self) {
+    pub(crate) async fn next(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
@@ -41,7 +41,9 @@
 }
 
 /// Waits for a signal or a drain by configuration, then leaves in order.
-pub(crate) async fn wait(daemon: Arc<Daemon>, signals: &mut Signals) {
+///
+/// Returns whether all was finished; a second signal cuts it short.
+pub(crate) async fn wait(daemon: Arc<Daemon>, signals: &mut Signals) -> bool {
     let mut config = daemon.config.subscribe();
     let vm = daemon.me.vm.clone();
     tokio::select! {
@@ -49,25 +51,39 @@
         _ = config.wait_for(|config| config.document.draining_vms.contains(&vm)) => {}
     }
     tokio::select! {
-        () = leave(&daemon) => {}
-        () = signals.next() => tracing::warn!("a second signal ends the process at once"),
+        () = leave(&daemon) => true,
+        () = signals.next() => {
+            tracing::warn!("a second signal ends the process at once");
+            false
+        }
     }
 }
 
 async fn leave(daemon: &Daemon) {
     tracing::info!("leaving");
+    let drain = Drain::new(
+        now_ms(),
+        daemon.settings.limits.keep_addresses_ms,
+        SPREAD_MS,
+    );
     lock(&daemon.membership).leave();
     announce(daemon).await;
-    if guard::is_on(Guard::DrainWaitsForCallers) {
-        let lapse_ms = daemon.settings.limits.keep_addresses_ms + SPREAD_MS;
-        sleep_until(now_ms() + lapse_ms).await;
+    loop {
+        let in_progress = daemon.in_progress.load(Ordering::SeqCst);
+        match drain.step(now_ms(), in_progress) {
+            DrainStep::Serve { until_ms } => sleep_until(until_ms).await,
+            DrainStep::Finish => {
+                refuse_new(daemon);
+                tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            }
+            DrainStep::Close => break,
+        }
     }
+    refuse_new(daemon);
+    tracing::info!("left");
+}
+
+fn refuse_new(daemon: &Daemon) {
     daemon.is_draining.store(true, Ordering::SeqCst);
     daemon.stop.send_replace(true);
-    while daemon.in_progress.load(Ordering::SeqCst) > 0
-        && guard::is_on(Guard::DrainWaitsForRequests)
-    {
-        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
-    }
-    tracing::info!("left");
 }
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -2,7 +2,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32},
+        atomic::{AtomicBool, AtomicU32, AtomicU64},
     },
 };
 
@@ -11,8 +11,8 @@
 use tokio::sync::watch;
 
 use super::{
-    http::HttpClient, metrics::Metrics, platform::Platform, rollout_task::RolloutTask,
-    trainer_task::TrainerTask,
+    clock::now_ms, http::HttpClient, metrics::Metrics, platform::Platform,
+    rollout_task::RolloutTask, settle::Run, trainer_task::TrainerTask,
 };
 use crate::{
     core::{
@@ -22,7 +22,7 @@
         endpoint::EndpointTable,
         membership::Membership,
         quarantine::Quarantine,
-        request::Deduplication,
+        request::{Deduplication, TicketClock},
         retry::Budget,
     },
     error::{ErrorKind, Refusal},
@@ -58,13 +58,18 @@
     pub(crate) budgets: Mutex<BTreeMap<Name, Budget>>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) deduplication: Mutex<Deduplication<Outcome>>,
-    pub(crate) running: Mutex<BTreeMap<Arc<str>, watch::Receiver<Option<Outcome>>>>,
+    pub(crate) running: Mutex<BTreeMap<Arc<str>, Run>>,
+    pub(crate) runs: AtomicU64,
+    pub(crate) ticket_clock: TicketClock,
     pub(crate) trainers: Mutex<BTreeMap<Name, Arc<TrainerTask>>>,
     pub(crate) rollouts: Mutex<BTreeMap<Name, Arc<RolloutTask>>>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) is_draining: AtomicBool,
     pub(crate) in_progress: AtomicU32,
+    /// Tells the tasks to end.
     pub(crate) stop: watch::Sender<bool>,
+    /// Tells the listeners to close, once nothing runs.
+    pub(crate) close: watch::Sender<bool>,
 }
 
 impl Daemon {
@@ -84,12 +89,18 @@
             quarantine: Mutex::default(),
             deduplication: Mutex::default(),
             running: Mutex::default(),
+            runs: AtomicU64::new(0),
+            ticket_clock: TicketClock {
+                unix_ms: me.incarnation,
+                at_ms: now_ms(),
+            },
             trainers: Mutex::default(),
             rollouts: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             is_draining: AtomicBool::new(false),
             in_progress: AtomicU32::new(0),
             stop: watch::Sender::new(false),
+            close: watch::Sender::new(false),
             settings,
             me,
             http,
--- a/src/daemon/trainer_task.rs
+++ b/src/daemon/trainer_task.rs
@@ -310,7 +310,7 @@
         self.wake.notify_one();
     }
 
-    async fn generate(&self, daemon: &Daemon, slot: Slot, step: &OpenStep) -> Option<Sample> {
+    async fn generate(&self, daemon: &Arc<Daemon>, slot: Slot, step: &OpenStep) -> Option<Sample> {
         let service = daemon
             .config
             .borrow()
@@ -333,10 +333,12 @@
             seed,
             priority: Priority::Background as u8,
             deadline_ms: now_ms + SAMPLE_TIMEOUT_MS,
+            is_idempotent: true,
             max_attempts: 4,
             continue_elsewhere: true,
         };
-        let generated = endpoints::generate(daemon, &service, spec, |_, _| {}).await;
+        let generated =
+            endpoints::generate(daemon, &service, spec, |_, _| {}, std::future::pending()).await;
         match generated {
             Ok(generated) => Some(Sample {
                 slot,
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -2,9 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::core::Name;
+use crate::{core::Name, error::ErrorKind};
 
 /// What one VM is known to be, as members tell each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -75,3 +76,78 @@
     /// Fingerprints of the requests that ran there.
     pub fingerprints: Vec<Arc<str>>,
 }
+
+/// One crash of one endpoint.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct CrashId {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The endpoint's incarnation that crashed.
+    pub incarnation: u64,
+}
+
+/// A content that has since ended well in a trial.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Clearance {
+    /// The fingerprint of the content.
+    pub fingerprint: Arc<str>,
+    /// The crashes that it is no longer blamed for.
+    pub crashes: Vec<CrashId>,
+}
+
+/// What members tell each other about crashes, at once.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CrashNews {
+    /// An endpoint crashed.
+    Crashed(CrashReport),
+    /// A content did not do it.
+    Cleared(Clearance),
+}
+
+/// Asks the VM that a ticket names what became of a request id.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SettleQuestion {
+    /// The request id.
+    pub id: Arc<str>,
+    /// The fingerprint of what the request asks.
+    pub fingerprint: Arc<str>,
+    /// The ticket that the request carries, as callers carry it.
+    pub ticket: Arc<str>,
+    /// The VM that asks.
+    pub vm: Name,
+    /// The incarnation of its daemon.
+    pub incarnation: u64,
+    /// How long to wait for an answer that is not there yet, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What became of a request id.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SettleAnswer {
+    /// It never ran here and never will: the asker may run it.
+    NeverRan,
+    /// It still runs.
+    Running,
+    /// It ended with this answer.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// The type of the body.
+        content_type: Arc<str>,
+        /// The body.
+        body: Bytes,
+    },
+    /// It ended with this refusal.
+    Refused {
+        /// The kind.
+        kind: ErrorKind,
+        /// What went wrong, as a sentence.
+        message: Arc<str>,
+    },
+    /// It was used with another body.
+    Reused,
+    /// This VM was told to run it.
+    Sealed(Name),
+    /// Nothing is known of it that can be answered for.
+    Unknown,
+}
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -1,13 +1,21 @@
 //! The fakes that stories are played with, one file a part of the core.
 
+mod drain;
 mod leases;
+mod quarantine;
+mod requests;
+mod tickets;
 
 use serde_json::Value;
 
 /// Plays a story's body in its world and returns every promise that was broken.
 pub fn play(world: &str, body: &Value, seed: u64) -> Vec<String> {
     match world {
+        "drain" => drain::play(body, seed),
         "leases" => leases::play(body, seed),
+        "quarantine" => quarantine::play(body, seed),
+        "requests" => requests::play(body, seed),
+        "tickets" => tickets::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
 }
