Detect failures between daemons, and use a share of large pools

Cause: each exchange carried all records every 500 ms, every daemon polled every endpoint and read the list of VMs each second.

Membership is now a state machine: one probe a period along a ring, indirect probes, suspicion, refutation by generation, news in bounded messages, digests for what is still missing, unreachable apart from gone. expected() and reachable(now_ms) count members. Endpoints of a large service are shared out by rendezvous hashing; polls are paced; the list is read in turns.

Ruled out: heartbeat counters of all members in each exchange (grows with the members); a member drawn at random for each probe (no connection is kept).

--- a/src/core/endpoint/endpoint.rs
+++ b/src/core/endpoint/endpoint.rs
@@ -5,6 +5,9 @@
     wire::engine::Load,
 };
 
+/// How old a load report may be before routing does without it.
+pub const STALE_MS: u64 = 12_000;
+
 /// Whether an endpoint takes work.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -17,6 +20,20 @@
     Down,
 }
 
+/// What a daemon does with an endpoint.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd)]
+#[strum(serialize_all = "snake_case")]
+pub enum Usage {
+    /// It neither sends work there nor polls it.
+    Unused,
+    /// It polls the endpoint, because it holds the lease of its service.
+    Watched,
+    /// It sends work there only when its own data centre has no room.
+    Spare,
+    /// It sends work there.
+    Used,
+}
+
 /// One endpoint of one service, as this daemon sees it.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -24,6 +41,10 @@
     pub name: Name,
     /// What the configuration says of it.
     pub settings: EndpointSettings,
+    /// What this daemon does with it.
+    pub usage: Usage,
+    /// Whether the platform lists the endpoint's VM as leaving.
+    pub is_listed_leaving: bool,
     /// Requests of this daemon that run there.
     pub in_flight: u32,
     /// The last load report.
@@ -32,6 +53,10 @@
     pub reported_at_ms: u64,
     /// Until when the endpoint is left alone after a failure.
     pub down_until_ms: u64,
+    /// Whether the last poll was not answered.
+    pub is_unanswered: bool,
+    /// When to poll the endpoint next.
+    pub poll_at_ms: u64,
 }
 
 impl Endpoint {
@@ -41,22 +66,41 @@
         Self {
             name,
             settings,
+            usage: Usage::Used,
+            is_listed_leaving: false,
             in_flight: 0,
             load: Load::default(),
             reported_at_ms: 0,
             down_until_ms: 0,
+            is_unanswered: false,
+            poll_at_ms: 0,
         }
     }
 
     /// Returns the state now.
     #[must_use]
     pub fn state(&self, now_ms: u64) -> EndpointState {
-        if self.settings.leaving {
+        if self.settings.leaving || self.is_listed_leaving {
             EndpointState::Leaving
-        } else if now_ms < self.down_until_ms {
+        } else if self.is_unanswered || now_ms < self.down_until_ms {
             EndpointState::Down
         } else {
             EndpointState::Serving
         }
     }
+
+    /// Returns the last load report, unless it is too old to decide by.
+    ///
+    /// Without it only this daemon's own requests there are known.
+    #[must_use]
+    pub fn fresh_load(&self, now_ms: u64) -> Option<&Load> {
+        let is_fresh = self.reported_at_ms > 0 && now_ms < self.reported_at_ms + STALE_MS;
+        is_fresh.then_some(&self.load)
+    }
+
+    /// Returns whether nothing is known to run there.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.in_flight == 0 && self.load.running == 0 && self.load.queued == 0
+    }
 }
--- a/src/core/endpoint/mod.rs
+++ b/src/core/endpoint/mod.rs
@@ -1,9 +1,28 @@
 //! What a daemon knows of the endpoints that it uses.
+//!
+//! # Guarantees
+//!
+//! - Up to [`USE_ALL`] endpoints of a service, a daemon uses all of them. Of a
+//!   larger service it uses a share of its own data centre's endpoints, so
+//!   that each of these is used by equally many daemons.
+//! - An endpoint that leaves, by configuration or by the platform's list, is
+//!   [`EndpointState::Leaving`] at once when the daemon hears of it.
+//! - An endpoint that did not answer its last poll is [`EndpointState::Down`]
+//!   until it answers one.
+//!
+//! # Limits
+//!
+//! - Reports are as old as the pace of polling; [`Endpoint::fresh_load`] gives
+//!   none that is older than [`STALE_MS`].
+//! - Two daemons that disagree on who is alive use subsets that differ from
+//!   the plan until they agree again.
 
 mod endpoint;
+mod subset;
 mod table;
 
 pub use self::{
-    endpoint::{Endpoint, EndpointState},
-    table::EndpointTable,
+    endpoint::{Endpoint, EndpointState, STALE_MS, Usage},
+    subset::{Placement, SPARES, SUBSET, USE_ALL, usages},
+    table::{EndpointTable, PollTarget},
 };
--- /dev/null
+++ b/src/core/endpoint/subset.rs
@@ -0,0 +1,85 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Usage;
+use crate::core::{Name, config::EndpointSettings, rendezvous};
+
+/// Up to this many endpoints of a service, every daemon uses all of them.
+pub const USE_ALL: usize = 40;
+/// How many endpoints of its data centre a daemon uses of a large service.
+pub const SUBSET: usize = 24;
+/// How many endpoints of other data centres a daemon keeps in reserve.
+pub const SPARES: usize = 8;
+
+/// Where a daemon stands among the daemons of its data centre.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Placement {
+    /// The daemon's VM.
+    pub me: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// The daemons of that data centre that take work, this one included.
+    pub daemons: Vec<Name>,
+}
+
+/// Returns what a daemon does with each endpoint of a service.
+///
+/// Every endpoint of the data centre is used by equally many daemons, chosen
+/// by rendezvous hashing: when a daemon comes or goes, only its share moves.
+/// Where the data centre has no endpoint that answers, the reserve in other
+/// data centres grows to the size of a subset.
+///
+/// # Examples
+///
+/// ```
+/// use std::collections::BTreeMap;
+///
+/// use chicoryreach::core::endpoint::{Placement, Usage, usages};
+///
+/// let placement = Placement { me: "vm-1".into(), data_centre: "nave-a".into(), daemons: vec!["vm-1".into()] };
+/// assert!(usages(&placement, &BTreeMap::new(), true).values().all(|usage| *usage == Usage::Used));
+/// ```
+#[must_use]
+pub fn usages(
+    placement: &Placement,
+    endpoints: &BTreeMap<Name, EndpointSettings>,
+    has_near: bool,
+) -> BTreeMap<Name, Usage> {
+    if endpoints.len() <= USE_ALL {
+        return endpoints
+            .keys()
+            .map(|name| (name.clone(), Usage::Used))
+            .collect();
+    }
+    let is_near = |settings: &EndpointSettings| settings.data_centre == placement.data_centre;
+    let (near, far): (Vec<_>, Vec<_>) = endpoints
+        .iter()
+        .partition(|(_, settings)| is_near(settings));
+    let near: Vec<Name> = near.into_iter().map(|(name, _)| name.clone()).collect();
+    let far: Vec<Name> = far.into_iter().map(|(name, _)| name.clone()).collect();
+    let mut usages: BTreeMap<Name, Usage> = endpoints
+        .keys()
+        .map(|name| (name.clone(), Usage::Unused))
+        .collect();
+    let spares = if has_near { SPARES } else { SUBSET };
+    for name in rendezvous::choose(&far, &placement.me, spares) {
+        usages.insert(name, Usage::Spare);
+    }
+    for name in share(placement, &near) {
+        usages.insert(name, Usage::Used);
+    }
+    usages
+}
+
+/// Returns the endpoints of the data centre that fall to this daemon.
+fn share(placement: &Placement, near: &[Name]) -> BTreeSet<Name> {
+    if near.len() <= USE_ALL || placement.daemons.len() <= 1 {
+        return near.iter().cloned().collect();
+    }
+    let daemons_each = (SUBSET * placement.daemons.len()).div_ceil(near.len());
+    near.iter()
+        .filter(|endpoint| {
+            rendezvous::choose(&placement.daemons, endpoint, daemons_each).contains(&placement.me)
+        })
+        .cloned()
+        .collect()
+}
--- a/src/core/guard.rs
+++ b/src/core/guard.rs
@@ -56,6 +56,12 @@
     DrainWaitsForRequests,
     /// A suspicion can be refuted before a member is held dead.
     Suspicion,
+    /// Members that cannot be reached are not forgotten.
+    KeepUnreachable,
+    /// Members are reachable only while their data centre was heard of lately.
+    ReachEvidence,
+    /// Views that still differ are compared and repaired.
+    AntiEntropy,
     /// The record of a later incarnation goes before that of an earlier one.
     Incarnation,
     /// Retries are limited to a share of first tries.
--- /dev/null
+++ b/src/core/membership/member.rs
@@ -0,0 +1,36 @@
+use crate::wire::peers::{MemberRecord, MemberState};
+
+/// What one member holds of another one.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) record: MemberRecord,
+    /// When the suspicion becomes certainty, unless it is refuted.
+    pub(super) suspicion_deadline_ms: Option<u64>,
+    /// Since when the member is unreachable.
+    pub(super) unreachable_since_ms: Option<u64>,
+    /// When the record of a member that is gone is forgotten.
+    pub(super) forget_at_ms: Option<u64>,
+}
+
+impl Member {
+    pub(super) const fn new(record: MemberRecord) -> Self {
+        Self {
+            record,
+            suspicion_deadline_ms: None,
+            unreachable_since_ms: None,
+            forget_at_ms: None,
+        }
+    }
+
+    pub(super) fn is_expected(&self) -> bool {
+        self.record.state != MemberState::Gone
+    }
+
+    pub(super) fn is_answering(&self) -> bool {
+        self.is_expected() && self.unreachable_since_ms.is_none()
+    }
+
+    pub(super) fn takes_work(&self) -> bool {
+        self.is_answering() && self.record.state != MemberState::Leaving
+    }
+}
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -33,12 +33,9 @@
         request::{Seen, Spec, Ticket, fingerprint},
     },
     error::{ErrorKind, Refusal},
-    wire::{
-        callers::{
-            Addresses, Choice, Completion, CompletionRequest, Entry, IDEMPOTENT, PRIORITY,
-            REQUEST_ID, TICKET, TIMEOUT_MS, VersionSpan,
-        },
-        peers::MemberState,
+    wire::callers::{
+        Addresses, Choice, Completion, CompletionRequest, Entry, IDEMPOTENT, PRIORITY, REQUEST_ID,
+        TICKET, TIMEOUT_MS, VersionSpan,
     },
 };
 
@@ -83,10 +80,14 @@
 )]
 #[handler]
 pub(crate) fn addresses(daemon: Data<&Arc<Daemon>>, query: Query<AddressQuery>) -> Response {
+    let near = query
+        .data_centre
+        .as_ref()
+        .unwrap_or(&daemon.settings.data_centre);
     let members = lock(&daemon.membership);
-    let mut entries: Vec<Entry> = members
-        .records()
-        .filter(|record| record.state == MemberState::Alive)
+    let drawn = members.draw_addresses(near, &mut *lock(&daemon.rng));
+    let entries = drawn
+        .into_iter()
         .map(|record| {
             let ticket = Ticket {
                 vm: record.vm.clone(),
@@ -100,11 +101,6 @@
             }
         })
         .collect();
-    let near = query
-        .data_centre
-        .as_ref()
-        .unwrap_or(&daemon.settings.data_centre);
-    entries.sort_by_key(|entry| entry.data_centre != *near);
     let keep_ms = daemon.settings.limits.keep_addresses_ms;
     json(&Addresses { entries, keep_ms })
 }
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -10,6 +10,8 @@
 use quick_error::quick_error;
 use serde::{Serialize, de::DeserializeOwned};
 
+use super::traffic::{Traffic, answer_head_len};
+
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -52,6 +54,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    traffic: Option<Traffic>,
 }
 
 impl Default for HttpClient {
@@ -74,6 +77,15 @@
         Self::with_idle(0)
     }
 
+    /// Creates a client whose exchanges are counted.
+    pub(crate) fn new_counted(traffic: Traffic) -> Self {
+        const MAX_IDLE: usize = 4;
+        Self {
+            traffic: Some(traffic),
+            ..Self::with_idle(MAX_IDLE)
+        }
+    }
+
     fn with_idle(max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
@@ -82,7 +94,10 @@
             .pool_max_idle_per_host(max_idle)
             .pool_idle_timeout(Duration::from_secs(30))
             .build(connector);
-        Self { client }
+        Self {
+            client,
+            traffic: None,
+        }
     }
 
     /// Sends a request and returns the head of the answer.
@@ -117,15 +132,22 @@
         request: Request<Full<Bytes>>,
         timeout_ms: u64,
     ) -> Result<Bytes, HttpError> {
+        if let Some(traffic) = &self.traffic {
+            traffic.on_request_sent(address, &request);
+        }
         let exchange = async {
             let response = self.send(address, request).await?;
             let status = response.status();
+            let head_len = answer_head_len(&response);
             let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
             let body = body
                 .collect()
                 .await
                 .map_err(|_| HttpError::Broken(address))?
                 .to_bytes();
+            if let Some(traffic) = &self.traffic {
+                traffic.on_answer_received(head_len + body.len());
+            }
             if status.is_success() {
                 Ok(body)
             } else {
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -104,12 +104,12 @@
             ),
             (
                 "control_messages",
-                "Messages sent and received for control",
+                "HTTP messages sent and received for control",
                 &self.control_messages,
             ),
             (
                 "control_bytes",
-                "Body bytes sent and received for control",
+                "HTTP bytes sent and received for control, heads included",
                 &self.control_bytes,
             ),
             ("orders", "Orders sent to engines", &self.orders),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 mod run;
 mod shutdown;
 mod state;
+mod traffic;
 mod trainer_task;
 mod trainers;
 mod watch;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -1,106 +1,218 @@
-//! Other daemons: records of members, and the configuration's number.
+//! Other daemons: probes, news, anti-entropy, and the configuration's number.
 
 use std::sync::Arc;
 
 use poem::{Body, Response, handler, web::Data};
+use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
     answer::refuse,
     clock::{now_ms, sleep_until},
     config::put_in_force,
+    platform::Written,
     state::{Daemon, lock},
 };
 use crate::{
-    core::config::Versioned,
+    core::{
+        config::Versioned,
+        membership::{Digests, Effect, Event},
+    },
     error::{ErrorKind, Refusal},
     wire::{
-        peers::{Gossip, MemberRecord},
-        platform::{Transaction, Write},
+        peers::{Gossip, MemberRecord, ProbeRequest, SynchroniseRequest},
+        platform::{Check, Transaction, Write},
     },
 };
 
-const EXCHANGE_MS: u64 = 500;
-const TIMEOUT_MS: u64 = 1_000;
-const MAX_GOSSIP_BYTES: usize = 1024 * 1024;
+const GOSSIP: &str = "/peer/gossip";
+const PROBE_TIMEOUT_MS: u64 = 500;
+const CONFIG_TIMEOUT_MS: u64 = 1_000;
+const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
+const MAX_SYNCHRONISED: usize = 64;
 const VM_PREFIX: &str = "vm/";
-const TABLE_EVERY: u32 = 10;
 
-fn gossip(daemon: &Daemon) -> Gossip {
-    let config_number = daemon.config.borrow().number;
-    let members = lock(&daemon.membership);
-    Gossip {
-        from: daemon.me.vm.clone(),
-        config_number,
-        records: members.records().cloned().collect(),
-        crashes: Vec::new(),
+/// Probes other members and spreads news, until the daemon stops.
+pub(crate) async fn membership_loop(daemon: Arc<Daemon>) {
+    let mut stop = daemon.stop.subscribe();
+    let mut config = daemon.config.subscribe();
+    while !*stop.borrow_and_update() {
+        let next_ms = lock(&daemon.membership).next_deadline_ms();
+        tokio::select! {
+            () = sleep_until(next_ms) => handle(&daemon, Event::Deadline),
+            Ok(()) = config.changed() => handle(&daemon, Event::Changed),
+            _ = stop.changed() => {}
+        }
     }
 }
 
-/// `POST /peer/gossip`: takes another member's records and answers with own ones.
-#[handler]
-pub(crate) async fn exchange(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
-    let bytes = body
-        .into_bytes_limit(MAX_GOSSIP_BYTES)
-        .await
-        .unwrap_or_default();
-    let Ok(received) = rmp_serde::from_slice::<Gossip>(&bytes) else {
-        return refuse(
-            &daemon,
-            &Refusal::new(ErrorKind::BadRequest, "the gossip cannot be read"),
-        );
-    };
-    lock(&daemon.membership).merge(received.records);
-    let answer = rmp_serde::to_vec(&gossip(&daemon)).unwrap_or_default();
-    daemon.metrics.control_messages.inc_by(2);
-    daemon
-        .metrics
-        .control_bytes
-        .inc_by((bytes.len() + answer.len()) as u64);
-    Response::builder()
-        .content_type("application/msgpack")
-        .body(answer)
+/// Tells the membership what happened, and starts what follows from it.
+pub(crate) fn handle(daemon: &Arc<Daemon>, event: Event) {
+    let mut effects = Vec::new();
+    lock(&daemon.membership).handle(now_ms(), event, &mut effects);
+    for effect in effects {
+        if effect == Effect::LeavingChanged {
+            let leaving = lock(&daemon.membership).listed_leaving();
+            lock(&daemon.endpoints).set_listed_leaving(leaving);
+        } else {
+            tokio::spawn(carry_out(daemon.clone(), effect));
+        }
+    }
 }
 
-/// Exchanges records with a member drawn at random, again and again.
-pub(crate) async fn gossip_loop(daemon: Arc<Daemon>) {
-    let mut stop = daemon.stop.subscribe();
-    let mut turn = 0;
-    while !*stop.borrow_and_update() {
-        if turn % TABLE_EVERY == 0 {
-            read_table(&daemon).await;
-        }
-        turn += 1;
-        exchange_once(&daemon).await;
-        tokio::select! {
-            () = sleep_until(now_ms() + EXCHANGE_MS) => {}
-            _ = stop.changed() => {}
+async fn carry_out(daemon: Arc<Daemon>, effect: Effect) {
+    match effect {
+        Effect::Probe { probe, to } => probe_member(&daemon, probe, &to).await,
+        Effect::ProbeThrough {
+            probe,
+            through,
+            target,
+        } => {
+            let request = ProbeRequest {
+                target: target.control_address,
+            };
+            let reached = post(&daemon, &through, "/peer/probe", &request).await;
+            if reached == Some(true) {
+                handle(&daemon, Event::Confirmed { probe });
+            }
         }
+        Effect::Synchronise {
+            with,
+            digests,
+            first_bucket,
+        } => synchronise(&daemon, &with, digests, first_bucket).await,
+        Effect::ReadTable => read_table(&daemon).await,
+        Effect::DeleteRow { record } => delete_row(&daemon, &record).await,
+        Effect::LeavingChanged => {}
     }
 }
 
-async fn exchange_once(daemon: &Daemon) {
-    let peer = lock(&daemon.membership)
-        .draw_peer(&mut *lock(&daemon.rng))
-        .cloned();
-    let Some(peer) = peer else { return };
-    let own = gossip(daemon);
+async fn post<T, A>(daemon: &Daemon, to: &MemberRecord, path: &str, body: &T) -> Option<A>
+where
+    T: Serialize + Sync,
+    A: DeserializeOwned,
+{
     let answer = daemon
-        .http
-        .post_rmp(peer.control_address, "/peer/gossip", &own, TIMEOUT_MS)
-        .await;
-    let Ok(received): Result<Gossip, _> = answer else {
+        .control
+        .post_rmp(to.control_address, path, body, PROBE_TIMEOUT_MS);
+    answer.await.ok()
+}
+
+async fn probe_member(daemon: &Arc<Daemon>, probe: u64, to: &MemberRecord) {
+    let request = with_number(daemon, lock(&daemon.membership).request(now_ms(), &to.vm));
+    let Some(gossip) = post::<_, Gossip>(daemon, to, GOSSIP, &request).await else {
+        handle(daemon, Event::Unanswered { probe });
         return;
     };
-    lock(&daemon.membership).merge(received.records);
-    if received.config_number > daemon.config.borrow().number {
-        fetch_config(daemon, &peer).await;
+    let config_number = gossip.config_number;
+    handle(daemon, Event::Answered { probe, gossip });
+    fetch_newer_config(daemon, to, config_number).await;
+}
+
+async fn synchronise(
+    daemon: &Arc<Daemon>,
+    with: &MemberRecord,
+    digests: Digests,
+    first_bucket: usize,
+) {
+    let request = SynchroniseRequest {
+        digests: digests.to_vec(),
+        first_bucket,
+    };
+    if let Some(records) = post(daemon, with, "/peer/synchronise", &request).await {
+        handle(daemon, Event::Records(records));
+    }
+}
+
+fn with_number(daemon: &Daemon, gossip: Gossip) -> Gossip {
+    let config_number = daemon.config.borrow().number;
+    Gossip {
+        config_number,
+        ..gossip
     }
 }
 
-async fn fetch_config(daemon: &Daemon, peer: &MemberRecord) {
+/// `POST /peer/gossip`: takes another member's news and answers with own ones.
+#[handler]
+pub(crate) async fn answer_gossip(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
+    let received: Gossip = match read(&daemon, GOSSIP, body).await {
+        Ok(received) => received,
+        Err(refused) => return refused,
+    };
+    let (from, config_number) = (received.from.clone(), received.config_number);
+    handle(&daemon, Event::Received(received));
+    let answer = lock(&daemon.membership).answer(now_ms(), &from);
+    let sender = lock(&daemon.membership)
+        .records()
+        .find(|record| record.vm == from)
+        .cloned();
+    if let Some(sender) = sender.filter(|_| config_number > daemon.config.borrow().number) {
+        let daemon = daemon.clone();
+        tokio::spawn(async move { fetch_newer_config(&daemon, &sender, config_number).await });
+    }
+    write(&daemon, &with_number(&daemon, answer))
+}
+
+/// `POST /peer/probe`: probes a member for another one.
+#[handler]
+pub(crate) async fn answer_probe(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
+    let request: ProbeRequest = match read(&daemon, "/peer/probe", body).await {
+        Ok(request) => request,
+        Err(refused) => return refused,
+    };
+    let gossip = with_number(&daemon, lock(&daemon.membership).request(now_ms(), ""));
+    let answer: Result<Gossip, _> = daemon
+        .control
+        .post_rmp(request.target, GOSSIP, &gossip, PROBE_TIMEOUT_MS)
+        .await;
+    write(&daemon, &answer.is_ok())
+}
+
+/// `POST /peer/synchronise`: answers with the records of buckets that differ.
+#[handler]
+pub(crate) async fn answer_synchronise(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
+    let request: SynchroniseRequest = match read(&daemon, "/peer/synchronise", body).await {
+        Ok(request) => request,
+        Err(refused) => return refused,
+    };
+    let records = lock(&daemon.membership).differing(
+        &request.digests,
+        request.first_bucket,
+        MAX_SYNCHRONISED,
+    );
+    write(&daemon, &records)
+}
+
+async fn read<T>(daemon: &Daemon, path: &str, body: Body) -> Result<T, Response>
+where
+    T: DeserializeOwned,
+{
+    let bytes = body.into_bytes_limit(MAX_MESSAGE_BYTES).await;
+    let bytes = bytes.unwrap_or_default();
+    daemon.traffic.on_request_received(path, bytes.len());
+    rmp_serde::from_slice(&bytes).map_err(|_| {
+        let refusal = Refusal::new(ErrorKind::BadRequest, "the message cannot be read");
+        refuse(daemon, &refusal)
+    })
+}
+
+fn write<T>(daemon: &Daemon, answer: &T) -> Response
+where
+    T: Serialize,
+{
+    let answer = rmp_serde::to_vec(answer).unwrap_or_default();
+    daemon.traffic.on_answer_sent(answer.len());
+    Response::builder()
+        .content_type("application/msgpack")
+        .body(answer)
+}
+
+async fn fetch_newer_config(daemon: &Daemon, peer: &MemberRecord, config_number: u64) {
+    if config_number <= daemon.config.borrow().number {
+        return;
+    }
     let answer = daemon
-        .http
-        .get_json(peer.control_address, "/operator/config", TIMEOUT_MS)
+        .control
+        .get_json(peer.control_address, "/operator/config", CONFIG_TIMEOUT_MS)
         .await;
     let versioned: Result<Versioned, _> = answer;
     if let Ok(versioned) = versioned {
@@ -108,7 +220,7 @@
     }
 }
 
-async fn read_table(daemon: &Daemon) {
+async fn read_table(daemon: &Arc<Daemon>) {
     daemon.metrics.platform_reads.inc();
     let Ok(rows) = daemon.platform.scan(VM_PREFIX).await else {
         return;
@@ -116,7 +228,7 @@
     let records = rows
         .into_iter()
         .filter_map(|row| serde_json::from_value(row.value).ok());
-    lock(&daemon.membership).merge(records);
+    handle(daemon, Event::Records(records.collect()));
 }
 
 /// Writes this member's record to the table, where starting members look.
@@ -133,6 +245,29 @@
     daemon.metrics.platform_writes.inc();
     matches!(
         daemon.platform.transact(&transaction).await,
-        super::platform::Written::Committed(_)
+        Written::Committed(_)
     )
 }
+
+/// Deletes the row of a member that is gone, unless a later start wrote it.
+pub(crate) async fn delete_row(daemon: &Daemon, record: &MemberRecord) {
+    let key: Arc<str> = format!("{VM_PREFIX}{}", record.vm).into();
+    daemon.metrics.platform_reads.inc();
+    let Ok(Some(row)) = daemon.platform.get(&key).await else {
+        return;
+    };
+    let written: Option<MemberRecord> = serde_json::from_value(row.value).ok();
+    if written.is_some_and(|written| written.incarnation > record.incarnation) {
+        return;
+    }
+    let transaction = Transaction {
+        checks: vec![Check {
+            key: key.clone(),
+            row_version: row.row_version,
+        }],
+        writes: vec![Write { key, value: None }],
+    };
+    daemon.metrics.platform_writes.inc();
+    // What is left behind costs a probe at the next start, and no more.
+    let _ = daemon.platform.transact(&transaction).await;
+}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -52,8 +52,9 @@
     tasks.spawn(serve(control, control_routes(), daemon.clone()));
     tasks.spawn(keep_announced(daemon.clone()));
     tasks.spawn(config::poll(daemon.clone()));
-    tasks.spawn(peers::gossip_loop(daemon.clone()));
-    tasks.spawn(watch::watch_loop(daemon.clone()));
+    tasks.spawn(peers::membership_loop(daemon.clone()));
+    tasks.spawn(watch::poll_loop(daemon.clone()));
+    tasks.spawn(watch::list_loop(daemon.clone()));
     tasks.spawn(trainer_task::supervise(daemon.clone()));
     tasks.spawn(rollout_task::supervise(daemon.clone()));
     tasks.spawn(expire(daemon.clone()));
@@ -62,6 +63,7 @@
     let all = async { while tasks.join_next().await.is_some() {} };
     // What has not ended by then waits for a connection that is idle.
     let _ = tokio::time::timeout(Duration::from_millis(FLUSH_MS), all).await;
+    peers::delete_row(&daemon, &daemon.me).await;
     Ok(())
 }
 
@@ -86,7 +88,9 @@
 
 fn control_routes() -> Route {
     Route::new()
-        .at("/peer/gossip", post(peers::exchange))
+        .at("/peer/gossip", post(peers::answer_gossip))
+        .at("/peer/probe", post(peers::answer_probe))
+        .at("/peer/synchronise", post(peers::answer_synchronise))
         .at("/operator/config", get(operators::get_config))
         .at("/operator/patch", post(operators::patch))
         .at("/operator/history", get(operators::history))
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -12,7 +12,7 @@
 
 use super::{
     http::HttpClient, metrics::Metrics, platform::Platform, rollout_task::RolloutTask,
-    trainer_task::TrainerTask,
+    traffic::Traffic, trainer_task::TrainerTask,
 };
 use crate::{
     core::{
@@ -48,6 +48,9 @@
     pub(crate) settings: Settings,
     pub(crate) me: MemberRecord,
     pub(crate) http: HttpClient,
+    /// For probes, polls and the platform: what it exchanges is counted.
+    pub(crate) control: HttpClient,
+    pub(crate) traffic: Traffic,
     pub(crate) http_once: HttpClient,
     pub(crate) platform: Platform,
     pub(crate) metrics: Metrics,
@@ -69,13 +72,20 @@
 
 impl Daemon {
     pub(crate) fn new(settings: Settings, me: MemberRecord) -> Self {
-        let http = HttpClient::new();
-        let platform = Platform::new(http.clone(), &settings.platform_addresses);
+        let metrics = Metrics::new();
+        let traffic = Traffic::new(
+            metrics.control_messages.clone(),
+            metrics.control_bytes.clone(),
+        );
+        let control = HttpClient::new_counted(traffic.clone());
+        let platform = Platform::new(control.clone(), &settings.platform_addresses);
         let limit = Limit::new(settings.limits.max_requests);
         Self {
             http_once: HttpClient::new_unpooled(),
             platform,
-            metrics: Metrics::new(),
+            metrics,
+            control,
+            traffic,
             config: watch::Sender::new(Versioned::default()),
             endpoints: Mutex::default(),
             membership: Mutex::new(Membership::new(me.clone())),
@@ -90,9 +100,9 @@
             is_draining: AtomicBool::new(false),
             in_progress: AtomicU32::new(0),
             stop: watch::Sender::new(false),
+            http: HttpClient::new(),
             settings,
             me,
-            http,
         }
     }
 
--- /dev/null
+++ b/src/daemon/traffic.rs
@@ -0,0 +1,86 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Request, Response,
+    body::{Body, Incoming},
+};
+use prometheus_client::metrics::counter::Counter;
+
+const LINE_END: usize = "\r\n".len();
+const SEPARATOR: usize = ": ".len();
+const STATUS_LINE: usize = "HTTP/1.1 200 OK\r\n".len();
+const REQUEST_LINE_REST: usize = "  HTTP/1.1\r\n".len();
+const CONTENT_LENGTH: usize = "content-length: \r\n".len();
+/// What a daemon's answer to a peer carries before its body, but for the length.
+const PEER_ANSWER_HEAD: usize = "HTTP/1.1 200 OK\r\ncontent-type: application/msgpack\r\n\
+    content-length: \r\ndate: Thu, 03 Dec 2026 20:42:14 GMT\r\n\r\n"
+    .len();
+/// What a peer's request carries before its body, but for path and length.
+const PEER_REQUEST_HEAD: usize = "POST  HTTP/1.1\r\ncontent-type: application/msgpack\r\n\
+    host: 127.0.0.1:40000\r\ncontent-length: \r\n\r\n"
+    .len();
+
+/// Counts messages and bytes of HTTP, heads included, both ways.
+///
+/// What TCP and IP add is not counted: this process does not see it.
+#[derive(Clone, Debug)]
+pub(crate) struct Traffic {
+    messages: Counter,
+    bytes: Counter,
+}
+
+impl Traffic {
+    pub(crate) const fn new(messages: Counter, bytes: Counter) -> Self {
+        Self { messages, bytes }
+    }
+
+    pub(crate) fn on_request_sent(&self, address: SocketAddr, request: &Request<Full<Bytes>>) {
+        let body_len = request.body().size_hint().exact().unwrap_or_default();
+        let body_len = usize::try_from(body_len).unwrap_or(usize::MAX);
+        let host_len = "host: ".len() + address.to_string().len() + LINE_END;
+        let line_len =
+            request.method().as_str().len() + request.uri().path().len() + REQUEST_LINE_REST;
+        let length_len = if body_len == 0 {
+            0
+        } else {
+            CONTENT_LENGTH + digits(body_len)
+        };
+        let head_len = line_len + host_len + length_len + headers_len(request.headers()) + LINE_END;
+        self.count(head_len + body_len);
+    }
+
+    pub(crate) fn on_answer_received(&self, len: usize) {
+        self.count(len);
+    }
+
+    pub(crate) fn on_request_received(&self, path: &str, body_len: usize) {
+        self.count(PEER_REQUEST_HEAD + path.len() + digits(body_len) + body_len);
+    }
+
+    pub(crate) fn on_answer_sent(&self, body_len: usize) {
+        self.count(PEER_ANSWER_HEAD + digits(body_len) + body_len);
+    }
+
+    fn count(&self, len: usize) {
+        self.messages.inc();
+        self.bytes.inc_by(len as u64);
+    }
+}
+
+/// Returns the length of an answer's head on the wire.
+pub(crate) fn answer_head_len(response: &Response<Incoming>) -> usize {
+    STATUS_LINE + headers_len(response.headers()) + LINE_END
+}
+
+fn headers_len(headers: &HeaderMap) -> usize {
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + SEPARATOR + value.len() + LINE_END)
+        .sum()
+}
+
+fn digits(number: usize) -> usize {
+    number.checked_ilog10().unwrap_or_default() as usize + 1
+}
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -1,81 +1,107 @@
-//! Endpoints as they report themselves, and the orders that follow from it.
+//! Endpoints as they report themselves, and the platform's list of VMs.
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use futures_util::future::join_all;
 use rand::Rng;
 
 use super::{
     clock::{now_ms, sleep_until},
+    peers,
     state::{Daemon, lock},
 };
 use crate::{
     core::{
         Name,
-        config::{EndpointSettings, ServiceKind},
+        endpoint::{Placement, PollTarget},
+        membership::Event,
     },
     wire::engine::Load,
 };
 
 const TIMEOUT_MS: u64 = 1_000;
+const LOOK_MS: u64 = 100;
+const PLACE_EVERY: u64 = 10;
+/// The mean time between two reads of the list, by whichever daemon.
+const LIST_MS: u64 = 500;
 
-/// Looks at every endpoint, again and again.
-pub(crate) async fn watch_loop(daemon: Arc<Daemon>) {
+/// Polls the endpoints that this daemon uses or watches, each when it is due.
+pub(crate) async fn poll_loop(daemon: Arc<Daemon>) {
     let mut stop = daemon.stop.subscribe();
+    let mut turn = 0;
     while !*stop.borrow_and_update() {
-        let endpoints = endpoints(&daemon);
-        let looks = endpoints
-            .iter()
-            .map(|(service, name, settings)| look(&daemon, service, name, settings));
-        join_all(looks).await;
-        read_list(&daemon).await;
-        let limits = &daemon.settings.limits;
-        let wait_ms = lock(&daemon.rng).random_range(limits.min_watch_ms..=limits.max_watch_ms);
+        let now_ms = now_ms();
+        if turn % PLACE_EVERY == 0 {
+            place(&daemon, now_ms);
+        }
+        turn += 1;
+        for target in lock(&daemon.endpoints).take_due(now_ms) {
+            tokio::spawn(poll(daemon.clone(), target));
+        }
         tokio::select! {
-            () = sleep_until(now_ms() + wait_ms) => {}
+            () = sleep_until(now_ms + LOOK_MS) => {}
             _ = stop.changed() => {}
         }
     }
 }
 
-fn endpoints(daemon: &Daemon) -> Vec<(Name, Name, EndpointSettings)> {
-    let document = daemon.config.borrow().document.clone();
-    let is_model = |service: &Name| {
-        document
-            .services
-            .get(service)
-            .is_some_and(|service| service.kind == ServiceKind::Model)
+fn place(daemon: &Daemon, now_ms: u64) {
+    let daemons = lock(&daemon.membership)
+        .alive()
+        .filter(|record| record.data_centre == daemon.me.data_centre)
+        .map(|record| record.vm.clone())
+        .collect();
+    let placement = Placement {
+        me: daemon.me.vm.clone(),
+        data_centre: daemon.me.data_centre.clone(),
+        daemons,
     };
-    let endpoints = lock(&daemon.endpoints);
-    let watched = endpoints.iter().filter(|(service, _)| is_model(service));
-    watched
-        .map(|(service, endpoint)| {
-            (
-                service.clone(),
-                endpoint.name.clone(),
-                endpoint.settings.clone(),
-            )
-        })
-        .collect()
+    let held: BTreeSet<Name> = lock(&daemon.rollouts)
+        .iter()
+        .filter(|(_, task)| task.lease.fence().is_some())
+        .map(|(service, _)| service.clone())
+        .collect();
+    let mut endpoints = lock(&daemon.endpoints);
+    endpoints.place(now_ms, placement);
+    endpoints.hold(&held);
 }
 
-async fn look(daemon: &Daemon, service: &str, name: &str, settings: &EndpointSettings) {
+async fn poll(daemon: Arc<Daemon>, target: PollTarget) {
     let load: Result<Load, _> = daemon
-        .http
-        .get_json(settings.address, "/load", TIMEOUT_MS)
+        .control
+        .get_json(target.address, "/load", TIMEOUT_MS)
         .await;
-    lock(&daemon.endpoints).on_report(now_ms(), service, name, load.ok());
+    lock(&daemon.endpoints).on_report(now_ms(), &target.service, &target.endpoint, load.ok());
+}
+
+/// Reads the platform's list of VMs in turn with the other daemons; what is
+/// new in it goes from daemon to daemon.
+///
+/// The list is long: were every daemon to read it each second, it would take
+/// the whole budget of bytes several times over.
+pub(crate) async fn list_loop(daemon: Arc<Daemon>) {
+    let mut stop = daemon.stop.subscribe();
+    while !*stop.borrow_and_update() {
+        read_list(&daemon).await;
+        let members = lock(&daemon.membership).reachable(now_ms()) as u64;
+        let mean_ms = members * LIST_MS;
+        let wait_ms = lock(&daemon.rng).random_range(mean_ms / 2..=mean_ms * 3 / 2);
+        tokio::select! {
+            () = sleep_until(now_ms() + wait_ms) => {}
+            _ = stop.changed() => {}
+        }
+    }
 }
 
-async fn read_list(daemon: &Daemon) {
+async fn read_list(daemon: &Arc<Daemon>) {
     daemon.metrics.platform_reads.inc();
     let Ok(listed) = daemon.platform.listed_vms().await else {
         return;
     };
-    let leaving: BTreeSet<Name> = listed
-        .into_iter()
+    let leaving = listed
+        .iter()
         .filter(|vm| vm.leaving)
-        .map(|vm| vm.vm)
+        .map(|vm| vm.vm.clone())
         .collect();
-    lock(&daemon.endpoints).set_listed_leaving(leaving);
+    let vms = listed.into_iter().map(|vm| vm.vm).collect();
+    peers::handle(daemon, Event::Listed { vms, leaving });
 }
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -48,8 +48,8 @@
     Suspect,
     /// It has said that it shuts down.
     Leaving,
-    /// It is gone.
-    Dead,
+    /// Its VM is gone for good.
+    Gone,
 }
 
 /// One exchange between two members.
@@ -63,6 +63,49 @@
     pub records: Vec<MemberRecord>,
     /// Contents that have crashed endpoints.
     pub crashes: Vec<CrashReport>,
+    /// A hash of all records of the sender.
+    #[serde(default)]
+    pub digest: u64,
+    /// When the sender last heard of each data centre; only in answers.
+    #[serde(default)]
+    pub heard: Vec<DataCentreAge>,
+    /// VMs that the platform is about to take away.
+    #[serde(default)]
+    pub leaving: Vec<LeavingNotice>,
+}
+
+/// How long ago a data centre was last known to answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DataCentreAge {
+    /// The data centre.
+    pub data_centre: Name,
+    /// The age in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A VM that the platform is about to take away.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingNotice {
+    /// The VM's name.
+    pub vm: Name,
+    /// For how much longer it is to be held as leaving, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// Asks a member to probe another one for the sender.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ProbeRequest {
+    /// Where the target's daemons connect.
+    pub target: SocketAddr,
+}
+
+/// Asks for the records of the buckets that differ.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SynchroniseRequest {
+    /// Hashes of the sender's records, by bucket.
+    pub digests: Vec<u64>,
+    /// The bucket to start from, as the answer is bounded.
+    pub first_bucket: usize,
 }
 
 /// One crash of an endpoint and what ran there.
