--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,6 +21,7 @@
 mod settle;
 mod shutdown;
 mod state;
+mod traffic;
 mod trainer_task;
 mod trainers;
 mod watch;
