--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use standins::{
+    bench_ledger::{self, BenchSettings},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
     world::{World, WorldSize},
@@ -60,6 +61,24 @@
         #[bpaf(argument("SECONDS"), fallback(60))]
         seconds: u64,
     },
+    /// Measures one trainer's ledger over one step; prints one line of JSON.
+    #[bpaf(command("bench-ledger"))]
+    BenchLedger {
+        /// Groups of the step.
+        #[bpaf(argument("N"), fallback(1_024))]
+        groups: u32,
+        /// Samples in a group.
+        #[bpaf(argument("N"), fallback(8))]
+        samples_per_group: u32,
+        /// Tokens in a sample.
+        #[bpaf(argument("N"), fallback(1_500))]
+        tokens: u32,
+        /// Samples that come in between two commits.
+        #[bpaf(argument("N"), fallback(15))]
+        samples_per_commit: u32,
+        /// Uses the platform stand-in over loopback.
+        loopback: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -129,6 +148,25 @@
             };
             report(&drive::drive(settings).await?)
         }
+        Command::BenchLedger {
+            groups,
+            samples_per_group,
+            tokens,
+            samples_per_commit,
+            loopback,
+        } => {
+            let settings = BenchSettings {
+                groups,
+                samples_per_group,
+                tokens,
+                samples_per_commit,
+                is_loopback: loopback,
+            };
+            let report = bench_ledger::run(settings).await?;
+            let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
+            println!("{line}");
+            Ok(())
+        }
     }
 }
 
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -161,6 +161,10 @@
         lock(state).store.objects.insert(name.into(), body);
         return Ok(bytes(Bytes::new()));
     }
+    if method == Method::DELETE {
+        lock(state).store.objects.remove(name);
+        return Ok(bytes(Bytes::new()));
+    }
     let found = lock(state).store.objects.get(name).cloned();
     found
         .map(bytes)
--- a/src/core/guard.rs
+++ b/src/core/guard.rs
@@ -44,6 +44,20 @@
     SettleByReading,
     /// Freshness is checked when a sample is handed over.
     FreshnessAtHandOver,
+    /// A sample leaves its slot by a commit, before the hand-over passes it.
+    DropCommitted,
+    /// Samples leave their slots only where the trainer is known not to hold them.
+    DropAtHandOverOnly,
+    /// A step that is finished is not opened again.
+    StepOnce,
+    /// A new holder serves nothing before its first commit took effect.
+    ClaimBeforeServing,
+    /// What was not committed when the lease lapsed is kept for the next term.
+    KeepUncommitted,
+    /// Committed samples whose payload cannot be read are made again.
+    RemakeUnreadable,
+    /// A step may be opened again with later weights.
+    ReopenWithLaterWeights,
     /// Versions are taken from the engine's chunks.
     VersionsFromChunks,
     /// Contents that crash endpoints are isolated.
--- a/src/core/request/generation.rs
+++ b/src/core/request/generation.rs
@@ -217,13 +217,14 @@
             return;
         }
         let from_token = self.token_count();
+        let weights_version = self.version_of(&chunk);
         let finish = chunk.finish;
         if !chunk.tokens.is_empty() {
             self.tokens.extend(chunk.tokens.iter().cloned());
             let span = VersionSpan {
                 from_token,
                 to_token: self.token_count(),
-                weights_version: chunk.weights_version,
+                weights_version,
             };
             self.note_span(span);
             effects.push(Effect::Forward {
@@ -252,6 +253,15 @@
         u32::try_from(self.tokens.len()).unwrap_or(u32::MAX)
     }
 
+    /// What produced a piece is what the piece says; the version with which
+    /// the answer began may have been swapped since.
+    fn version_of(&self, chunk: &Chunk) -> u64 {
+        match self.spans.first() {
+            Some(first) if !guard::is_on(Guard::VersionsFromChunks) => first.weights_version,
+            _ => chunk.weights_version,
+        }
+    }
+
     fn note_span(&mut self, span: VersionSpan) {
         match self.spans.last_mut() {
             Some(last) if last.weights_version == span.weights_version => {
--- a/src/core/sample/ledger.rs
+++ b/src/core/sample/ledger.rs
@@ -3,57 +3,79 @@
     sync::Arc,
 };
 
-use super::{ChunkRow, Head, LoggedSample, StepState, step::SlotState};
+use bytes::Bytes;
+
+use super::{
+    ChunkRow, Dropped, Head, LoggedSample, StepState, Urgency, hand_over::Logged, step::SlotState,
+};
 use crate::{
     core::{
         Name,
-        digest::hex_digest,
         guard::{self, Guard},
     },
     error::{ErrorKind, Refusal},
-    wire::{
-        platform::{Check, Transaction, Write},
-        trainers::{Acknowledge, Fetch, Fetched, OpenStep, Sample, Slot},
-    },
+    wire::trainers::{Acknowledge, OpenStep, Sample, Slot},
 };
 
-/// The most samples of one commit.
-const MAX_SAMPLES_PER_COMMIT: usize = 512;
-
-/// The payloads of one commit, as they stand in the object store.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Payload {
-    /// The object's name, which contains the hash of its content.
-    pub object: Arc<str>,
-    /// The content.
-    pub bytes: Vec<u8>,
-}
-
-/// One commit: write the payload, then the transaction.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CommitPlan {
-    /// The commit's number.
-    pub commit: u64,
-    /// What goes to the object store first.
-    pub payload: Option<Payload>,
-    /// What goes to the table then.
-    pub transaction: Transaction,
-    head: Head,
-    samples: Vec<Arc<Sample>>,
-    dropped: BTreeSet<u64>,
-}
+/// The most samples of one step.
+const MAX_SAMPLES_PER_STEP: usize = 65_536;
+/// How many bytes may wait to be committed before no more is generated.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024 * 1024;
 
 /// What a new holder of the lease reads before it starts.
 #[derive(Clone, Debug, Default)]
 pub struct Loaded {
-    /// The head row, if there is one.
+    /// The head row, if there is one; it is read first.
     pub head: Option<Head>,
     /// Its row version.
     pub row_version: u64,
     /// The open steps.
     pub steps: Vec<OpenStep>,
-    /// The chunk rows with the payloads that are not acknowledged.
-    pub chunks: Vec<(u64, ChunkRow, Vec<Sample>)>,
+    /// The chunk rows by their numbers, in their order.
+    pub chunks: Vec<(u64, ChunkRow)>,
+}
+
+/// A sample that no commit has made last yet.
+#[derive(Clone, Debug)]
+pub struct Uncommitted {
+    pub(super) logged: LoggedSample,
+    pub(super) bytes: Bytes,
+}
+
+impl Uncommitted {
+    /// Encodes a sample as it is kept and handed over; none if it has no JSON
+    /// form, which no sample of an engine lacks.
+    #[must_use]
+    pub fn try_new(sample: &Sample) -> Option<Self> {
+        let bytes = serde_json::to_vec(sample).ok()?;
+        Some(Self {
+            logged: LoggedSample::new(sample),
+            bytes: bytes.into(),
+        })
+    }
+
+    /// Returns how many bytes the sample has.
+    #[must_use]
+    pub const fn size_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns the slot that the sample was made for.
+    #[must_use]
+    pub const fn slot(&self) -> Slot {
+        self.logged.slot
+    }
+}
+
+/// What became of a sample that was offered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Taken {
+    /// It waits to be committed.
+    Buffered,
+    /// It is too old for the trainer already; its slot is still to be filled.
+    Stale,
+    /// Its slot is filled, or there is no such slot.
+    NoRoom,
 }
 
 /// The samples of one trainer: which are wanted, which are committed, which
@@ -61,164 +83,274 @@
 ///
 /// A sample is delivered only once the table lists it. All changes go through
 /// one row, the head, by compare-and-set, so that of two daemons that both
-/// believe they hold the lease only one goes on.
+/// believe they hold the lease only one goes on. A new holder serves nothing
+/// before its first commit took effect: by that it knows that what it has read
+/// is what stands.
 #[derive(Clone, Debug)]
 pub struct Ledger {
-    trainer: Name,
-    fence: u64,
-    head: Head,
-    row_version: u64,
-    steps: BTreeMap<u64, StepState>,
-    log: BTreeMap<u64, Logged>,
-    chunk_rows: BTreeMap<u64, u64>,
-    buffer: Vec<Arc<Sample>>,
-    pending_steps: Vec<OpenStep>,
-    pending_ack: Option<Acknowledge>,
-    is_committing: bool,
-    must_claim: bool,
+    pub(super) trainer: Name,
+    pub(super) fence: u64,
+    pub(super) head: Head,
+    pub(super) row_version: u64,
+    pub(super) steps: BTreeMap<u64, StepState>,
+    pub(super) wanted: BTreeSet<Slot>,
+    pub(super) log: BTreeMap<u64, Logged>,
+    pub(super) chunks: BTreeMap<u64, Chunk>,
+    pub(super) buffer: Vec<Uncommitted>,
+    pub(super) buffered_bytes: usize,
+    pub(super) pending: Pending,
+    pub(super) weights_version: u64,
+    pub(super) held_from: u64,
+    pub(super) held_bytes: usize,
+    pub(super) spent_objects: Vec<Arc<str>>,
+    pub(super) changes: u64,
+    pub(super) settled: u64,
+    pub(super) is_committing: bool,
+    pub(super) is_claimed: bool,
 }
 
+/// What the next commit makes last, besides samples.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pending {
+    pub(super) steps: Vec<OpenStep>,
+    pub(super) ack: Option<Acknowledge>,
+    pub(super) drops: BTreeMap<u64, Slot>,
+}
+
+/// What is known of a chunk row.
 #[derive(Clone, Debug)]
-struct Logged {
-    logged: LoggedSample,
-    payload: Arc<Sample>,
+pub(super) struct Chunk {
+    pub(super) first_cursor: u64,
+    pub(super) end_cursor: u64,
+    pub(super) object: Option<Arc<str>>,
+    pub(super) steps: BTreeSet<u64>,
+}
+
+impl Chunk {
+    pub(super) fn new(row: &ChunkRow) -> Self {
+        let sampled = row.samples.iter().map(|logged| logged.slot.step);
+        let dropped = row.dropped.iter().map(|dropped| dropped.slot.step);
+        Self {
+            first_cursor: row.first_cursor,
+            end_cursor: row.first_cursor + row.samples.len() as u64,
+            object: row.object.clone(),
+            steps: sampled.chain(dropped).collect(),
+        }
+    }
 }
 
 impl Ledger {
-    /// Goes on from what the table and the object store hold.
-    #[must_use]
-    pub fn new(trainer: Name, fence: u64, loaded: Loaded) -> Self {
+    /// Goes on from what the table holds.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotHolder`] if the table was written under a later fencing
+    /// number: the lease was lost while the rows were read.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chicoryreach::core::sample::{Head, Ledger, Loaded};
+    ///
+    /// assert!(Ledger::try_new("pricing".into(), 1, Loaded::default()).is_ok());
+    /// let head = Some(Head { fence: 2, ..Head::default() });
+    /// let loaded = Loaded { head, row_version: 5, ..Loaded::default() };
+    /// assert!(Ledger::try_new("pricing".into(), 1, loaded).is_err());
+    /// ```
+    pub fn try_new(trainer: Name, fence: u64, loaded: Loaded) -> Result<Self, Refusal> {
+        let head = loaded.head.unwrap_or_default();
+        if head.fence > fence {
+            let message = format!("the ledger was written under lease {}", head.fence);
+            return Err(Refusal::new(ErrorKind::NotHolder, message));
+        }
+        let steps = loaded.steps.into_iter();
         let mut ledger = Self {
             trainer,
             fence,
-            head: loaded.head.unwrap_or_default(),
             row_version: loaded.row_version,
-            steps: BTreeMap::new(),
+            steps: steps
+                .map(|step| (step.step, StepState::new(step)))
+                .collect(),
+            wanted: BTreeSet::new(),
             log: BTreeMap::new(),
-            chunk_rows: BTreeMap::new(),
+            chunks: BTreeMap::new(),
             buffer: Vec::new(),
-            pending_steps: Vec::new(),
-            pending_ack: None,
+            buffered_bytes: 0,
+            pending: Pending::default(),
+            weights_version: head.weights_version,
+            held_from: head.acknowledged_cursor,
+            held_bytes: 0,
+            spent_objects: Vec::new(),
+            changes: 0,
+            settled: 0,
             is_committing: false,
-            must_claim: true,
+            is_claimed: !guard::is_on(Guard::ClaimBeforeServing),
+            head,
         };
-        for step in loaded.steps {
-            ledger.steps.insert(step.step, StepState::new(step));
-        }
-        for (number, row, payloads) in loaded.chunks {
-            ledger.load_chunk(number, &row, payloads);
+        for (number, row) in loaded.chunks {
+            ledger.load_chunk(number, &row);
         }
-        ledger
+        ledger.want_open_slots();
+        Ok(ledger)
     }
 
-    fn load_chunk(&mut self, number: u64, row: &ChunkRow, payloads: Vec<Sample>) {
-        let mut payloads = payloads.into_iter();
-        let mut cursor = row.first_cursor;
-        for logged in &row.samples {
-            let payload = payloads.next();
+    fn load_chunk(&mut self, number: u64, row: &ChunkRow) {
+        for dropped in &row.dropped {
+            self.apply_drop(*dropped);
+        }
+        for (cursor, logged) in (row.first_cursor..).zip(&row.samples) {
             self.fill(logged.slot, cursor);
-            if let (true, Some(payload)) = (cursor >= self.head.acknowledged_cursor, payload) {
-                let payload = Arc::new(payload);
-                let logged = *logged;
-                self.log.insert(cursor, Logged { logged, payload });
+            let is_due = cursor >= self.head.acknowledged_cursor;
+            if is_due && self.steps.contains_key(&logged.slot.step) {
+                self.log.insert(cursor, Logged::stored(*logged, number));
             }
-            cursor += 1;
         }
-        self.chunk_rows.insert(number, cursor);
+        self.chunks.insert(number, Chunk::new(row));
+    }
+
+    fn want_open_slots(&mut self) {
+        let slots = self.steps.values().flat_map(StepState::slots);
+        let open = slots.filter(|slot| self.state(*slot) == Some(SlotState::Open));
+        self.wanted = open.collect();
     }
 
-    /// Fills a slot; an earlier sample of the slot, if there is one, was
-    /// dropped when it grew stale.
-    fn fill(&mut self, slot: Slot, cursor: u64) {
-        let state = self
-            .slot_mut(slot)
-            .map(|state| std::mem::replace(state, SlotState::Committed { cursor }));
-        if let Some(SlotState::Committed { cursor: earlier }) = state {
-            self.log.remove(&earlier);
+    pub(super) fn state(&self, slot: Slot) -> Option<SlotState> {
+        self.steps.get(&slot.step)?.state(slot)
+    }
+
+    pub(super) fn set(&mut self, slot: Slot, state: SlotState) {
+        let Some(step) = self.steps.get_mut(&slot.step) else {
+            return;
+        };
+        step.set(slot, state);
+        if state == SlotState::Open {
+            self.wanted.insert(slot);
+        } else {
+            self.wanted.remove(&slot);
+        }
+    }
+
+    /// Fills a slot; a sample that filled it before leaves the log.
+    pub(super) fn fill(&mut self, slot: Slot, cursor: u64) {
+        if let Some(SlotState::Committed { cursor: earlier }) = self.state(slot) {
+            self.forget(earlier);
         }
+        self.set(slot, SlotState::Committed { cursor });
     }
 
-    fn slot_mut(&mut self, slot: Slot) -> Option<&mut SlotState> {
-        self.steps.get_mut(&slot.step)?.slots.get_mut(&slot)
+    /// Empties a slot that is still filled by the sample that was dropped.
+    pub(super) fn apply_drop(&mut self, dropped: Dropped) {
+        self.forget(dropped.cursor);
+        let cursor = dropped.cursor;
+        if self.state(dropped.slot) == Some(SlotState::Committed { cursor }) {
+            self.set(dropped.slot, SlotState::Open);
+        }
     }
 
-    /// Opens a step, and returns the number of the commit that makes it last.
+    /// Opens a step, and returns the number of the change, which
+    /// [`Ledger::settled`] reaches when it has been made last.
+    ///
+    /// Steps are opened in the order of their numbers. A step that is open may
+    /// be opened again with the same content, also with later weights, as a
+    /// trainer does that starts again from its checkpoint. Opening a step that is
+    /// finished changes nothing: the trainer has acknowledged all of it.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::IdReused`] if the step was opened with other content, and
-    /// [`ErrorKind::BadRequest`] if it asks for nothing.
+    /// [`ErrorKind::IdReused`] if the step was opened with other content;
+    /// [`ErrorKind::BadRequest`] if it asks for no samples or for too
+    /// many; [`ErrorKind::PlatformUnavailable`] before this holder's first commit.
     pub fn open_step(&mut self, request: OpenStep) -> Result<u64, Refusal> {
-        if request.prompts.is_empty() || request.samples_per_group == 0 {
-            return Err(Refusal::new(
-                ErrorKind::BadRequest,
-                "the step asks for no samples",
-            ));
+        self.check_claimed()?;
+        check_size(&request)?;
+        let pending = self.pending.steps.iter();
+        let mut pending = pending.filter(|step| step.step == request.step);
+        if let Some(known) = pending.next() {
+            check_content(known, &request)?;
+            return Ok(self.changes);
         }
-        let known = self.steps.get(&request.step).map(|state| &state.request);
-        let known = known.or_else(|| {
-            self.pending_steps
-                .iter()
-                .find(|step| step.step == request.step)
-        });
-        match known {
-            Some(known) if *known == request => {}
-            Some(_) => {
-                let message = format!("step {} was opened with other content", request.step);
-                return Err(Refusal::new(ErrorKind::IdReused, message));
-            }
-            None => self.pending_steps.push(request),
+        if let Some(state) = self.steps.get(&request.step) {
+            check_content(&state.request, &request)?;
+            self.weights_version = self.weights_version.max(request.weights_version);
+            return Ok(0);
+        }
+        let last = self.pending.steps.iter().map(|step| step.step).max();
+        let is_new = last.max(self.head.last_step) < Some(request.step);
+        if !is_new && guard::is_on(Guard::StepOnce) {
+            return Ok(0);
+        }
+        self.weights_version = self.weights_version.max(request.weights_version);
+        self.pending.steps.push(request);
+        Ok(self.note_change())
+    }
+
+    pub(super) fn check_claimed(&self) -> Result<(), Refusal> {
+        if self.is_claimed {
+            return Ok(());
         }
-        Ok(self.commit_number_due())
+        let message = "the ledger is being taken over";
+        Err(Refusal::new(ErrorKind::PlatformUnavailable, message))
+    }
+
+    pub(super) const fn note_change(&mut self) -> u64 {
+        self.changes += 1;
+        self.changes
     }
 
     /// Notes what the trainer has taken over, and returns the number of the
-    /// commit that makes it last.
+    /// change, which [`Ledger::settled`] reaches when it has been made last.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::BadRequest`] if the cursor has not been reached yet, or if
-    /// the weights version goes back.
+    /// the weights version goes back; [`ErrorKind::PlatformUnavailable`] before
+    /// this holder's first commit.
     pub fn acknowledge(&mut self, ack: Acknowledge) -> Result<u64, Refusal> {
+        self.check_claimed()?;
         if ack.cursor > self.head.next_cursor {
             return Err(Refusal::new(
                 ErrorKind::BadRequest,
                 "the cursor has not been reached",
             ));
         }
-        self.check_version(ack.weights_version)?;
-        let known = self
-            .pending_ack
-            .as_ref()
-            .map_or(self.head.acknowledged_cursor, |ack| ack.cursor);
-        let cursor = ack.cursor.max(known);
-        self.pending_ack = Some(Acknowledge { cursor, ..ack });
-        Ok(self.commit_number_due())
+        self.note_version(ack.weights_version)?;
+        let is_known = ack.cursor <= self.head.acknowledged_cursor
+            && ack.weights_version <= self.head.weights_version;
+        if is_known {
+            return Ok(0);
+        }
+        let cursor = self.pending.ack.map_or(0, |pending| pending.cursor);
+        self.pending.ack = Some(Acknowledge {
+            cursor: ack.cursor.max(cursor).max(self.head.acknowledged_cursor),
+            ..ack
+        });
+        Ok(self.note_change())
     }
 
-    fn check_version(&self, weights_version: u64) -> Result<(), Refusal> {
-        if weights_version < self.head.weights_version {
+    /// Notes the trainer's weights version, which never goes back: a trainer
+    /// that starts again publishes under a number of its own.
+    pub(super) fn note_version(&mut self, weights_version: u64) -> Result<(), Refusal> {
+        if weights_version < self.weights_version {
             let message = format!(
                 "the trainer's weights version {weights_version} is behind {}",
-                self.head.weights_version
+                self.weights_version
             );
             return Err(Refusal::new(ErrorKind::BadRequest, message));
         }
+        self.weights_version = weights_version;
         Ok(())
     }
 
-    const fn commit_number_due(&self) -> u64 {
-        if self.is_committing {
-            self.head.commit + 2
-        } else {
-            self.head.commit + 1
-        }
+    /// Returns how many commits have taken effect.
+    #[must_use]
+    pub const fn commits(&self) -> u64 {
+        self.head.commit
     }
 
-    /// Returns the number of the last commit that took effect.
+    /// Returns up to which number all changes have been made last.
     #[must_use]
-    pub const fn committed(&self) -> u64 {
-        self.head.commit
+    pub const fn settled(&self) -> u64 {
+        self.settled
     }
 
     /// Returns the cursor before which every sample is the trainer's.
@@ -227,19 +359,18 @@
         self.head.acknowledged_cursor
     }
 
-    /// Takes up to `limit` slots for which a sample is to be generated now.
+    /// Takes up to `limit` slots for which a sample is to be generated now;
+    /// none while too much waits to be committed.
     pub fn take_wanted(&mut self, limit: usize) -> Vec<Slot> {
-        let open = self
-            .steps
-            .values_mut()
-            .flat_map(|step| step.slots.iter_mut())
-            .filter(|(_, state)| **state == SlotState::Open);
-        open.take(limit)
-            .map(|(slot, state)| {
-                *state = SlotState::Generating;
-                *slot
-            })
-            .collect()
+        let mut taken = Vec::new();
+        while taken.len() < limit && self.buffered_bytes < MAX_BUFFERED_BYTES {
+            let Some(slot) = self.wanted.first().copied() else {
+                break;
+            };
+            self.set(slot, SlotState::Generating);
+            taken.push(slot);
+        }
+        taken
     }
 
     /// Returns the step that a slot belongs to.
@@ -250,298 +381,100 @@
 
     /// Notes that no sample came of a slot that was taken.
     pub fn on_generation_failed(&mut self, slot: Slot) {
-        if let Some(state @ SlotState::Generating) = self.slot_mut(slot) {
-            *state = SlotState::Open;
-        }
-    }
-
-    /// Takes a generated sample, and says whether its slot had room for it.
-    pub fn on_sample(&mut self, sample: Sample) -> bool {
-        let is_once = guard::is_on(Guard::SlotOnce);
-        let Some(state) = self.slot_mut(sample.slot) else {
-            return false;
-        };
-        let has_room = matches!(state, SlotState::Open | SlotState::Generating);
-        if !has_room && is_once {
-            return false;
-        }
-        *state = SlotState::Buffered;
-        self.buffer.push(Arc::new(sample));
-        true
-    }
-
-    /// Returns the next commit, unless one is under way or nothing is to be written.
-    pub fn begin_commit(&mut self) -> Option<CommitPlan> {
-        let has_work = self.must_claim
-            || !self.buffer.is_empty()
-            || !self.pending_steps.is_empty()
-            || self.pending_ack.is_some();
-        if self.is_committing || !has_work {
-            return None;
-        }
-        self.is_committing = true;
-        let mut head = Head {
-            fence: self.fence,
-            commit: self.head.commit + 1,
-            ..self.head.clone()
-        };
-        let mut writes = Vec::new();
-        let dropped = self.plan_acknowledge(&mut head, &mut writes);
-        for step in &self.pending_steps {
-            head.steps.insert(step.step);
-            head.weights_version = head.weights_version.max(step.weights_version);
-            writes.push(write(self.step_key(step.step), step));
-        }
-        let (payload, samples) = self.plan_samples(&mut head, &mut writes);
-        writes.push(write(self.head_key(), &head));
-        let check = Check {
-            key: self.head_key(),
-            row_version: self.row_version,
-        };
-        let checks = if guard::is_on(Guard::ManifestCompareAndSet) {
-            vec![check]
-        } else {
-            Vec::new()
-        };
-        Some(CommitPlan {
-            commit: head.commit,
-            payload,
-            transaction: Transaction { checks, writes },
-            head,
-            samples,
-            dropped,
-        })
-    }
-
-    fn plan_acknowledge(&self, head: &mut Head, writes: &mut Vec<Write>) -> BTreeSet<u64> {
-        let Some(ack) = self.pending_ack else {
-            return BTreeSet::new();
-        };
-        head.acknowledged_cursor = ack.cursor;
-        head.weights_version = head.weights_version.max(ack.weights_version);
-        let done = self
-            .steps
-            .iter()
-            .filter(|(_, step)| step.is_delivered(ack.cursor))
-            .map(|(number, _)| *number);
-        let dropped: BTreeSet<u64> = done.collect();
-        for step in &dropped {
-            head.steps.remove(step);
-            writes.push(delete(self.step_key(*step)));
-        }
-        if head.steps.is_empty() {
-            let spent = self
-                .chunk_rows
-                .iter()
-                .filter(|(_, end)| **end <= ack.cursor);
-            writes.extend(spent.map(|(number, _)| delete(self.chunk_key(*number))));
+        if self.state(slot) == Some(SlotState::Generating) {
+            self.set(slot, SlotState::Open);
         }
-        dropped
     }
 
-    fn plan_samples(
-        &mut self,
-        head: &mut Head,
-        writes: &mut Vec<Write>,
-    ) -> (Option<Payload>, Vec<Arc<Sample>>) {
-        let count = self.buffer.len().min(MAX_SAMPLES_PER_COMMIT);
-        if count == 0 {
-            return (None, Vec::new());
-        }
-        let samples: Vec<_> = self.buffer.drain(..count).collect();
-        let bytes = rmp_serde::to_vec_named(&samples).unwrap_or_default();
-        let payload = Payload {
-            object: object_name(&self.trainer, &bytes),
-            bytes,
-        };
-        let row = ChunkRow {
-            first_cursor: head.next_cursor,
-            object: payload.object.clone(),
-            samples: samples.iter().map(|sample| logged(sample)).collect(),
+    /// Takes a generated sample, also one that an earlier ledger of this daemon
+    /// could not commit, and says what became of it.
+    pub fn on_sample(&mut self, sample: Uncommitted) -> Taken {
+        let slot = sample.slot();
+        let has_room = match self.state(slot) {
+            Some(SlotState::Open | SlotState::Generating) => true,
+            Some(_) => !guard::is_on(Guard::SlotOnce),
+            None => false,
         };
-        writes.push(write(self.chunk_key(head.next_chunk), &row));
-        head.next_chunk += 1;
-        head.next_cursor += count as u64;
-        (Some(payload), samples)
-    }
-
-    /// Notes that a commit took effect, with the head's new row version.
-    pub fn on_committed(&mut self, plan: CommitPlan, row_version: u64) {
-        let CommitPlan {
-            head,
-            samples,
-            dropped,
-            ..
-        } = plan;
-        self.is_committing = false;
-        self.must_claim = false;
-        self.row_version = row_version;
-        self.finish_steps(&head, &dropped);
-        let first_cursor = head.next_cursor - samples.len() as u64;
-        for (cursor, payload) in (first_cursor..).zip(samples) {
-            let logged = logged(&payload);
-            self.fill(logged.slot, cursor);
-            self.log.insert(cursor, Logged { logged, payload });
-        }
-        if head.next_chunk > self.head.next_chunk {
-            self.chunk_rows
-                .insert(self.head.next_chunk, head.next_cursor);
-        }
-        let is_acknowledged = |ack: &mut Acknowledge| {
-            ack.cursor <= head.acknowledged_cursor && ack.weights_version <= head.weights_version
-        };
-        self.pending_ack.take_if(is_acknowledged);
-        self.head = head;
-        self.drop_stale(self.head.acknowledged_cursor, self.head.weights_version);
-    }
-
-    fn finish_steps(&mut self, head: &Head, dropped: &BTreeSet<u64>) {
-        for number in dropped {
-            self.steps.remove(number);
-        }
-        let is_opened = |step: &OpenStep| head.steps.contains(&step.step);
-        let opened: Vec<_> = self
-            .pending_steps
-            .extract_if(.., |step| is_opened(step))
-            .collect();
-        for step in opened {
-            self.steps.insert(step.step, StepState::new(step));
+        if !has_room {
+            return Taken::NoRoom;
         }
-        self.log = self.log.split_off(&head.acknowledged_cursor);
-        if head.steps.is_empty() {
-            self.chunk_rows
-                .retain(|_, end| *end > head.acknowledged_cursor);
+        if self.is_stale(&sample.logged) {
+            return Taken::Stale;
         }
+        self.set(slot, SlotState::Buffered);
+        self.buffered_bytes += sample.bytes.len();
+        self.buffer.push(sample);
+        Taken::Buffered
     }
 
-    /// Notes that a commit is known not to have taken effect.
-    pub fn on_not_committed(&mut self, plan: CommitPlan) {
-        self.is_committing = false;
-        self.buffer.splice(0..0, plan.samples);
-    }
-
-    /// Settles a commit whose answer was lost, from the head row as it was read.
-    ///
-    /// Returns false if another daemon has written the row: this one holds the
-    /// ledger no longer.
-    pub fn settle(&mut self, plan: CommitPlan, read: Option<&Head>, row_version: u64) -> bool {
-        if read == Some(&plan.head) && guard::is_on(Guard::SettleByReading) {
-            self.on_committed(plan, row_version);
-            return true;
-        }
-        let is_unchanged = row_version == self.row_version;
-        self.on_not_committed(plan);
-        is_unchanged
-    }
-
-    /// Returns the samples from a cursor on that are fresh enough.
-    ///
-    /// What is too old for the trainer's version leaves its slot, which is then
-    /// generated for again.
-    ///
-    /// # Errors
-    ///
-    /// [`ErrorKind::BadRequest`] if the cursor was acknowledged or has not been
-    /// reached, or if the weights version goes back.
-    pub fn fetch(&mut self, fetch: Fetch) -> Result<Fetched, Refusal> {
-        self.check_version(fetch.weights_version)?;
-        let range = self.head.acknowledged_cursor..=self.head.next_cursor;
-        if !range.contains(&fetch.cursor) {
-            let message = format!("the cursor {} is not within {range:?}", fetch.cursor);
-            return Err(Refusal::new(ErrorKind::BadRequest, message));
-        }
-        if guard::is_on(Guard::FreshnessAtHandOver) {
-            self.drop_stale(fetch.cursor, fetch.weights_version);
-        }
-        let limit = fetch.limit as usize;
-        let due: Vec<_> = self.log.range(fetch.cursor..).take(limit).collect();
-        let next_cursor = match due.last() {
-            Some((cursor, _)) if due.len() == limit => *cursor + 1,
-            _ => self.head.next_cursor,
-        };
-        let samples = due.iter().map(|(_, entry)| entry.payload.as_ref().clone());
-        Ok(Fetched {
-            samples: samples.collect(),
-            next_cursor,
+    pub(super) fn is_stale(&self, logged: &LoggedSample) -> bool {
+        self.steps.get(&logged.slot.step).is_some_and(|step| {
+            logged.oldest_version + step.request.staleness_bound < self.weights_version
         })
     }
 
-    fn drop_stale(&mut self, from_cursor: u64, weights_version: u64) {
-        let steps = &self.steps;
-        let is_stale = |logged: &LoggedSample| {
-            steps.get(&logged.slot.step).is_some_and(|step| {
-                logged.oldest_version + step.request.staleness_bound < weights_version
-            })
-        };
-        let stale: Vec<(u64, Slot)> = self
-            .log
-            .range(from_cursor..)
-            .filter(|(_, entry)| is_stale(&entry.logged))
-            .map(|(cursor, entry)| (*cursor, entry.logged.slot))
-            .collect();
-        for (cursor, slot) in stale {
-            self.log.remove(&cursor);
-            if let Some(state) = self.slot_mut(slot) {
-                *state = SlotState::Open;
-            }
+    /// Returns how long what is to be committed may wait, if there is anything.
+    #[must_use]
+    pub fn urgency(&self) -> Option<Urgency> {
+        let ack = self.pending.ack.map(|ack| ack.cursor);
+        let is_ending = !self.buffer.is_empty() && self.steps.values().any(StepState::is_ending);
+        let ends_step =
+            ack.is_some_and(|cursor| self.steps.values().any(|step| step.is_delivered(cursor)));
+        let is_urgent = !self.is_claimed
+            || !self.pending.steps.is_empty()
+            || !self.pending.drops.is_empty()
+            || is_ending
+            || ends_step;
+        if is_urgent {
+            Some(Urgency::Now)
+        } else if !self.buffer.is_empty() || ack.is_some() {
+            Some(Urgency::Paced)
+        } else {
+            None
         }
     }
 
-    fn head_key(&self) -> Arc<str> {
-        head_key(&self.trainer)
-    }
-
-    fn step_key(&self, step: u64) -> Arc<str> {
-        format!("{}{step:020}", steps_prefix(&self.trainer)).into()
+    /// Returns what was not committed, for the next ledger of this daemon.
+    #[must_use]
+    pub fn into_uncommitted(self) -> Vec<Uncommitted> {
+        if guard::is_on(Guard::KeepUncommitted) {
+            self.buffer
+        } else {
+            Vec::new()
+        }
     }
 
-    fn chunk_key(&self, chunk: u64) -> Arc<str> {
-        format!("{}{chunk:020}", chunks_prefix(&self.trainer)).into()
+    /// Takes the names of objects that no row lists any more.
+    pub fn take_spent_objects(&mut self) -> Vec<Arc<str>> {
+        std::mem::take(&mut self.spent_objects)
     }
 }
 
-/// Returns the key of a trainer's head row.
-#[must_use]
-pub fn head_key(trainer: &str) -> Arc<str> {
-    format!("trainer/{trainer}/head").into()
-}
-
-/// Returns what the keys of a trainer's open steps start with.
-#[must_use]
-pub fn steps_prefix(trainer: &str) -> Arc<str> {
-    format!("trainer/{trainer}/step/").into()
-}
-
-/// Returns what the keys of a trainer's chunk rows start with.
-#[must_use]
-pub fn chunks_prefix(trainer: &str) -> Arc<str> {
-    format!("trainer/{trainer}/chunk/").into()
-}
-
-fn object_name(trainer: &str, bytes: &[u8]) -> Arc<str> {
-    const BYTES: usize = 32;
-    let hash = hex_digest(&[bytes], BYTES);
-    format!("samples-{trainer}-{hash}").into()
-}
-
-fn logged(sample: &Sample) -> LoggedSample {
-    let versions = sample.weights.iter().map(|span| span.weights_version);
-    LoggedSample {
-        slot: sample.slot,
-        oldest_version: versions.min().unwrap_or_default(),
+fn check_size(request: &OpenStep) -> Result<(), Refusal> {
+    let samples = request
+        .prompts
+        .len()
+        .saturating_mul(request.samples_per_group as usize);
+    if (1..=MAX_SAMPLES_PER_STEP).contains(&samples) {
+        return Ok(());
     }
+    let message = format!("the step asks for {samples} samples, not 1 to {MAX_SAMPLES_PER_STEP}");
+    Err(Refusal::new(ErrorKind::BadRequest, message))
 }
 
-fn write<T>(key: Arc<str>, value: &T) -> Write
-where
-    T: serde::Serialize,
-{
-    Write {
-        key,
-        value: serde_json::to_value(value).ok(),
+fn check_content(known: &OpenStep, request: &OpenStep) -> Result<(), Refusal> {
+    let weights_version = if guard::is_on(Guard::ReopenWithLaterWeights) {
+        known.weights_version
+    } else {
+        request.weights_version
+    };
+    let request = OpenStep {
+        weights_version,
+        ..request.clone()
+    };
+    if *known == request {
+        return Ok(());
     }
-}
-
-const fn delete(key: Arc<str>) -> Write {
-    Write { key, value: None }
+    let message = format!("step {} was opened with other content", request.step);
+    Err(Refusal::new(ErrorKind::IdReused, message))
 }
--- a/src/core/sample/step.rs
+++ b/src/core/sample/step.rs
@@ -1,5 +1,3 @@
-use std::collections::BTreeMap;
-
 use crate::wire::trainers::{OpenStep, Slot};
 
 /// What has become of one slot.
@@ -15,32 +13,87 @@
     Committed { cursor: u64 },
 }
 
+impl SlotState {
+    const fn is_filled(self) -> bool {
+        matches!(self, Self::Buffered | Self::Committed { .. })
+    }
+
+    const fn is_committed(self) -> bool {
+        matches!(self, Self::Committed { .. })
+    }
+}
+
 /// An open step and what has become of its slots.
 #[derive(Clone, Debug)]
 pub struct StepState {
     pub(crate) request: OpenStep,
-    pub(crate) slots: BTreeMap<Slot, SlotState>,
+    slots: Vec<SlotState>,
+    filled: usize,
+    committed: usize,
+    last_cursor: u64,
 }
 
 impl StepState {
     /// Creates the state of a step none of whose slots is filled.
     #[must_use]
     pub fn new(request: OpenStep) -> Self {
-        let step = request.step;
-        let groups = u32::try_from(request.prompts.len()).unwrap_or(u32::MAX);
-        let samples = request.samples_per_group;
-        let slots = (0..groups)
-            .flat_map(|group| (0..samples).map(move |index| Slot { step, group, index }))
-            .map(|slot| (slot, SlotState::Open))
-            .collect();
-        Self { request, slots }
+        let slots = request.prompts.len() * request.samples_per_group as usize;
+        Self {
+            slots: vec![SlotState::Open; slots],
+            filled: 0,
+            committed: 0,
+            last_cursor: 0,
+            request,
+        }
+    }
+
+    /// Returns whether every slot has a sample and some wait to be committed.
+    #[must_use]
+    pub const fn is_ending(&self) -> bool {
+        self.filled == self.slots.len() && self.committed < self.filled
     }
 
     /// Returns whether every slot is filled by a sample before this cursor.
     #[must_use]
-    pub fn is_delivered(&self, acknowledged_cursor: u64) -> bool {
-        self.slots.values().all(
-            |slot| matches!(slot, SlotState::Committed { cursor } if *cursor < acknowledged_cursor),
-        )
+    pub const fn is_delivered(&self, acknowledged_cursor: u64) -> bool {
+        self.committed == self.slots.len() && self.last_cursor < acknowledged_cursor
+    }
+
+    /// Returns every slot, in its order.
+    pub(crate) fn slots(&self) -> impl Iterator<Item = Slot> {
+        let step = self.request.step;
+        let per_group = self.request.samples_per_group;
+        let groups = 0..u32::try_from(self.request.prompts.len()).unwrap_or(u32::MAX);
+        groups.flat_map(move |group| (0..per_group).map(move |index| Slot { step, group, index }))
+    }
+
+    pub(crate) fn state(&self, slot: Slot) -> Option<SlotState> {
+        self.slots.get(self.place(slot)?).copied()
+    }
+
+    /// Changes the state of a slot that there is.
+    pub(crate) fn set(&mut self, slot: Slot, state: SlotState) {
+        let Some(place) = self.place(slot) else {
+            return;
+        };
+        let Some(entry) = self.slots.get_mut(place) else {
+            return;
+        };
+        self.filled -= usize::from(entry.is_filled());
+        self.committed -= usize::from(entry.is_committed());
+        *entry = state;
+        self.filled += usize::from(state.is_filled());
+        self.committed += usize::from(state.is_committed());
+        if let SlotState::Committed { cursor } = state {
+            self.last_cursor = self.last_cursor.max(cursor);
+        }
+    }
+
+    fn place(&self, slot: Slot) -> Option<usize> {
+        let per_group = self.request.samples_per_group;
+        if slot.index >= per_group {
+            return None;
+        }
+        Some(slot.group as usize * per_group as usize + slot.index as usize)
     }
 }
--- a/src/daemon/lease_keeper.rs
+++ b/src/daemon/lease_keeper.rs
@@ -71,6 +71,20 @@
         }
     }
 
+    /// Reads the row although nothing is due yet, unless the lease is held: a
+    /// holder that has given it back or renewed it is noticed sooner.
+    pub(crate) async fn look(&self, daemon: &Daemon) {
+        if self.fence().is_none() {
+            self.read(daemon).await;
+        }
+    }
+
+    /// Returns whether another VM is known to hold the lease.
+    pub(crate) fn is_held_elsewhere(&self, daemon: &Daemon) -> bool {
+        let lease = lock(&self.lease);
+        lease.holder().is_some_and(|holder| *holder != daemon.me.vm)
+    }
+
     /// Gives the lease back, if it is held.
     pub(crate) async fn release(&self, daemon: &Daemon) {
         let step = lock(&self.lease).release(now_ms());
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -100,12 +100,23 @@
         Ok(())
     }
 
-    /// Reads an object.
-    pub(crate) async fn get_object(&self, name: &str) -> Result<Bytes, Refusal> {
+    /// Reads an object; none if the store says that there is no such object.
+    pub(crate) async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Refusal> {
         let path = format!("/objects/{name}");
-        self.exchange(Method::GET, &path, Bytes::new())
+        match self.exchange(Method::GET, &path, Bytes::new()).await {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(HttpError::Status(StatusCode::NOT_FOUND, _)) => Ok(None),
+            Err(error) => Err(unavailable(error)),
+        }
+    }
+
+    /// Deletes an object that no row lists any more.
+    pub(crate) async fn delete_object(&self, name: &str) -> Result<(), Refusal> {
+        let path = format!("/objects/{name}");
+        self.exchange(Method::DELETE, &path, Bytes::new())
             .await
-            .map_err(unavailable)
+            .map_err(unavailable)?;
+        Ok(())
     }
 
     /// Reads the list of VMs, which lags.
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -11,6 +11,7 @@
     clock::{now_ms, sleep_until},
     peers::announce,
     state::{Daemon, lock},
+    trainer_task,
 };
 use crate::core::guard::{self, Guard};
 
@@ -57,6 +58,7 @@
 async fn leave(daemon: &Daemon) {
     tracing::info!("leaving");
     lock(&daemon.membership).leave();
+    trainer_task::hand_over_all(daemon);
     announce(daemon).await;
     if guard::is_on(Guard::DrainWaitsForCallers) {
         let lapse_ms = daemon.settings.limits.keep_addresses_ms + SPREAD_MS;
--- a/src/daemon/trainer_task.rs
+++ b/src/daemon/trainer_task.rs
@@ -1,4 +1,9 @@
-use std::sync::{Arc, Mutex};
+//! One trainer's ledger: the lease, the commits and the hand-over on leaving.
+
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, AtomicU32, Ordering},
+};
 
 use tokio::{
     sync::{Notify, watch},
@@ -7,34 +12,41 @@
 
 use super::{
     clock::{now_ms, sleep_until},
-    endpoints,
     lease_keeper::LeaseKeeper,
-    platform::Written,
+    ledger_io::{self, Commit},
+    sample_task,
     state::{Daemon, lock},
 };
 use crate::{
     core::{
         Name,
-        admission::Priority,
-        rendezvous,
-        request::Spec,
-        sample::{
-            ChunkRow, CommitPlan, Head, Ledger, Loaded, chunks_prefix, head_key, steps_prefix,
-        },
+        sample::{CommitPlan, Ledger, Pace, Taken, Uncommitted, Urgency},
     },
     error::{ErrorKind, Refusal},
-    wire::trainers::{OpenStep, Sample, Slot},
+    wire::trainers::Slot,
 };
 
-const IDLE_MS: u64 = 200;
+const IDLE_MS: u64 = 1_000;
 const AFTER_FAILURE_MS: u64 = 500;
-const SAMPLE_TIMEOUT_MS: u64 = 60_000;
+/// How often a member that may take over reads a lease that another one holds.
+const LOOK_MS: u64 = 2_000;
+/// How often it does so at most, when the trainer itself comes to it.
+const MIN_LOOK_MS: u64 = 100;
+/// How long a leaving holder waits for what generates.
+const HAND_OVER_MS: u64 = 2_000;
+/// How many bytes of samples are kept while no ledger is held.
+const MAX_KEPT_BYTES: usize = 64 * 1024 * 1024;
+const OBJECT_DELETE_MS: u64 = 20;
 
 /// What has been committed, for those who wait for it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Progress {
-    pub(crate) commit: u64,
+    /// Counts the ledgers of this task; changes of another one are void.
+    pub(crate) ledger: u64,
+    pub(crate) settled: u64,
     pub(crate) acknowledged_cursor: u64,
+    /// Counts the commits that failed.
+    pub(crate) failures: u64,
 }
 
 /// One trainer's ledger, if this VM holds its lease.
@@ -44,8 +56,52 @@
     pub(crate) wake: Notify,
     pub(crate) progress: watch::Sender<Progress>,
     pub(crate) lease: LeaseKeeper,
-    ledger: Mutex<Option<Ledger>>,
-    generating: std::sync::atomic::AtomicU32,
+    pub(super) generating: AtomicU32,
+    wake_lease: Notify,
+    is_leaving: AtomicBool,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    ledger: Option<Ledger>,
+    unsettled: Option<CommitPlan>,
+    /// Samples that no ledger has taken, for the next one of this VM.
+    kept: Vec<Uncommitted>,
+    pace: Pace,
+    /// The platform failed; it is not tried again before.
+    retry_at_ms: u64,
+}
+
+impl State {
+    fn keep(&mut self, sample: Uncommitted) {
+        let kept: usize = self.kept.iter().map(Uncommitted::size_bytes).sum();
+        if kept < MAX_KEPT_BYTES {
+            self.kept.push(sample);
+        }
+    }
+
+    /// Gives the ledger up; what it could not commit is kept.
+    fn lapse(&mut self) -> bool {
+        let Some(mut ledger) = self.ledger.take() else {
+            return false;
+        };
+        if let Some(plan) = self.unsettled.take() {
+            ledger.on_not_committed(plan);
+        }
+        for sample in ledger.into_uncommitted() {
+            self.keep(sample);
+        }
+        true
+    }
+
+    /// Goes on with a new ledger; a sample whose slot is filled is dropped.
+    fn go_on(&mut self, mut ledger: Ledger) {
+        for sample in std::mem::take(&mut self.kept) {
+            ledger.on_sample(sample);
+        }
+        self.ledger = Some(ledger);
+    }
 }
 
 impl TrainerTask {
@@ -56,21 +112,35 @@
             wake: Notify::new(),
             progress: watch::Sender::default(),
             lease,
-            ledger: Mutex::default(),
-            generating: std::sync::atomic::AtomicU32::new(0),
+            generating: AtomicU32::new(0),
+            wake_lease: Notify::new(),
+            is_leaving: AtomicBool::new(false),
+            state: Mutex::default(),
         }
     }
 
-    /// Lets `act` use the ledger, or says which VM holds it.
-    pub(crate) fn with_ledger<F, T>(&self, daemon: &Daemon, act: F) -> Result<T, Refusal>
+    /// Lets `act` use the ledger, or says which VM holds it; returns also the
+    /// number of the ledger.
+    pub(crate) fn with_ledger<F, T>(&self, daemon: &Daemon, act: F) -> Result<(u64, T), Refusal>
     where
         F: FnOnce(&mut Ledger) -> Result<T, Refusal>,
     {
         let is_held = self.lease.fence().is_some();
-        match lock(&self.ledger).as_mut().filter(|_| is_held) {
-            Some(ledger) => act(ledger),
-            None => Err(self.not_holder(daemon)),
+        let mut state = lock(&self.state);
+        if let Some(ledger) = state.ledger.as_mut().filter(|_| is_held) {
+            let result = act(ledger)?;
+            return Ok((self.progress.borrow().ledger, result));
         }
+        drop(state);
+        // The trainer was sent here: the lease may be free by now.
+        self.wake_lease.notify_one();
+        Err(self.not_holder(daemon))
+    }
+
+    /// Returns when the platform is tried again, if it has just failed.
+    pub(crate) fn retry_at_ms(&self) -> Option<u64> {
+        let retry_at_ms = lock(&self.state).retry_at_ms;
+        (retry_at_ms > now_ms()).then_some(retry_at_ms)
     }
 
     fn not_holder(&self, daemon: &Daemon) -> Refusal {
@@ -89,267 +159,300 @@
         }
     }
 
+    /// Takes a sample, for the ledger or for the next one.
+    pub(super) fn offer(&self, sample: Uncommitted) -> Taken {
+        let mut state = lock(&self.state);
+        if let Some(ledger) = &mut state.ledger {
+            return ledger.on_sample(sample);
+        }
+        state.keep(sample);
+        Taken::NoRoom
+    }
+
+    pub(super) fn on_generation_failed(&self, slot: Slot) {
+        if let Some(ledger) = &mut lock(&self.state).ledger {
+            ledger.on_generation_failed(slot);
+        }
+    }
+
     /// Takes and keeps the lease and works the ledger, until the daemon stops.
     pub(crate) async fn run(self: Arc<Self>, daemon: Arc<Daemon>) {
+        // A slow commit must not keep the lease from being renewed.
+        tokio::join!(self.keep_lease(&daemon), self.keep_ledger(&daemon));
+        lock(&self.state).lapse();
+        self.lease.release(&daemon).await;
+    }
+
+    async fn keep_lease(&self, daemon: &Daemon) {
         let mut stop = daemon.stop.subscribe();
+        let mut look_at_ms = 0;
         while !*stop.borrow_and_update() {
-            let at_ms = self.turn(&daemon).await;
+            let at_ms = self.lease_turn(daemon, &mut look_at_ms).await;
             tokio::select! {
                 () = sleep_until(at_ms) => {}
-                () = self.wake.notified() => {}
+                () = self.wake_lease.notified() => {
+                    look_at_ms = look_at_ms.min(now_ms() + MIN_LOOK_MS);
+                }
                 _ = stop.changed() => {}
             }
         }
-        self.release(&daemon).await;
     }
 
-    /// Does what is due, and returns when to look again.
-    async fn turn(self: &Arc<Self>, daemon: &Arc<Daemon>) -> u64 {
+    async fn lease_turn(&self, daemon: &Daemon, look_at_ms: &mut u64) -> u64 {
+        if self.is_leaving() && self.lease.fence().is_none() {
+            return now_ms() + IDLE_MS;
+        }
         if !self.lease.is_candidate(daemon) {
-            *lock(&self.ledger) = None;
             return now_ms() + AFTER_FAILURE_MS;
         }
-        let lease_at_ms = self.lease.turn(daemon).await;
+        let at_ms = self.lease.turn(daemon).await;
+        if self.lease.fence().is_some() {
+            self.wake.notify_one();
+            return at_ms;
+        }
+        if now_ms() >= *look_at_ms {
+            *look_at_ms = now_ms() + LOOK_MS;
+            self.lease.look(daemon).await;
+            return now_ms() + MIN_LOOK_MS;
+        }
+        at_ms.min(*look_at_ms)
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::SeqCst)
+    }
+
+    async fn keep_ledger(self: &Arc<Self>, daemon: &Arc<Daemon>) {
+        let mut stop = daemon.stop.subscribe();
+        while !*stop.borrow_and_update() {
+            if self.is_leaving() {
+                self.hand_over(daemon).await;
+            }
+            let at_ms = self.turn(daemon).await;
+            tokio::select! {
+                () = sleep_until(at_ms) => {}
+                () = self.wake.notified() => {}
+                _ = stop.changed() => {}
+            }
+        }
+    }
+
+    /// Does what is due, and returns when to look again.
+    async fn turn(self: &Arc<Self>, daemon: &Arc<Daemon>) -> u64 {
         if self.lease.fence().is_none() {
-            *lock(&self.ledger) = None;
-            return lease_at_ms;
+            self.lapse(daemon);
+            return now_ms() + IDLE_MS;
         }
-        let is_worked = match self.ensure_ledger(daemon).await {
-            Ok(()) => self.work(daemon).await,
-            Err(_) => false,
-        };
-        let again_ms = if is_worked { IDLE_MS } else { AFTER_FAILURE_MS };
-        lease_at_ms.min(now_ms() + again_ms)
+        if let Some(retry_at_ms) = self.retry_at_ms() {
+            return retry_at_ms;
+        }
+        if let Err(refusal) = self.ensure_ledger(daemon).await {
+            tracing::debug!(trainer = %self.trainer, %refusal, "ledger not taken over");
+            return self.on_failure(daemon);
+        }
+        if !self.is_leaving() {
+            self.start_wanted(daemon);
+        }
+        self.commit_due(daemon).await
     }
 
-    async fn release(&self, daemon: &Daemon) {
-        *lock(&self.ledger) = None;
-        self.lease.release(daemon).await;
+    fn lapse(&self, daemon: &Daemon) {
+        let is_elsewhere = self.lease.is_held_elsewhere(daemon);
+        let mut state = lock(&self.state);
+        let had_ledger = state.lapse();
+        if is_elsewhere {
+            // The other VM has these made again.
+            state.kept = Vec::new();
+        }
+        drop(state);
+        if had_ledger {
+            daemon.metrics.ledgers_lost.inc();
+            tracing::warn!(trainer = %self.trainer, "ledger given up");
+            self.progress.send_modify(|progress| progress.ledger += 1);
+        }
+    }
+
+    fn on_failure(&self, daemon: &Daemon) -> u64 {
+        let retry_at_ms = now_ms() + AFTER_FAILURE_MS;
+        lock(&self.state).retry_at_ms = retry_at_ms;
+        daemon.metrics.commit_failures.inc();
+        self.progress.send_modify(|progress| progress.failures += 1);
+        retry_at_ms
     }
 
     async fn ensure_ledger(&self, daemon: &Daemon) -> Result<(), Refusal> {
         let Some(fence) = self.lease.fence() else {
             return Ok(());
         };
-        if lock(&self.ledger).is_some() {
+        if lock(&self.state).ledger.is_some() {
             return Ok(());
         }
-        let loaded = self.load(daemon).await?;
+        let loaded = ledger_io::load(daemon, &self.trainer).await?;
+        let ledger = Ledger::try_new(self.trainer.clone(), fence, loaded)?;
+        daemon.metrics.takeovers.inc();
         tracing::info!(trainer = %self.trainer, fence, "ledger taken over");
-        *lock(&self.ledger) = Some(Ledger::new(self.trainer.clone(), fence, loaded));
+        lock(&self.state).go_on(ledger);
+        self.progress.send_modify(|progress| {
+            progress.ledger += 1;
+            progress.settled = 0;
+        });
         Ok(())
     }
 
-    async fn load(&self, daemon: &Daemon) -> Result<Loaded, Refusal> {
-        let (head, row_version) = self.read_head(daemon).await?;
-        let acknowledged = head.as_ref().map_or(0, |head| head.acknowledged_cursor);
-        let mut steps = Vec::new();
-        for row in daemon.platform.scan(&steps_prefix(&self.trainer)).await? {
-            let step: OpenStep = serde_json::from_value(row.value).map_err(internal)?;
-            steps.push(step);
-        }
-        let prefix = chunks_prefix(&self.trainer);
-        let mut chunks = Vec::new();
-        for row in daemon.platform.scan(&prefix).await? {
-            let number = row.key[prefix.len()..].parse().map_err(internal)?;
-            let chunk: ChunkRow = serde_json::from_value(row.value).map_err(internal)?;
-            let end = chunk.first_cursor + chunk.samples.len() as u64;
-            let payloads: Vec<Sample> = if end > acknowledged {
-                let object = daemon.platform.get_object(&chunk.object).await?;
-                rmp_serde::from_slice(&object).map_err(internal)?
-            } else {
-                Vec::new()
-            };
-            chunks.push((number, chunk, payloads));
-        }
-        Ok(Loaded {
-            head,
-            row_version,
-            steps,
-            chunks,
-        })
-    }
-
-    async fn read_head(&self, daemon: &Daemon) -> Result<(Option<Head>, u64), Refusal> {
-        daemon.metrics.platform_reads.inc();
-        let row = daemon.platform.get(&head_key(&self.trainer)).await?;
-        let row_version = row.as_ref().map_or(0, |row| row.row_version);
-        let head = row
-            .map(|row| serde_json::from_value(row.value).map_err(internal))
-            .transpose()?;
-        Ok((head, row_version))
-    }
-
-    /// Commits what is due and starts what is wanted.
-    async fn work(self: &Arc<Self>, daemon: &Arc<Daemon>) -> bool {
-        let mut is_worked = true;
-        loop {
-            let plan = lock(&self.ledger).as_mut().and_then(Ledger::begin_commit);
-            let Some(plan) = plan else { break };
-            is_worked = self.commit(daemon, plan).await;
-            if !is_worked {
-                break;
+    fn start_wanted(self: &Arc<Self>, daemon: &Arc<Daemon>) {
+        let most = daemon.settings.limits.max_generating;
+        let room = most.saturating_sub(self.generating.load(Ordering::Relaxed));
+        let mut state = lock(&self.state);
+        let Some(ledger) = &mut state.ledger else {
+            return;
+        };
+        for slot in ledger.take_wanted(room as usize) {
+            if let Some(step) = ledger.step(slot.step) {
+                sample_task::start(self, daemon, slot, step.clone());
             }
         }
-        self.start_wanted(daemon);
-        is_worked
     }
 
-    async fn commit(&self, daemon: &Daemon, plan: CommitPlan) -> bool {
-        if let Some(payload) = &plan.payload {
-            let bytes = payload.bytes.clone().into();
-            if daemon
-                .platform
-                .put_object(&payload.object, bytes)
-                .await
-                .is_err()
-            {
-                self.on_ledger(|ledger| ledger.on_not_committed(plan));
-                return false;
+    /// Commits what may not wait any longer, and returns when to look again.
+    async fn commit_due(&self, daemon: &Daemon) -> u64 {
+        let unsettled = lock(&self.state).unsettled.take();
+        if let Some(plan) = unsettled {
+            return self.settle(daemon, plan).await;
+        }
+        let now_ms = now_ms();
+        let plan = {
+            let mut state = lock(&self.state);
+            let Some(urgency) = state.ledger.as_ref().and_then(Ledger::urgency) else {
+                return now_ms + IDLE_MS;
+            };
+            let due_ms = state.pace.due_ms(now_ms, urgency);
+            if due_ms > now_ms {
+                return due_ms;
             }
+            state.pace.on_commit(now_ms);
+            state.ledger.as_mut().and_then(Ledger::begin_commit)
+        };
+        match plan {
+            Some(plan) => self.commit(daemon, plan).await,
+            None => now_ms + IDLE_MS,
         }
-        daemon.metrics.platform_writes.inc();
-        match daemon.platform.transact(&plan.transaction).await {
-            Written::Committed(outcome) => {
-                let key = head_key(&self.trainer);
-                let versions = outcome.row_versions.iter();
-                let row_version = versions
-                    .filter(|(row, _)| *row == key)
-                    .map(|(_, version)| *version)
-                    .max();
+    }
+
+    async fn commit(&self, daemon: &Daemon, plan: CommitPlan) -> u64 {
+        let dropped = plan.dropped() as u64;
+        match ledger_io::commit(daemon, &self.trainer, &plan).await {
+            Commit::Done(row_version) => {
                 daemon.metrics.commits.inc();
-                self.on_ledger(|ledger| ledger.on_committed(plan, row_version.unwrap_or_default()));
-                self.note_progress(true);
-                true
+                daemon.metrics.samples_dropped.inc_by(dropped);
+                self.on_ledger(|ledger| ledger.on_committed(plan, row_version));
+                self.on_committed(daemon);
+                now_ms()
             }
-            Written::Refused => {
+            Commit::Refused => {
                 self.on_ledger(|ledger| ledger.on_not_committed(plan));
-                false
+                self.on_failure(daemon)
             }
-            Written::Conflict | Written::Unknown => self.settle(daemon, plan).await,
+            Commit::Unknown => self.settle(daemon, plan).await,
         }
     }
 
     /// Finds out by reading whether a commit took effect.
-    async fn settle(&self, daemon: &Daemon, plan: CommitPlan) -> bool {
-        loop {
-            if self.lease.fence().is_none() {
-                *lock(&self.ledger) = None;
-                return false;
-            }
-            if let Ok((head, row_version)) = self.read_head(daemon).await {
-                let mut ledger = lock(&self.ledger);
-                let is_ours = ledger
-                    .as_mut()
-                    .is_some_and(|ledger| ledger.settle(plan, head.as_ref(), row_version));
-                if !is_ours {
-                    tracing::warn!(trainer = %self.trainer, "ledger lost to another VM");
-                    *ledger = None;
-                }
-                drop(ledger);
-                self.note_progress(is_ours);
-                return is_ours;
-            }
-            sleep_until(now_ms() + AFTER_FAILURE_MS).await;
+    async fn settle(&self, daemon: &Daemon, plan: CommitPlan) -> u64 {
+        let Ok((head, row_version)) = ledger_io::read_head(daemon, &self.trainer).await else {
+            lock(&self.state).unsettled = Some(plan);
+            return self.on_failure(daemon);
+        };
+        let is_ours = {
+            let mut state = lock(&self.state);
+            let ledger = state.ledger.as_mut();
+            ledger.is_some_and(|ledger| ledger.settle(plan, head.as_ref(), row_version))
+        };
+        if is_ours {
+            self.on_committed(daemon);
+        } else {
+            self.lapse(daemon);
         }
+        now_ms()
     }
 
     fn on_ledger<F>(&self, act: F)
     where
         F: FnOnce(&mut Ledger),
     {
-        if let Some(ledger) = lock(&self.ledger).as_mut() {
+        if let Some(ledger) = &mut lock(&self.state).ledger {
             act(ledger);
         }
     }
 
-    fn note_progress(&self, is_ours: bool) {
-        let ledger = lock(&self.ledger);
-        if let Some(ledger) = ledger.as_ref().filter(|_| is_ours) {
-            let progress = Progress {
-                commit: ledger.committed(),
-                acknowledged_cursor: ledger.acknowledged_cursor(),
-            };
-            self.progress.send_replace(progress);
+    fn on_committed(&self, daemon: &Daemon) {
+        let mut state = lock(&self.state);
+        let Some(ledger) = &mut state.ledger else {
+            return;
+        };
+        let settled = ledger.settled();
+        let acknowledged_cursor = ledger.acknowledged_cursor();
+        let spent = ledger.take_spent_objects();
+        drop(state);
+        self.progress.send_modify(|progress| {
+            progress.settled = settled;
+            progress.acknowledged_cursor = acknowledged_cursor;
+        });
+        if !spent.is_empty() {
+            tokio::spawn(delete_objects(
+                daemon.platform.clone(),
+                daemon.metrics.objects_deleted.clone(),
+                spent,
+            ));
         }
     }
 
-    fn start_wanted(self: &Arc<Self>, daemon: &Arc<Daemon>) {
-        use std::sync::atomic::Ordering;
-        let most = daemon.settings.limits.max_generating;
-        let room = most.saturating_sub(self.generating.load(Ordering::Relaxed));
-        let mut ledger = lock(&self.ledger);
-        let Some(ledger) = ledger.as_mut() else {
-            return;
-        };
-        for slot in ledger.take_wanted(room as usize) {
-            let Some(step) = ledger.step(slot.step).cloned() else {
-                continue;
+    /// Finishes what generates, commits it and gives the lease back, so that
+    /// the next holder need not wait for the term to end.
+    async fn hand_over(self: &Arc<Self>, daemon: &Arc<Daemon>) {
+        let deadline_ms = now_ms() + HAND_OVER_MS;
+        while now_ms() < deadline_ms && self.lease.fence().is_some() {
+            let is_idle = self.generating.load(Ordering::Relaxed) == 0;
+            let urgency = lock(&self.state).ledger.as_ref().and_then(Ledger::urgency);
+            if urgency.is_none() && is_idle {
+                break;
+            }
+            let at_ms = if is_idle || urgency == Some(Urgency::Now) {
+                lock(&self.state).pace = Pace::default();
+                self.commit_due(daemon).await
+            } else {
+                now_ms() + IDLE_MS
             };
-            self.generating.fetch_add(1, Ordering::Relaxed);
-            let (task, daemon) = (self.clone(), daemon.clone());
-            tokio::spawn(async move {
-                let sample = task.generate(&daemon, slot, &step).await;
-                task.generating.fetch_sub(1, Ordering::Relaxed);
-                task.on_generated(&daemon, slot, sample).await;
-            });
+            tokio::select! {
+                () = sleep_until(at_ms.min(deadline_ms)) => {}
+                () = self.wake.notified() => {}
+            }
         }
+        lock(&self.state).pace = Pace::default();
+        self.commit_due(daemon).await;
+        self.lease.release(daemon).await;
+        self.lapse(daemon);
     }
+}
 
-    async fn on_generated(&self, daemon: &Daemon, slot: Slot, sample: Option<Sample>) {
-        let Some(sample) = sample else {
-            // A slot that just failed is not tried again at once.
-            sleep_until(now_ms() + AFTER_FAILURE_MS).await;
-            self.on_ledger(|ledger| ledger.on_generation_failed(slot));
-            return;
-        };
-        daemon.metrics.samples_generated.inc();
-        self.on_ledger(|ledger| {
-            ledger.on_sample(sample);
-        });
-        self.wake.notify_one();
+/// Objects that stay behind after a failure cost room, and nothing else.
+async fn delete_objects(
+    platform: super::platform::Platform,
+    deleted: prometheus_client::metrics::counter::Counter,
+    objects: Vec<Arc<str>>,
+) {
+    for object in objects {
+        if platform.delete_object(&object).await.is_ok() {
+            deleted.inc();
+        }
+        sleep_until(now_ms() + OBJECT_DELETE_MS).await;
     }
+}
 
-    async fn generate(&self, daemon: &Daemon, slot: Slot, step: &OpenStep) -> Option<Sample> {
-        let service = daemon
-            .config
-            .borrow()
-            .document
-            .trainers
-            .get(&self.trainer)?
-            .service
-            .clone();
-        let prompt = step.prompts.get(slot.group as usize)?.clone();
-        let seed = rendezvous::weight(
-            &self.trainer,
-            &format!("{}/{}/{}", slot.step, slot.group, slot.index),
-        );
-        let now_ms = now_ms();
-        let nonce: u64 = rand::random();
-        let spec = Spec {
-            id: format!("{}.{}.{nonce:016x}", daemon.me.vm, daemon.me.incarnation).into(),
-            prompt: prompt.clone(),
-            max_tokens: step.max_tokens,
-            seed,
-            priority: Priority::Background as u8,
-            deadline_ms: now_ms + SAMPLE_TIMEOUT_MS,
-            max_attempts: 4,
-            continue_elsewhere: true,
-        };
-        let generated = endpoints::generate(daemon, &service, spec, |_, _| {}).await;
-        match generated {
-            Ok(generated) => Some(Sample {
-                slot,
-                prompt,
-                tokens: generated.tokens,
-                weights: generated.spans,
-                seed,
-            }),
-            Err(refusal) => {
-                daemon.metrics.on_refusal(refusal.kind());
-                None
-            }
-        }
+/// Has every ledger of this VM handed over, because the VM leaves.
+pub(crate) fn hand_over_all(daemon: &Daemon) {
+    for task in lock(&daemon.trainers).values() {
+        task.is_leaving.store(true, Ordering::SeqCst);
+        task.wake.notify_one();
     }
 }
 
@@ -381,10 +484,3 @@
     }
     while tasks.join_next().await.is_some() {}
 }
-
-fn internal<E>(error: E) -> Refusal
-where
-    E: std::fmt::Display,
-{
-    Refusal::new(ErrorKind::Internal, error.to_string())
-}
--- a/src/daemon/trainers.rs
+++ b/src/daemon/trainers.rs
@@ -9,16 +9,22 @@
 use serde::de::DeserializeOwned;
 
 use super::{
-    answer::json_or_refuse,
+    answer::{json_or_refuse, refuse},
+    clock::now_ms,
+    ledger_io,
     state::{Daemon, lock},
-    trainer_task::TrainerTask,
+    trainer_task::{Progress, TrainerTask},
 };
 use crate::{
+    core::sample::{HandOver, Ledger},
     error::{ErrorKind, Refusal},
-    wire::trainers::{Acknowledge, Done, Fetch, Fetched, OpenStep},
+    wire::trainers::{Acknowledge, Done, Fetch, OpenStep},
 };
 
-const COMMIT_TIMEOUT_MS: u64 = 10_000;
+/// How long after a failure a trainer may come back.
+const RETRY_MS: u64 = 500;
+/// How long a call waits for its change to be written.
+const COMMIT_TIMEOUT_MS: u64 = 5_000;
 
 /// `POST /v1/trainers/{trainer}/steps`: opens a step.
 #[handler]
@@ -30,8 +36,7 @@
     let result = async {
         let request: OpenStep = read(&daemon, body).await?;
         let task = task(&daemon, &trainer)?;
-        let commit = task.with_ledger(&daemon, |ledger| ledger.open_step(request))?;
-        committed(&task, commit).await
+        change(&daemon, &task, |ledger| ledger.open_step(request)).await
     };
     json_or_refuse(&daemon, result.await)
 }
@@ -46,14 +51,40 @@
     let result = async {
         let request: Fetch = read(&daemon, body).await?;
         let task = task(&daemon, &trainer)?;
-        let fetched: Fetched = task.with_ledger(&daemon, |ledger| ledger.fetch(request))?;
-        daemon
-            .metrics
-            .samples_delivered
-            .inc_by(fetched.samples.len() as u64);
-        Ok(fetched)
+        hand_over(&daemon, &task, request).await
     };
-    json_or_refuse(&daemon, result.await)
+    match result.await {
+        Ok(answer) => {
+            let samples = answer.samples.len() as u64;
+            daemon.metrics.samples_delivered.inc_by(samples);
+            Response::builder()
+                .content_type("application/json")
+                .body(answer.to_json())
+        }
+        Err(refusal) => refuse(&daemon, &refusal),
+    }
+}
+
+/// Reads objects until the hand-over has something, or needs nothing more.
+async fn hand_over(
+    daemon: &Daemon,
+    task: &TrainerTask,
+    request: Fetch,
+) -> Result<HandOver, Refusal> {
+    loop {
+        let (_, answer) = task.with_ledger(daemon, |ledger| ledger.fetch(request))?;
+        // What grew stale leaves its slot by a commit.
+        task.wake.notify_one();
+        let Some(missing) = answer.missing.clone() else {
+            return Ok(answer);
+        };
+        let object = ledger_io::read_object(daemon, &missing).await;
+        let object = object.map_err(|refusal| refusal.with_retry_at(now_ms() + RETRY_MS))?;
+        task.with_ledger(daemon, |ledger| {
+            ledger.on_object(&missing, object.as_ref());
+            Ok(())
+        })?;
+    }
 }
 
 /// `POST /v1/trainers/{trainer}/acknowledge`: notes what the trainer has.
@@ -66,8 +97,7 @@
     let result = async {
         let request: Acknowledge = read(&daemon, body).await?;
         let task = task(&daemon, &trainer)?;
-        let commit = task.with_ledger(&daemon, |ledger| ledger.acknowledge(request))?;
-        committed(&task, commit).await
+        change(&daemon, &task, |ledger| ledger.acknowledge(request)).await
     };
     json_or_refuse(&daemon, result.await)
 }
@@ -92,19 +122,36 @@
     })
 }
 
-/// Waits until a commit has taken effect.
-async fn committed(task: &TrainerTask, commit: u64) -> Result<Done, Refusal> {
+/// Makes a change and waits until it has been written.
+///
+/// While the platform is known to fail, nothing is changed and the call is
+/// refused at once; a change that the platform fails under is not confirmed.
+async fn change<F>(daemon: &Daemon, task: &TrainerTask, act: F) -> Result<Done, Refusal>
+where
+    F: FnOnce(&mut Ledger) -> Result<u64, Refusal>,
+{
+    if let Some(retry_at_ms) = task.retry_at_ms() {
+        let message = "the platform does not take writes now";
+        let refusal = Refusal::new(ErrorKind::PlatformUnavailable, message);
+        return Err(refusal.with_retry_at(retry_at_ms));
+    }
     let mut progress = task.progress.subscribe();
+    let failures = progress.borrow().failures;
+    let (ledger, number) = task.with_ledger(daemon, act)?;
     task.wake.notify_one();
-    let waiting = progress.wait_for(|progress| progress.commit >= commit);
+    let is_over = |progress: &Progress| {
+        progress.ledger != ledger || progress.failures != failures || progress.settled >= number
+    };
     let timeout = std::time::Duration::from_millis(COMMIT_TIMEOUT_MS);
-    match tokio::time::timeout(timeout, waiting).await {
-        Ok(Ok(progress)) => Ok(Done {
+    let over = tokio::time::timeout(timeout, progress.wait_for(is_over)).await;
+    match over {
+        Ok(Ok(progress)) if progress.ledger == ledger && progress.settled >= number => Ok(Done {
             acknowledged_cursor: progress.acknowledged_cursor,
         }),
         _ => Err(Refusal::new(
             ErrorKind::NotConfirmed,
             "the change is not known to be written; send it again",
-        )),
+        )
+        .with_retry_at(task.retry_at_ms().unwrap_or(now_ms() + RETRY_MS))),
     }
 }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -103,6 +103,13 @@
         self.rows.get(key).cloned().unwrap_or((0, Value::Null))
     }
 
+    /// Returns the rows whose key starts with a prefix, in the order of keys.
+    pub fn scan(&self, prefix: &str) -> Vec<(Arc<str>, Value)> {
+        let rows = self.rows.iter().filter(|(key, _)| key.starts_with(prefix));
+        rows.map(|(key, (_, value))| (key.clone(), value.clone()))
+            .collect()
+    }
+
     /// Writes rows together, if every check holds.
     pub fn transact(&mut self, transaction: &Transaction) -> TransactionOutcome {
         let checks = &transaction.checks;
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -1,6 +1,7 @@
 //! The fakes that stories are played with, one file a part of the core.
 
 mod leases;
+mod samples;
 
 use serde_json::Value;
 
@@ -8,6 +9,7 @@
 pub fn play(world: &str, body: &Value, seed: u64) -> Vec<String> {
     match world {
         "leases" => leases::play(body, seed),
+        "samples" => samples::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
 }
