--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,6 +10,7 @@
 
 use bpaf::Bpaf;
 use standins::{
+    bench_ledger::{self, BenchSettings},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
     fault,
@@ -90,6 +91,24 @@
         #[bpaf(argument("SECONDS"), fallback(60))]
         seconds: u64,
     },
+    /// Measures one trainer's ledger over one step; prints one line of JSON.
+    #[bpaf(command("bench-ledger"))]
+    BenchLedger {
+        /// Groups of the step.
+        #[bpaf(argument("N"), fallback(1_024))]
+        groups: u32,
+        /// Samples in a group.
+        #[bpaf(argument("N"), fallback(8))]
+        samples_per_group: u32,
+        /// Tokens in a sample.
+        #[bpaf(argument("N"), fallback(1_500))]
+        tokens: u32,
+        /// Samples that come in between two commits.
+        #[bpaf(argument("N"), fallback(15))]
+        samples_per_commit: u32,
+        /// Uses the platform stand-in over loopback.
+        loopback: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -179,6 +198,25 @@
             fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
             report(&drive::drive(&settings, &prepared).await?)
         }
+        Command::BenchLedger {
+            groups,
+            samples_per_group,
+            tokens,
+            samples_per_commit,
+            loopback,
+        } => {
+            let settings = BenchSettings {
+                groups,
+                samples_per_group,
+                tokens,
+                samples_per_commit,
+                is_loopback: loopback,
+            };
+            let report = bench_ledger::run(settings).await?;
+            let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
+            println!("{line}");
+            Ok(())
+        }
     }
 }
 
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -11,6 +11,7 @@
     clock::{now_ms, sleep_until},
     peers::announce,
     state::{Daemon, lock},
+    trainer_task,
 };
 use crate::core::request::{Drain, DrainStep};
 
@@ -67,6 +68,7 @@
         SPREAD_MS,
     );
     lock(&daemon.membership).leave();
+    trainer_task::hand_over_all(daemon);
     announce(daemon).await;
     loop {
         let in_progress = daemon.in_progress.load(Ordering::SeqCst);
