Decide by cost, deadline and step, and compare with plain baselines

Routing chose by queue lengths alone, callers were taken up to one fixed number, samples were bound to engines far ahead of a free slot, and every open step was generated for at once. The decisions are now pure parts of the core: the cheaper of two endpoints by backlog, pace and failures; a queue by priority and deadline with a limit learned from latency; back-off; free slots for samples; when a slow sample goes on elsewhere; which step is generated for. 'standins bench-policy' drives them in virtual time before small fakes.

The daemon does not use the new parts yet.

--- /dev/null
+++ b/crates/standins/src/bench_policy/endpoint.rs
@@ -0,0 +1,238 @@
+//! A small fake of an endpoint in virtual time: slots, a queue by priority, a
+//! prefix cache, and a speed that falls as the slots fill.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, VecDeque},
+};
+
+use chicoryreach::{core::Name, wire::engine::Load};
+
+use super::workload::ServiceLoad;
+
+const PREFILL_MS: f64 = 250.0;
+const CACHED_PREFILL_MS: f64 = 25.0;
+const CACHED_PREFIXES: usize = 24;
+
+/// What an endpoint is asked to run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Job {
+    pub(super) attempt: u64,
+    pub(super) priority: u8,
+    pub(super) units: u32,
+    /// What the prompts of one group have in common.
+    pub(super) prefix: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Running {
+    job: Job,
+    /// Units done until `updated_ms`.
+    done_units: f64,
+    updated_ms: f64,
+    unit_ms: f64,
+    epoch: u64,
+}
+
+/// A run that started or changed its pace: when it will be done.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Due {
+    pub(super) attempt: u64,
+    pub(super) at_ms: u64,
+    pub(super) epoch: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct FakeEndpoint {
+    pub(super) name: Name,
+    pub(super) service: usize,
+    pub(super) data_centre: usize,
+    pub(super) is_up: bool,
+    pub(super) is_reachable: bool,
+    pub(super) slow_factor: f64,
+    pub(super) fails_percent: u32,
+    pub(super) loading_until_ms: u64,
+    /// The weights version for each trainer.
+    pub(super) versions: Vec<u64>,
+    pub(super) published: Load,
+    pub(super) published_versions: Vec<u64>,
+    kind: ServiceLoad,
+    queue: BTreeMap<(Reverse<u8>, u64), Job>,
+    running: BTreeMap<u64, Running>,
+    prefixes: VecDeque<u64>,
+    epoch: u64,
+}
+
+impl FakeEndpoint {
+    pub(super) fn new(
+        name: Name,
+        service: usize,
+        data_centre: usize,
+        kind: ServiceLoad,
+        trainers: usize,
+    ) -> Self {
+        Self {
+            name,
+            service,
+            data_centre,
+            is_up: true,
+            is_reachable: true,
+            slow_factor: 1.0,
+            fails_percent: 0,
+            loading_until_ms: 0,
+            versions: vec![1; trainers],
+            published: Load::default(),
+            published_versions: vec![1; trainers],
+            kind,
+            queue: BTreeMap::new(),
+            running: BTreeMap::new(),
+            prefixes: VecDeque::new(),
+            epoch: 0,
+        }
+    }
+
+    pub(super) fn publish(&mut self) {
+        self.published = Load {
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            slots: self.kind.slots,
+            ..Load::default()
+        };
+        self.published_versions.clone_from(&self.versions);
+    }
+
+    pub(super) fn enqueue(&mut self, job: Job) {
+        self.queue.insert((Reverse(job.priority), job.attempt), job);
+    }
+
+    /// Fills free slots from the queue.
+    pub(super) fn start(&mut self, now_ms: u64, due: &mut Vec<Due>) {
+        while self.running.len() < self.kind.slots as usize && now_ms >= self.loading_until_ms {
+            let Some((_, job)) = self.queue.pop_first() else {
+                return;
+            };
+            #[expect(clippy::cast_precision_loss, reason = "small numbers")]
+            let (occupancy, now) = (
+                (self.running.len() + 1) as f64 / f64::from(self.kind.slots),
+                now_ms as f64,
+            );
+            let unit_ms = if self.kind.is_model {
+                self.kind.unit_ms * 0.3f64.mul_add(occupancy, 0.7)
+            } else {
+                self.kind.unit_ms
+            };
+            let prefill_ms = self.prefill_ms(job.prefix);
+            self.epoch += 1;
+            let running = Running {
+                job,
+                done_units: -prefill_ms / unit_ms,
+                updated_ms: now,
+                unit_ms,
+                epoch: self.epoch,
+            };
+            self.running.insert(job.attempt, running);
+            due.push(self.due(&running));
+        }
+    }
+
+    fn prefill_ms(&mut self, prefix: Option<u64>) -> f64 {
+        if !self.kind.is_model {
+            return 0.0;
+        }
+        let Some(prefix) = prefix else {
+            return PREFILL_MS;
+        };
+        let is_cached = self.prefixes.contains(&prefix);
+        self.prefixes.retain(|known| *known != prefix);
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > CACHED_PREFIXES {
+            self.prefixes.pop_front();
+        }
+        if is_cached {
+            CACHED_PREFILL_MS
+        } else {
+            PREFILL_MS
+        }
+    }
+
+    fn due(&self, running: &Running) -> Due {
+        let left = f64::from(running.job.units) - running.done_units;
+        let at_ms = running.updated_ms + left * running.unit_ms * self.slow_factor;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a time within the run"
+        )]
+        let at_ms = at_ms.ceil().max(0.0) as u64;
+        Due {
+            attempt: running.job.attempt,
+            at_ms,
+            epoch: running.epoch,
+        }
+    }
+
+    /// Changes the speed by `change`, and what runs is due anew.
+    pub(super) fn change<F>(&mut self, now_ms: u64, change: F, due: &mut Vec<Due>)
+    where
+        F: FnOnce(&mut Self),
+    {
+        let old_factor = self.slow_factor;
+        change(self);
+        #[expect(clippy::float_cmp, reason = "factors are set, not computed")]
+        if old_factor == self.slow_factor {
+            return;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "times are small")]
+        let now = now_ms as f64;
+        let mut running = std::mem::take(&mut self.running);
+        for run in running.values_mut() {
+            run.done_units += (now - run.updated_ms) / (run.unit_ms * old_factor);
+            run.updated_ms = now;
+            self.epoch += 1;
+            run.epoch = self.epoch;
+            due.push(self.due(run));
+        }
+        self.running = running;
+    }
+
+    /// Ends a run that is due; one that is due at another time goes on.
+    pub(super) fn finish(&mut self, attempt: u64, epoch: u64) -> Option<Running> {
+        let running = self.running.get(&attempt)?;
+        (running.epoch == epoch).then_some(())?;
+        self.running.remove(&attempt)
+    }
+
+    /// Returns the units that a run has done.
+    pub(super) fn progress(&self, now_ms: u64, attempt: u64) -> u32 {
+        let Some(running) = self.running.get(&attempt) else {
+            return 0;
+        };
+        #[expect(clippy::cast_precision_loss, reason = "times are small")]
+        let elapsed = now_ms as f64 - running.updated_ms;
+        let done = running.done_units + elapsed / (running.unit_ms * self.slow_factor);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to the units of the job"
+        )]
+        let done = done.clamp(0.0, f64::from(running.job.units)) as u32;
+        done
+    }
+
+    pub(super) fn cancel(&mut self, attempt: u64) {
+        self.running.remove(&attempt);
+        self.queue.retain(|_, job| job.attempt != attempt);
+    }
+
+    /// Drops everything that runs or waits, and says how far each had come.
+    pub(super) fn drop_all(&mut self, now_ms: u64) -> Vec<(u64, u32)> {
+        let running = self.running.keys().copied();
+        let waiting = self.queue.values().map(|job| job.attempt);
+        let dropped = running.chain(waiting);
+        let dropped = dropped.map(|attempt| (attempt, self.progress(now_ms, attempt)));
+        let dropped = dropped.collect();
+        self.running.clear();
+        self.queue.clear();
+        dropped
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bench_policy/fault.rs
@@ -0,0 +1,74 @@
+//! What goes wrong, and when.
+
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use super::{endpoint::FakeEndpoint, workload::Workload};
+
+/// A fault by name; each but the first lasts for the middle third of a run.
+#[derive(
+    Clone, Copy, Debug, Display, EnumIter, EnumString, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Fault {
+    /// Nothing goes wrong.
+    None,
+    /// Every third endpoint is four times as slow and fails one try in four.
+    Brownout,
+    /// Every third endpoint has crashed.
+    ThirdGone,
+    /// The endpoints of one data centre answer nothing.
+    DataCentreGone,
+    /// The platform's store takes no commits for two minutes.
+    StoreDown,
+    /// A request that crashes every endpoint that runs it, sent again and again.
+    CrashLoop,
+    /// Callers send twice as much.
+    TwiceTheLoad,
+    /// Endpoints in turn are four times as slow for half a minute.
+    Stragglers,
+    /// Weights take ten times as long to load.
+    SlowSwaps,
+}
+
+/// From when to when a fault lasts.
+pub(super) const fn window(fault: Fault, workload: &Workload) -> (u64, u64) {
+    const STORE_DOWN_MS: u64 = 120_000;
+    let from_ms = workload.end_ms / 3;
+    match fault {
+        Fault::StoreDown => (from_ms, from_ms + STORE_DOWN_MS),
+        _ => (from_ms, 2 * from_ms),
+    }
+}
+
+/// Sets what a fault does to an endpoint, the `index`th of its service.
+pub(super) fn apply(
+    fault: Fault,
+    is_on: bool,
+    now_ms: u64,
+    index: usize,
+    endpoint: &mut FakeEndpoint,
+) {
+    const SLOW_FACTOR: f64 = 4.0;
+    const TURN_MS: u64 = 30_000;
+    const TURNS: u64 = 8;
+    endpoint.slow_factor = 1.0;
+    endpoint.fails_percent = 0;
+    endpoint.is_reachable = true;
+    if !is_on {
+        endpoint.is_up = true;
+        return;
+    }
+    let is_third = index.is_multiple_of(3);
+    match fault {
+        Fault::Brownout if is_third => {
+            endpoint.slow_factor = SLOW_FACTOR;
+            endpoint.fails_percent = 25;
+        }
+        Fault::ThirdGone => endpoint.is_up = !is_third,
+        Fault::DataCentreGone => endpoint.is_reachable = endpoint.data_centre != 0,
+        Fault::Stragglers if index as u64 % TURNS == now_ms / TURN_MS % TURNS => {
+            endpoint.slow_factor = SLOW_FACTOR;
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bench_policy/trainer.rs
@@ -0,0 +1,421 @@
+//! Trainers, and the real ledgers through which their samples go.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use chicoryreach::{
+    core::{
+        admission::{Priority, sample_room},
+        rendezvous,
+        retry::RetryReason,
+        routing,
+        run_ahead::{last_step, min_weights_version},
+        sample::{Ledger, Loaded},
+        straggler::{Progress, is_straggler},
+    },
+    wire::{
+        callers::VersionSpan,
+        trainers::{Acknowledge, Fetch, OpenStep, Sample, Slot},
+    },
+};
+
+use super::{
+    fault::Fault,
+    policy::{Ahead, Policy, Straggler},
+    work::{Kind, MAX_ATTEMPTS, Work},
+    workload::{OPEN_STEPS, STALENESS_BOUND, Workload},
+    world::{Event, World},
+};
+
+const TURN_MS: u64 = 200;
+const REOPEN_MS: u64 = 500;
+/// As `max_generating` is by default.
+const FIXED_GENERATING: u32 = 256;
+const SAMPLE_TIMEOUT_MS: u64 = 60_000;
+
+pub(super) struct TrainerSim {
+    pub(super) daemon: usize,
+    ledger: Ledger,
+    row_version: u64,
+    /// The step that it trains next.
+    step: u64,
+    version: u64,
+    is_training: bool,
+    waiting_since_ms: u64,
+    step_began_ms: u64,
+    cursor: u64,
+    /// The oldest version of each sample taken over.
+    taken: BTreeMap<u64, BTreeMap<Slot, u64>>,
+    generating: BTreeSet<u64>,
+    duplicated: BTreeSet<Slot>,
+    durations_ms: Vec<u64>,
+}
+
+impl TrainerSim {
+    pub(super) fn new(index: usize, workload: &Workload) -> Self {
+        let mut trainer = Self {
+            // Trainers do not stand where the fault hits.
+            daemon: (1 + index * workload.data_centres) % workload.daemons,
+            ledger: Ledger::new(format!("trainer-{index}").into(), 1, Loaded::default()),
+            row_version: 0,
+            step: 1,
+            version: 1,
+            is_training: false,
+            waiting_since_ms: 0,
+            step_began_ms: 0,
+            cursor: 0,
+            taken: BTreeMap::new(),
+            generating: BTreeSet::new(),
+            duplicated: BTreeSet::new(),
+            durations_ms: Vec::new(),
+        };
+        (1..=OPEN_STEPS).for_each(|step| trainer.open(step, workload));
+        trainer
+    }
+
+    fn open(&mut self, step: u64, workload: &Workload) {
+        let prompts = (0..workload.groups).map(|group| Arc::from(format!("{step}/{group}")));
+        let open = OpenStep {
+            step,
+            weights_version: self.version,
+            prompts: prompts.collect(),
+            samples_per_group: workload.samples_per_group,
+            max_tokens: workload.max_tokens,
+            staleness_bound: STALENESS_BOUND,
+        };
+        self.ledger.open_step(open).expect("the step is new");
+    }
+
+    pub(super) fn reopen(&mut self, slot: Slot) {
+        self.ledger.on_generation_failed(slot);
+    }
+
+    fn commit(&mut self, is_store_up: bool) {
+        while let Some(plan) = self.ledger.begin_commit() {
+            if !is_store_up {
+                self.ledger.on_not_committed(plan);
+                return;
+            }
+            self.row_version += 1;
+            self.ledger.on_committed(plan, self.row_version);
+        }
+    }
+
+    /// Whether slots of the step that it trains next are still to be started.
+    fn has_open_step(&self) -> bool {
+        self.ledger.has_wanted_until(self.step)
+    }
+
+    /// The last step for which samples are started now.
+    fn last_step(&self, policy: &Policy) -> u64 {
+        match policy.ahead {
+            Ahead::Steps(ahead) => self.step + ahead,
+            Ahead::Core(extra) => last_step(self.step, self.is_training, extra),
+        }
+    }
+}
+
+impl World<'_> {
+    pub(super) fn trainer_turn(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let is_store_up = self.fault != Fault::StoreDown || !self.is_fault_on();
+        let trainer = &mut self.trainers[index];
+        trainer.commit(is_store_up);
+        if !trainer.is_training {
+            self.fetch(index, is_store_up);
+        }
+        self.start_samples(index);
+        if now_ms / 1_000 != (now_ms - TURN_MS.min(now_ms)) / 1_000 {
+            self.look_for_stragglers(index);
+        }
+        self.after(TURN_MS, Event::TrainerTurn(index));
+    }
+
+    fn fetch(&mut self, index: usize, is_store_up: bool) {
+        const LIMIT: u32 = 4_096;
+        let (now_ms, workload) = (self.now_ms, self.workload);
+        let trainer = &mut self.trainers[index];
+        loop {
+            let fetch = Fetch {
+                cursor: trainer.cursor,
+                weights_version: trainer.version,
+                limit: LIMIT,
+            };
+            let fetched = trainer.ledger.fetch(fetch).expect("the cursor is valid");
+            for sample in fetched.samples {
+                let oldest = sample.weights.iter().map(|span| span.weights_version).min();
+                let step = trainer.taken.entry(sample.slot.step).or_default();
+                let known = step.insert(sample.slot, oldest.unwrap_or_default());
+                self.measures.doubled += u64::from(known.is_some());
+            }
+            if fetched.next_cursor == trainer.cursor {
+                break;
+            }
+            trainer.cursor = fetched.next_cursor;
+        }
+        let whole = (workload.groups * workload.samples_per_group) as usize;
+        let has_whole = trainer
+            .taken
+            .get(&trainer.step)
+            .is_some_and(|samples| samples.len() == whole);
+        if !has_whole {
+            return;
+        }
+        let samples = trainer.taken.remove(&trainer.step).unwrap_or_default();
+        for oldest in samples.values() {
+            *self
+                .measures
+                .staleness
+                .entry(trainer.version - oldest)
+                .or_default() += 1;
+        }
+        // The first step has nothing before it to run beside.
+        if trainer.step > 1 {
+            self.measures.idle_ms += now_ms - trainer.waiting_since_ms;
+            self.measures.observed_ms += now_ms - trainer.step_began_ms;
+            self.measures.steps += 1;
+            self.measures.step_ms += now_ms - trainer.step_began_ms;
+        }
+        trainer.step_began_ms = now_ms;
+        let ack = Acknowledge {
+            cursor: trainer.cursor,
+            weights_version: trainer.version,
+        };
+        trainer
+            .ledger
+            .acknowledge(ack)
+            .expect("the cursor was reached");
+        trainer.is_training = true;
+        trainer.step += 1;
+        let next = trainer.step + OPEN_STEPS - 1;
+        trainer.open(next, workload);
+        trainer.commit(is_store_up);
+        self.after(workload.train_ms, Event::Trained(index));
+    }
+
+    pub(super) fn on_trained(&mut self, index: usize) {
+        const PUBLISH_MS: u64 = 500;
+        let trainer = &mut self.trainers[index];
+        trainer.version += 1;
+        trainer.is_training = false;
+        trainer.waiting_since_ms = self.now_ms;
+        let version = trainer.version;
+        self.after(PUBLISH_MS, Event::Swap(index, version, 0));
+    }
+
+    fn start_samples(&mut self, index: usize) {
+        let (now_ms, policy) = (self.now_ms, self.policy);
+        let service = self.workload.services[0].name;
+        let trainers = u32::try_from(self.trainers.len()).unwrap_or(1);
+        let trainer = &mut self.trainers[index];
+        let generating = u32::try_from(trainer.generating.len()).unwrap_or(u32::MAX);
+        let is_waited_for = !trainer.is_training && trainer.has_open_step();
+        let min_version = if policy.awaits_weights {
+            min_weights_version(trainer.version, is_waited_for)
+        } else {
+            0
+        };
+        let room = if policy.has_sample_room {
+            let table = &self.daemons[trainer.daemon].table;
+            sample_room(
+                routing::free_slots(table, now_ms, service, min_version),
+                trainers,
+            )
+        } else {
+            FIXED_GENERATING.saturating_sub(generating)
+        };
+        let last_step = if is_waited_for {
+            trainer.step
+        } else {
+            trainer.last_step(policy)
+        };
+        let slots = trainer.ledger.take_wanted_until(last_step, room as usize);
+        for slot in slots {
+            self.start_sample(index, slot, min_version);
+        }
+    }
+
+    fn start_sample(&mut self, index: usize, slot: Slot, min_version: u64) {
+        let units = tokens(self.workload, self.seed, index, slot);
+        let work = Work {
+            kind: Kind::Sample {
+                trainer: index,
+                slot,
+            },
+            service: 0,
+            daemon: self.trainers[index].daemon,
+            units,
+            done: 0,
+            priority: Priority::Background,
+            arrived_ms: self.now_ms,
+            admitted_ms: None,
+            deadline_ms: self.now_ms + SAMPLE_TIMEOUT_MS,
+            avoid: BTreeSet::new(),
+            tries: 0,
+            was_sent: false,
+            has_run: false,
+            oldest_version: u64::MAX,
+            min_version,
+            attempt: None,
+            waiting: None,
+        };
+        let id = self.add_work(work);
+        let trainer = &mut self.trainers[index];
+        trainer.generating.insert(id);
+        self.daemons[trainer.daemon].budgets[0].on_first_try();
+        self.after(SAMPLE_TIMEOUT_MS, Event::Deadline(id));
+        self.dispatch(id);
+    }
+
+    pub(super) fn on_sample_failed(&mut self, index: usize, slot: Slot, work: u64) {
+        self.trainers[index].generating.remove(&work);
+        self.after(REOPEN_MS, Event::Reopen(index, slot));
+    }
+
+    pub(super) fn on_sample(&mut self, index: usize, slot: Slot, id: u64) {
+        let Some(work) = self.works.remove(&id) else {
+            return;
+        };
+        let trainer = &mut self.trainers[index];
+        trainer.generating.remove(&id);
+        trainer.durations_ms.push(self.now_ms - work.arrived_ms);
+        let sample = Sample {
+            slot,
+            prompt: "".into(),
+            tokens: Vec::new(),
+            weights: vec![VersionSpan {
+                from_token: 0,
+                to_token: work.units,
+                weights_version: work.oldest_version,
+            }],
+            seed: 0,
+        };
+        if !trainer.ledger.on_sample(sample) {
+            self.measures.wasted_tokens += u64::from(work.units);
+        }
+    }
+
+    fn look_for_stragglers(&mut self, index: usize) {
+        if self.policy.straggler == Straggler::Wait {
+            return;
+        }
+        let service = self.workload.services[0].name;
+        let trainer = &self.trainers[index];
+        let table = &self.daemons[trainer.daemon].table;
+        let has_room = routing::free_slots(table, self.now_ms, service, 0) > 0;
+        let is_tail = !trainer.has_open_step() && has_room;
+        let ids: Vec<u64> = trainer.generating.iter().copied().collect();
+        match self.policy.straggler {
+            Straggler::Move => {
+                let Some(typical_ms) = routing::typical_unit_ms(table, service) else {
+                    return;
+                };
+                for id in ids {
+                    self.move_if_slow(id, is_tail, typical_ms);
+                }
+            }
+            _ => {
+                for id in ids {
+                    self.duplicate_if_late(index, id);
+                }
+            }
+        }
+    }
+
+    fn move_if_slow(&mut self, id: u64, is_tail: bool, typical_ms: f64) {
+        let Some(attempt_id) = self.works[&id].attempt else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get(&attempt_id) else {
+            return;
+        };
+        let endpoint = &self.endpoints[attempt.endpoint];
+        let progress = Progress {
+            started_ms: attempt.sent_ms,
+            tokens: endpoint.progress(self.now_ms, attempt_id),
+            is_tail,
+        };
+        if !is_straggler(self.now_ms, progress, typical_ms) {
+            return;
+        }
+        // A move adds no load, so that it takes nothing of the retry budget.
+        if self.works[&id].tries + 1 >= MAX_ATTEMPTS {
+            return;
+        }
+        let wasted = self.measures.wasted_tokens;
+        let Some(attempt) = self.cancel(attempt_id) else {
+            return;
+        };
+        // The sample goes on from the tokens that it has.
+        self.measures.wasted_tokens = wasted;
+        let name = self.endpoints[attempt.endpoint].name.clone();
+        let reason: &'static str = RetryReason::Straggler.into();
+        *self.measures.retries.entry(reason).or_default() += 1;
+        if let Some(work) = self.works.get_mut(&id) {
+            work.attempt = None;
+            work.done = (work.done + attempt.done_units).min(work.units - 1);
+            work.avoid.insert(name);
+        }
+        self.dispatch(id);
+    }
+
+    fn duplicate_if_late(&mut self, index: usize, id: u64) {
+        const RECENT: usize = 256;
+        let trainer = &mut self.trainers[index];
+        let work = &self.works[&id];
+        let Kind::Sample { slot, .. } = work.kind else {
+            return;
+        };
+        let from = trainer.durations_ms.len().saturating_sub(RECENT);
+        let mut recent = trainer.durations_ms[from..].to_vec();
+        recent.sort_unstable();
+        let Some(median_ms) = recent.get(recent.len() / 2) else {
+            return;
+        };
+        let is_late = self.now_ms - work.arrived_ms > 2 * median_ms;
+        if is_late && trainer.duplicated.insert(slot) {
+            self.start_sample(index, slot, 0);
+        }
+    }
+
+    /// Counts what a trainer still waits for when the run ends.
+    pub(super) fn end_trainer(&mut self, index: usize) {
+        let trainer = &self.trainers[index];
+        let is_waiting = !trainer.is_training && trainer.step > 1;
+        if is_waiting {
+            self.measures.idle_ms += self.now_ms - trainer.waiting_since_ms;
+        }
+        if trainer.step > 1 {
+            self.measures.observed_ms += self.now_ms - trainer.step_began_ms;
+        }
+    }
+}
+
+/// Draws the length of a slot's sample: log-normal, the same for each policy.
+fn tokens(workload: &Workload, seed: u64, trainer: usize, slot: Slot) -> u32 {
+    const SIGMA: f64 = 0.6;
+    let key = format!(
+        "{seed}/{trainer}/{}/{}/{}",
+        slot.step, slot.group, slot.index
+    );
+    let uniform = |name: &str| {
+        #[expect(clippy::cast_precision_loss, reason = "a draw")]
+        let draw = (rendezvous::weight(name, &key) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        draw
+    };
+    let radius = (-2.0 * uniform("radius").ln()).sqrt();
+    let normal = radius * (std::f64::consts::TAU * uniform("angle")).cos();
+    let mean = workload.mean_tokens.ln() - SIGMA * SIGMA / 2.0;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped"
+    )]
+    let tokens = SIGMA
+        .mul_add(normal, mean)
+        .exp()
+        .clamp(8.0, f64::from(workload.max_tokens)) as u32;
+    tokens
+}
--- /dev/null
+++ b/crates/standins/src/bench_policy/workload.rs
@@ -0,0 +1,125 @@
+//! What is driven: the users' sizes, and a tenth of the planned size.
+
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// A workload by name.
+#[derive(
+    Clone, Copy, Debug, Display, EnumIter, EnumString, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum WorkloadName {
+    /// Four data centres, 10 samplers, 5 plain endpoints; idle time counts most.
+    Barek,
+    /// Three data centres, 10 samplers, 15 plain endpoints; staleness counts most.
+    Rionegro,
+    /// A tenth of the planned size.
+    Tenth,
+}
+
+/// A service and its callers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServiceLoad {
+    pub(super) name: &'static str,
+    pub(super) is_model: bool,
+    pub(super) endpoints: usize,
+    /// What one endpoint does at the same time.
+    pub(super) slots: u32,
+    /// How long a token or a plain call takes at an endpoint with free slots.
+    pub(super) unit_ms: f64,
+    pub(super) requests_per_s: f64,
+}
+
+/// What exists and how much is asked.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Workload {
+    pub(super) data_centres: usize,
+    pub(super) daemons: usize,
+    /// The model service first.
+    pub(super) services: [ServiceLoad; 2],
+    pub(super) trainers: usize,
+    pub(super) groups: u32,
+    pub(super) samples_per_group: u32,
+    pub(super) mean_tokens: f64,
+    pub(super) max_tokens: u32,
+    pub(super) train_ms: u64,
+    pub(super) swap_ms: u64,
+    pub(super) end_ms: u64,
+    pub(super) min_report_ms: u64,
+    pub(super) max_report_ms: u64,
+    /// What idle time counts beside staleness, of 1.
+    pub(super) idle_weight: f64,
+}
+
+pub(super) const TIMEOUT_MS: u64 = 10_000;
+pub(super) const STALENESS_BOUND: u64 = 4;
+/// How many steps a trainer keeps open.
+pub(super) const OPEN_STEPS: u64 = 3;
+
+impl WorkloadName {
+    pub(super) const fn workload(self) -> Workload {
+        match self {
+            Self::Barek => Workload {
+                data_centres: 4,
+                services: [model("demand-lm", 10, 20.0), plain("slip-api", 5, 60.0)],
+                idle_weight: 0.7,
+                ..BASE
+            },
+            Self::Rionegro => Workload {
+                data_centres: 3,
+                services: [model("advisor-llm", 10, 15.0), plain("setup-app", 15, 90.0)],
+                idle_weight: 0.3,
+                ..BASE
+            },
+            Self::Tenth => Workload {
+                data_centres: 3,
+                daemons: 36,
+                services: [model("llm", 260, 90.0), plain("app", 40, 40.0)],
+                groups: 1_024,
+                end_ms: 180_000,
+                min_report_ms: 2_000,
+                max_report_ms: 3_000,
+                idle_weight: 0.5,
+                ..BASE
+            },
+        }
+    }
+}
+
+const BASE: Workload = Workload {
+    data_centres: 4,
+    daemons: 12,
+    services: [model("", 10, 0.0), plain("", 5, 0.0)],
+    trainers: 2,
+    groups: 48,
+    samples_per_group: 8,
+    mean_tokens: 250.0,
+    max_tokens: 1_024,
+    train_ms: 60_000,
+    swap_ms: 1_500,
+    end_ms: 600_000,
+    min_report_ms: 500,
+    max_report_ms: 1_000,
+    idle_weight: 0.5,
+};
+
+const fn model(name: &'static str, endpoints: usize, requests_per_s: f64) -> ServiceLoad {
+    ServiceLoad {
+        name,
+        is_model: true,
+        endpoints,
+        slots: 16,
+        unit_ms: 25.0,
+        requests_per_s,
+    }
+}
+
+const fn plain(name: &'static str, endpoints: usize, requests_per_s: f64) -> ServiceLoad {
+    ServiceLoad {
+        name,
+        is_model: false,
+        endpoints,
+        slots: 4,
+        unit_ms: 60.0,
+        requests_per_s,
+    }
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use standins::{
+    bench_policy::{self, Fault, Selection, WorkloadName},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
     world::{World, WorldSize},
@@ -60,6 +61,31 @@
         #[bpaf(argument("SECONDS"), fallback(60))]
         seconds: u64,
     },
+    /// Compares the decisions with plain baselines, in virtual time.
+    #[bpaf(command("bench-policy"))]
+    BenchPolicy {
+        /// Only this workload: barek, rionegro or tenth.
+        #[bpaf(argument("NAME"))]
+        workload: Option<WorkloadName>,
+        /// Only this fault.
+        #[bpaf(argument("NAME"))]
+        fault: Option<Fault>,
+        /// Only this policy.
+        #[bpaf(argument("NAME"))]
+        policy: Option<String>,
+        /// The first seed.
+        #[bpaf(argument("N"), fallback(100))]
+        first_seed: u64,
+        /// How many seeds.
+        #[bpaf(argument("N"), fallback(10))]
+        seeds: u64,
+        /// How many runs go on at the same time.
+        #[bpaf(argument("N"), fallback(4))]
+        threads: usize,
+        /// The directory to which figures and charts are written.
+        #[bpaf(argument("DIR"))]
+        out: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -129,6 +155,23 @@
             };
             report(&drive::drive(settings).await?)
         }
+        Command::BenchPolicy {
+            workload,
+            fault,
+            policy,
+            first_seed,
+            seeds,
+            threads,
+            out,
+        } => bench_policy::run(&Selection {
+            workload,
+            fault,
+            policy,
+            first_seed,
+            seeds,
+            threads,
+            out,
+        }),
     }
 }
 
--- a/src/core/admission/mod.rs
+++ b/src/core/admission/mod.rs
@@ -1,5 +1,13 @@
 //! How much work a service takes at once, and who goes first.
 
+mod adaptive;
 mod limit;
+mod queue;
+mod share;
 
-pub use self::limit::{Limit, Priority};
+pub use self::{
+    adaptive::AdaptiveLimit,
+    limit::{Limit, Priority},
+    queue::{Admission, Decision, Ended, Next},
+    share::{BACKGROUND_PERCENT, caller_cap, sample_room},
+};
--- a/src/core/endpoint/endpoint.rs
+++ b/src/core/endpoint/endpoint.rs
@@ -1,7 +1,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    core::{Name, config::EndpointSettings},
+    core::{Name, config::EndpointSettings, routing::Health},
     wire::engine::Load,
 };
 
@@ -26,6 +26,10 @@
     pub settings: EndpointSettings,
     /// Requests of this daemon that run there.
     pub in_flight: u32,
+    /// Requests of this daemon that ran there at the last load report.
+    pub in_flight_at_report: u32,
+    /// What this daemon's own requests met there.
+    pub health: Health,
     /// The last load report.
     pub load: Load,
     /// When the last load report came in.
@@ -42,6 +46,8 @@
             name,
             settings,
             in_flight: 0,
+            in_flight_at_report: 0,
+            health: Health::default(),
             load: Load::default(),
             reported_at_ms: 0,
             down_until_ms: 0,
@@ -59,4 +65,13 @@
             EndpointState::Serving
         }
     }
+
+    /// Returns the requests that run or wait there: the last report, with what
+    /// this daemon has started and ended since then.
+    #[must_use]
+    pub fn backlog(&self) -> u32 {
+        let of_others =
+            (self.load.running + self.load.queued).saturating_sub(self.in_flight_at_report);
+        of_others + self.in_flight
+    }
 }
--- a/src/core/endpoint/table.rs
+++ b/src/core/endpoint/table.rs
@@ -2,7 +2,7 @@
 
 use super::Endpoint;
 use crate::{
-    core::{Name, config::Document},
+    core::{Name, config::Document, routing::Health},
     wire::engine::Load,
 };
 
@@ -85,6 +85,7 @@
         match load {
             Some(load) => {
                 endpoint.load = load;
+                endpoint.in_flight_at_report = endpoint.in_flight;
                 endpoint.reported_at_ms = now_ms;
                 endpoint.down_until_ms = 0;
             }
@@ -92,6 +93,11 @@
         }
     }
 
+    /// Returns what this daemon's own requests met at an endpoint.
+    pub fn health_mut(&mut self, service: &str, endpoint: &str) -> Option<&mut Health> {
+        Some(&mut self.get_mut(service, endpoint)?.health)
+    }
+
     fn get_mut(&mut self, service: &str, endpoint: &str) -> Option<&mut Endpoint> {
         self.services.get_mut(service)?.get_mut(endpoint)
     }
--- a/src/core/guard.rs
+++ b/src/core/guard.rs
@@ -60,6 +60,14 @@
     Incarnation,
     /// Retries are limited to a share of first tries.
     RetryBudget,
+    /// An endpoint is the better of two drawn, not the best of all.
+    TwoChoices,
+    /// Requests wait or are refused beyond a limit learned from latency.
+    AdmissionLimit,
+    /// Callers leave a share of the endpoints to trainers.
+    BackgroundShare,
+    /// Work that cannot meet its deadline is refused at once.
+    DeadlineAdmission,
     /// Weights are swapped in waves.
     WeightWaves,
     /// What an engine reports is compared with what it was ordered.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,7 +17,9 @@
 pub mod request;
 pub mod retry;
 pub mod routing;
+pub mod run_ahead;
 pub mod sample;
+pub mod straggler;
 pub mod weights;
 
 pub use self::name::Name;
--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -1,6 +1,7 @@
 //! Whether and when a failed attempt is made again.
 
+mod backoff;
 mod budget;
 mod reason;
 
-pub use self::{budget::Budget, reason::RetryReason};
+pub use self::{backoff::backoff_ms, budget::Budget, reason::RetryReason};
--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -1,5 +1,9 @@
 //! Which endpoint a request goes to.
 
 mod choose;
+mod health;
 
-pub use self::choose::{Request, choose};
+pub use self::{
+    choose::{Request, choose, free_slots, typical_unit_ms},
+    health::Health,
+};
--- a/src/core/sample/ledger.rs
+++ b/src/core/sample/ledger.rs
@@ -229,10 +229,25 @@
 
     /// Takes up to `limit` slots for which a sample is to be generated now.
     pub fn take_wanted(&mut self, limit: usize) -> Vec<Slot> {
+        self.take_wanted_until(u64::MAX, limit)
+    }
+
+    /// Returns whether a slot of the steps up to `last_step` is still to be
+    /// generated for.
+    #[must_use]
+    pub fn has_wanted_until(&self, last_step: u64) -> bool {
+        self.steps
+            .range(..=last_step)
+            .flat_map(|(_, step)| step.slots.values())
+            .any(|state| *state == SlotState::Open)
+    }
+
+    /// Takes up to `limit` slots of steps up to `last_step`, oldest step first.
+    pub fn take_wanted_until(&mut self, last_step: u64, limit: usize) -> Vec<Slot> {
         let open = self
             .steps
-            .values_mut()
-            .flat_map(|step| step.slots.iter_mut())
+            .range_mut(..=last_step)
+            .flat_map(|(_, step)| step.slots.iter_mut())
             .filter(|(_, state)| **state == SlotState::Open);
         open.take(limit)
             .map(|(slot, state)| {
--- /dev/null
+++ b/src/core/straggler/mod.rs
@@ -0,0 +1,5 @@
+//! When a slow sample goes on at another endpoint.
+
+mod rule;
+
+pub use self::rule::{Progress, is_straggler};
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -59,6 +59,8 @@
         data_centre: &daemon.settings.data_centre,
         max_in_flight_per_endpoint: most,
         avoid,
+        affinity: None,
+        min_weights_version: 0,
     };
     let mut endpoints = lock(&daemon.endpoints);
     let name = routing::choose(&endpoints, now_ms(), &request, &mut *lock(&daemon.rng))?;
