--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod drive;
 pub mod engine;
+pub mod fault;
 pub mod http;
 pub mod oracle;
 pub mod platform;
