Let the daemon decide with the new parts

Callers' requests queue at a gate for each service and are refused, as not run, when their deadline cannot be met; endpoints' pace and failures are learned from own requests; retries after the first wait; samples start as slots fall free, with new weights unless the trainer waits, and go on elsewhere once when their step has nothing left to start and they are slow.

--- a/crates/standins/src/bench_policy/world.rs
+++ b/crates/standins/src/bench_policy/world.rs
@@ -9,6 +9,7 @@
     config::{Document, EndpointSettings, Service, ServiceKind},
     endpoint::EndpointTable,
     retry::{Budget, RetryReason},
+    routing,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -263,7 +264,8 @@
             table.on_report(now_ms, service, &endpoint.name, load);
         }
         let daemons = u32::try_from(workload.daemons).unwrap_or(1);
-        let cap = caller_cap(slots, daemons, true);
+        let free = routing::free_slots(table, now_ms, service, 0);
+        let cap = caller_cap(slots, free, daemons, true);
         // Slow answers of a model service come from rollouts too; what callers
         // may have is known from the slots.
         self.daemons[daemon].admissions[0].set_bounds(cap, cap);
--- a/src/core/admission/share.rs
+++ b/src/core/admission/share.rs
@@ -7,19 +7,21 @@
 ///
 /// Engines let callers go first, so that a flood of callers would leave
 /// trainers nothing: all daemons together leave [`BACKGROUND_PERCENT`] of the
-/// slots. Without trainers, callers may have all of them.
+/// slots. Without trainers, callers may have all of them. What is `free` now may
+/// be used on top by a daemon to which more callers have come than to others.
 ///
 /// # Examples
 ///
 /// ```
 /// use chicoryreach::core::admission::caller_cap;
 ///
-/// assert_eq!(caller_cap(120, 12, true), 8);
-/// assert_eq!(caller_cap(120, 12, false), 10);
-/// assert_eq!(caller_cap(3, 12, true), 1);
+/// assert_eq!(caller_cap(120, 0, 12, true), 8);
+/// assert_eq!(caller_cap(120, 0, 12, false), 10);
+/// assert_eq!(caller_cap(120, 30, 12, true), 38);
+/// assert_eq!(caller_cap(3, 0, 12, true), 1);
 /// ```
 #[must_use]
-pub fn caller_cap(slots: u32, daemons: u32, has_trainers: bool) -> u32 {
+pub fn caller_cap(slots: u32, free: u32, daemons: u32, has_trainers: bool) -> u32 {
     if !guard::is_on(Guard::BackgroundShare) {
         return u32::MAX;
     }
@@ -28,7 +30,7 @@
     } else {
         100
     };
-    (slots * percent / 100 / daemons.max(1)).max(1)
+    (slots * percent / 100 / daemons.max(1) + free).max(1)
 }
 
 /// Returns how many samples one trainer may start now.
--- a/src/core/sample/ledger.rs
+++ b/src/core/sample/ledger.rs
@@ -232,6 +232,15 @@
         self.take_wanted_until(u64::MAX, limit)
     }
 
+    /// Returns the first open step that has samples from this cursor on, or
+    /// none yet.
+    #[must_use]
+    pub fn next_step(&self, taken_cursor: u64) -> Option<u64> {
+        let mut steps = self.steps.iter();
+        let next = steps.find(|(_, step)| !step.is_delivered(taken_cursor));
+        next.map(|(number, _)| *number)
+    }
+
     /// Returns whether a slot of the steps up to `last_step` is still to be
     /// generated for.
     #[must_use]
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -21,8 +21,9 @@
 use super::{
     answer::{error_body, json, refuse},
     clock::now_ms,
-    crash,
+    crash, dispatch,
     endpoints::{self, Generated, PlainCall},
+    gate,
     settle::{self, Awaited},
     state::{Daemon, Outcome, WholeAnswer, lock},
 };
@@ -180,6 +181,7 @@
     let pieces = completion.stream.then_some(pieces);
     let run_daemon = daemon.clone();
     let (id, model) = (headers.id.clone(), completion.model.clone());
+    let priority = headers.priority;
     let run = move |waiting| async move {
         let gone = settle::abandoned(run_daemon.clone(), id.clone(), waiting);
         let on_tokens = |tokens: &[Arc<str>], span: VersionSpan| {
@@ -188,7 +190,12 @@
                 let _ = pieces.send((tokens.concat(), span));
             }
         };
-        let generated = endpoints::generate(&run_daemon, &model, spec, on_tokens, gone).await?;
+        let place = gate::enter(&run_daemon, &model, priority, spec.deadline_ms).await?;
+        let route = dispatch::Route::default();
+        let generated =
+            endpoints::generate(&run_daemon, &model, spec, route, on_tokens, gone).await;
+        place.end(&generated);
+        let generated = generated?;
         Ok(whole_completion(&id, &model, &generated))
     };
     let may_abandon = headers.is_idempotent;
@@ -241,7 +248,13 @@
         is_idempotent: headers.is_idempotent,
     };
     let (run_daemon, service) = (daemon.clone(), service.to_owned());
-    let run = move |_| async move { endpoints::call(&run_daemon, &service, &call).await };
+    let priority = headers.priority;
+    let run = move |_| async move {
+        let place = gate::enter(&run_daemon, &service, priority, call.deadline_ms).await?;
+        let answer = endpoints::call(&run_daemon, &service, &call).await;
+        place.end(&answer);
+        answer
+    };
     let awaited = settle::start_once(daemon, &headers, &fingerprint, false, run)?;
     wait_for(awaited, headers.deadline_ms)
         .await
--- a/src/daemon/crash.rs
+++ b/src/daemon/crash.rs
@@ -57,6 +57,7 @@
     daemon: &Arc<Daemon>,
     service: &str,
     fingerprint: &Arc<str>,
+    route: &dispatch::Route,
     avoid: &BTreeSet<Name>,
 ) -> Result<Choice, Refusal> {
     let now_ms = now_ms();
@@ -68,7 +69,7 @@
         Permit::Wait => return Ok(Choice::Wait),
         Permit::Isolated => return Err(isolated()),
     };
-    let Some((endpoint, settings)) = dispatch::choose(daemon, service, &avoid) else {
+    let Some((endpoint, settings)) = dispatch::choose(daemon, service, route, &avoid) else {
         return Ok(if is_trial { Choice::Wait } else { Choice::None });
     };
     quarantine.on_start(&endpoint, fingerprint, now_ms);
@@ -163,6 +164,7 @@
     /// members are told.
     pub(crate) async fn fail(&mut self, failure: AttemptFailure) {
         self.has_failed = failure.reason != RetryReason::EndpointRefused;
+        dispatch::on_failed(&self.daemon, &self.service, &self.endpoint);
         let is_cut = matches!(
             failure.reason,
             RetryReason::AnswerCut | RetryReason::AnswerStalled
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -1,18 +1,25 @@
 //! Decisions about requests, carried out on this daemon's shared parts:
 //! whether one is taken, where it goes, whether it is tried again.
 
-use std::{collections::BTreeSet, sync::atomic::Ordering};
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use super::{
-    clock::now_ms,
+    clock::{now_ms, sleep_until},
     state::{Daemon, lock},
 };
 use crate::{
     core::{
         Name,
         config::EndpointSettings,
-        retry::{Budget, RetryReason},
+        retry::{Budget, RetryReason, backoff_ms},
         routing,
+        straggler::{Progress, is_straggler},
     },
     error::{ErrorKind, Refusal},
 };
@@ -47,10 +54,22 @@
     with_budget(daemon, service, Budget::on_first_try);
 }
 
+/// What a request asks of its endpoint beside the service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Route {
+    /// What requests with the same prefix have in common.
+    pub(crate) affinity: Option<Arc<str>>,
+    /// The oldest weights version that will do.
+    pub(crate) min_weights_version: u64,
+    /// Set once a sample's step has no slot left to start.
+    pub(crate) is_tail: Option<Arc<AtomicBool>>,
+}
+
 /// Chooses an endpoint for a request.
 pub(crate) fn choose(
     daemon: &Daemon,
     service: &str,
+    route: &Route,
     avoid: &BTreeSet<Name>,
 ) -> Option<(Name, EndpointSettings)> {
     let most = daemon.service(service).ok()?.max_in_flight_per_endpoint;
@@ -59,11 +78,12 @@
         data_centre: &daemon.settings.data_centre,
         max_in_flight_per_endpoint: most,
         avoid,
-        affinity: None,
-        min_weights_version: 0,
+        affinity: route.affinity.as_deref(),
+        min_weights_version: route.min_weights_version,
     };
+    let mut rng = lock(&daemon.rng);
     let mut endpoints = lock(&daemon.endpoints);
-    let name = routing::choose(&endpoints, now_ms(), &request, &mut *lock(&daemon.rng))?;
+    let name = routing::choose(&endpoints, now_ms(), &request, &mut *rng)?;
     let settings = endpoints
         .of_service(service)
         .find(|endpoint| endpoint.name == name)
@@ -72,9 +92,63 @@
     Some((name, settings))
 }
 
+/// Notes that tokens or a call came from an endpoint.
+pub(crate) fn on_ok(daemon: &Daemon, service: &str, endpoint: &str, units: u32, elapsed_ms: u64) {
+    if let Some(health) = lock(&daemon.endpoints).health_mut(service, endpoint) {
+        health.on_ok(now_ms(), units, elapsed_ms);
+    }
+}
+
+/// Notes that an endpoint failed a request.
+pub(crate) fn on_failed(daemon: &Daemon, service: &str, endpoint: &str) {
+    let mut rng = lock(&daemon.rng);
+    if let Some(health) = lock(&daemon.endpoints).health_mut(service, endpoint) {
+        health.on_failed(now_ms(), &mut *rng);
+    }
+}
+
+/// Returns whether a sample is to go on at another endpoint than where it runs.
+pub(crate) fn is_slow(
+    daemon: &Daemon,
+    service: &str,
+    route: &Route,
+    started_ms: u64,
+    tokens: u32,
+) -> bool {
+    let Some(is_tail) = &route.is_tail else {
+        return false;
+    };
+    let now_ms = now_ms();
+    let table = lock(&daemon.endpoints);
+    let Some(typical_ms) = routing::typical_unit_ms(&table, service) else {
+        return false;
+    };
+    let has_room = routing::free_slots(&table, now_ms, service, route.min_weights_version) > 0;
+    let progress = Progress {
+        started_ms,
+        tokens,
+        is_tail: has_room && is_tail.load(Ordering::Relaxed),
+    };
+    is_straggler(now_ms, progress, typical_ms)
+}
+
+/// Waits before the retry after this many failures; the first goes to another
+/// endpoint at once.
+pub(crate) async fn back_off(daemon: &Daemon, failures: u32, deadline_ms: u64) {
+    const FIRST_MS: u64 = 50;
+    const MAX_MS: u64 = 1_000;
+    let Some(earlier) = failures.checked_sub(2) else {
+        return;
+    };
+    let wait_ms = backoff_ms(earlier, FIRST_MS, MAX_MS, &mut *lock(&daemon.rng));
+    sleep_until((now_ms() + wait_ms).min(deadline_ms)).await;
+}
+
 /// Asks the service's retry budget for one retry.
 pub(crate) fn try_spend_retry(daemon: &Daemon, service: &str, reason: RetryReason) -> bool {
-    let may_retry = with_budget(daemon, service, Budget::try_spend);
+    // Moving a straggler ends one attempt for another and adds no load.
+    let is_move = reason == RetryReason::Straggler;
+    let may_retry = is_move || with_budget(daemon, service, Budget::try_spend);
     if may_retry {
         daemon.metrics.on_retry(reason);
     }
--- a/src/daemon/endpoints.rs
+++ b/src/daemon/endpoints.rs
@@ -46,6 +46,10 @@
 struct Attempt {
     id: Arc<str>,
     run: EndpointRun,
+    started_ms: u64,
+    /// When the first piece came, and how many tokens came after it.
+    first_ms: Option<u64>,
+    tokens: u32,
     chunks: BoxStream<'static, Result<Chunk, AttemptFailure>>,
 }
 
@@ -66,6 +70,7 @@
     daemon: &Arc<Daemon>,
     service: &str,
     spec: Spec,
+    route: dispatch::Route,
     mut on_tokens: F,
     gone: G,
 ) -> Result<Generated, Refusal>
@@ -82,14 +87,23 @@
     let mut chosen: Option<EndpointRun> = None;
     let mut last: Option<EndedRun> = None;
     let mut attempt: Option<Attempt> = None;
+    let mut route = route;
+    let mut failures = 0;
     loop {
         let mut next = Vec::new();
         let Some(effect) = queue.pop_front() else {
             let arrived = tokio::select! {
                 biased;
                 () = &mut gone => Arrived::CallerGone,
-                arrived = next_event(&mut attempt, &machine) => arrived,
+                arrived = next_event(daemon, service, &route, &mut attempt, &machine) => arrived,
             };
+            if let Arrived::Failed(failure) = &arrived {
+                failures += 1;
+                // A sample is moved once: a second move would lose more than it saves.
+                route
+                    .is_tail
+                    .take_if(|_| failure.reason == RetryReason::Straggler);
+            }
             let event = settle_attempt(daemon, service, arrived, &mut attempt, &mut last).await;
             machine.handle(now_ms(), event, &mut next);
             queue.extend(next);
@@ -98,7 +112,9 @@
         match effect {
             Effect::Choose { avoid } => {
                 let deadline_ms = machine.deadline_ms();
-                chosen = choose_in_time(daemon, service, &fingerprint, &avoid, deadline_ms).await?;
+                dispatch::back_off(daemon, failures, deadline_ms).await;
+                chosen = choose_in_time(daemon, service, &fingerprint, &route, &avoid, deadline_ms)
+                    .await?;
                 let name = chosen.as_ref().map(|run| run.endpoint.clone());
                 machine.handle(now_ms(), Event::Chosen(name), &mut next);
             }
@@ -120,6 +136,7 @@
             }
             Effect::Finish { reason } => {
                 if let Some(mut attempt) = attempt.take() {
+                    note_pace(daemon, service, &attempt);
                     attempt.run.end_well();
                 }
                 return Ok(Generated {
@@ -139,6 +156,19 @@
         id: generate.attempt.clone(),
         chunks: chunks(daemon, &run.settings, generate),
         run,
+        started_ms: now_ms(),
+        first_ms: None,
+        tokens: 0,
+    }
+}
+
+/// Notes how fast an endpoint generated; the wait for a slot says nothing of it.
+fn note_pace(daemon: &Daemon, service: &str, attempt: &Attempt) {
+    const LEAST_TOKENS: u32 = 8;
+    if let Some(first_ms) = attempt.first_ms.filter(|_| attempt.tokens >= LEAST_TOKENS) {
+        let elapsed_ms = now_ms().saturating_sub(first_ms);
+        let endpoint = &attempt.run.endpoint;
+        dispatch::on_ok(daemon, service, endpoint, attempt.tokens, elapsed_ms);
     }
 }
 
@@ -147,12 +177,13 @@
     daemon: &Arc<Daemon>,
     service: &str,
     fingerprint: &Arc<str>,
+    route: &dispatch::Route,
     avoid: &BTreeSet<Name>,
     deadline_ms: u64,
 ) -> Result<Option<EndpointRun>, Refusal> {
     const LOOK_MS: u64 = 10;
     loop {
-        match crash::choose(daemon, service, fingerprint, avoid)? {
+        match crash::choose(daemon, service, fingerprint, route, avoid)? {
             Choice::Chosen(run) => return Ok(Some(run)),
             Choice::None => return Ok(None),
             Choice::Wait if now_ms() >= deadline_ms => return Ok(None),
@@ -169,7 +200,14 @@
     CallerGone,
 }
 
-async fn next_event(attempt: &mut Option<Attempt>, machine: &Generation) -> Arrived {
+async fn next_event(
+    daemon: &Daemon,
+    service: &str,
+    route: &dispatch::Route,
+    attempt: &mut Option<Attempt>,
+    machine: &Generation,
+) -> Arrived {
+    const LOOK_MS: u64 = 1_000;
     let deadline_ms = machine.deadline_ms();
     let Some(attempt) = attempt else {
         sleep_until(deadline_ms).await;
@@ -181,16 +219,39 @@
             was_sent: true,
         })
     };
-    tokio::select! {
-        biased;
-        chunk = attempt.chunks.next() => match chunk {
-            Some(Ok(chunk)) => Arrived::Chunk(chunk),
-            Some(Err(failure)) => Arrived::Failed(failure),
-            None => failed(RetryReason::AnswerCut),
-        },
-        () = sleep_until(deadline_ms) => Arrived::Deadline,
-        () = sleep_until(machine.stalls_at_ms().unwrap_or(u64::MAX)) => {
-            failed(RetryReason::AnswerStalled)
+    loop {
+        let look_at_ms = route.is_tail.as_ref().map(|_| now_ms() + LOOK_MS);
+        return tokio::select! {
+            biased;
+            chunk = attempt.chunks.next() => match chunk {
+                Some(Ok(chunk)) => {
+                    attempt.note(&chunk);
+                    Arrived::Chunk(chunk)
+                }
+                Some(Err(failure)) => Arrived::Failed(failure),
+                None => failed(RetryReason::AnswerCut),
+            },
+            () = sleep_until(deadline_ms) => Arrived::Deadline,
+            () = sleep_until(look_at_ms.unwrap_or(u64::MAX)) => {
+                if dispatch::is_slow(daemon, service, route, attempt.started_ms, attempt.tokens) {
+                    failed(RetryReason::Straggler)
+                } else {
+                    continue;
+                }
+            }
+            () = sleep_until(machine.stalls_at_ms().unwrap_or(u64::MAX)) => {
+                failed(RetryReason::AnswerStalled)
+            }
+        };
+    }
+}
+
+impl Attempt {
+    fn note(&mut self, chunk: &Chunk) {
+        if self.first_ms.is_none() {
+            self.first_ms = Some(now_ms());
+        } else {
+            self.tokens += u32::try_from(chunk.tokens.len()).unwrap_or(u32::MAX);
         }
     }
 }
@@ -211,7 +272,9 @@
     let Some(Attempt { id, mut run, .. }) = attempt.take() else {
         return Event::Deadline;
     };
-    run.fail(failure).await;
+    if failure.reason != RetryReason::Straggler {
+        run.fail(failure).await;
+    }
     cancel(daemon, &run.settings, &id);
     // Kept for the case that the answer has to go on at the same endpoint.
     *last = Some(run.end());
@@ -334,21 +397,33 @@
     dispatch::on_first_try(daemon, service);
     let mut machine = Call::new(call.is_idempotent, MAX_ATTEMPTS);
     let mut avoid = BTreeSet::new();
-    loop {
-        let chosen =
-            choose_in_time(daemon, service, &call.fingerprint, &avoid, call.deadline_ms).await?;
+    let route = dispatch::Route::default();
+    for failures in 0.. {
+        dispatch::back_off(daemon, failures, call.deadline_ms).await;
+        let chosen = choose_in_time(
+            daemon,
+            service,
+            &call.fingerprint,
+            &route,
+            &avoid,
+            call.deadline_ms,
+        )
+        .await?;
         if let Some(refusal) = machine.on_chosen(chosen.as_ref().map(|run| &run.endpoint)) {
             return Err(refusal);
         }
         let Some(mut run) = chosen else {
             return Err(Refusal::new(ErrorKind::Internal, "no endpoint was chosen"));
         };
+        let sent_ms = now_ms();
         let result = tokio::select! {
             result = call_once(daemon, &run.settings, call) => result,
             () = sleep_until(call.deadline_ms) => return Err(machine.on_deadline(true)),
         };
         let failure = match result {
             Ok(answer) => {
+                let elapsed_ms = now_ms().saturating_sub(sent_ms);
+                dispatch::on_ok(daemon, service, &run.endpoint, 1, elapsed_ms);
                 run.end_well();
                 return Ok(answer);
             }
@@ -362,6 +437,7 @@
             CallEffect::Refuse(refusal) => return Err(refusal),
         }
     }
+    Err(Refusal::new(ErrorKind::Internal, "no attempt is left"))
 }
 
 async fn call_once(
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod dispatch;
 mod endpoints;
+mod gate;
 mod http;
 mod lease_keeper;
 mod metrics;
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use super::{
-    clock::now_ms, http::HttpClient, metrics::Metrics, platform::Platform,
+    clock::now_ms, gate::Gate, http::HttpClient, metrics::Metrics, platform::Platform,
     rollout_task::RolloutTask, settle::Run, trainer_task::TrainerTask,
 };
 use crate::{
@@ -55,6 +55,7 @@
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) membership: Mutex<Membership>,
     pub(crate) limit: Mutex<Limit>,
+    pub(crate) gates: Mutex<BTreeMap<Name, Gate>>,
     pub(crate) budgets: Mutex<BTreeMap<Name, Budget>>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) deduplication: Mutex<Deduplication<Outcome>>,
@@ -85,6 +86,7 @@
             endpoints: Mutex::default(),
             membership: Mutex::new(Membership::new(me.clone())),
             limit: Mutex::new(limit),
+            gates: Mutex::default(),
             budgets: Mutex::default(),
             quarantine: Mutex::default(),
             deduplication: Mutex::default(),
@@ -107,6 +109,16 @@
         }
     }
 
+    /// Returns how many trainers a service generates for.
+    pub(crate) fn trainers_of(&self, service: &str) -> u32 {
+        let config = self.config.borrow();
+        let trainers = config.document.trainers.values();
+        let count = trainers
+            .filter(|trainer| &*trainer.service == service)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// Returns a service of the configuration in force.
     pub(crate) fn service(&self, name: &str) -> Result<Service, Refusal> {
         let config = self.config.borrow();
--- a/src/daemon/trainer_task.rs
+++ b/src/daemon/trainer_task.rs
@@ -1,4 +1,7 @@
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, AtomicU32, Ordering},
+};
 
 use tokio::{
     sync::{Notify, watch},
@@ -7,6 +10,7 @@
 
 use super::{
     clock::{now_ms, sleep_until},
+    dispatch::Route,
     endpoints,
     lease_keeper::LeaseKeeper,
     platform::Written,
@@ -15,9 +19,11 @@
 use crate::{
     core::{
         Name,
-        admission::Priority,
+        admission::{Priority, sample_room},
         rendezvous,
         request::Spec,
+        routing,
+        run_ahead::{last_step, min_weights_version},
         sample::{
             ChunkRow, CommitPlan, Head, Ledger, Loaded, chunks_prefix, head_key, steps_prefix,
         },
@@ -29,6 +35,8 @@
 const IDLE_MS: u64 = 200;
 const AFTER_FAILURE_MS: u64 = 500;
 const SAMPLE_TIMEOUT_MS: u64 = 60_000;
+/// A trainer that has not asked for samples for this long does not wait for them.
+const WAITING_MS: u64 = 1_000;
 
 /// What has been committed, for those who wait for it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,7 +53,17 @@
     pub(crate) progress: watch::Sender<Progress>,
     pub(crate) lease: LeaseKeeper,
     ledger: Mutex<Option<Ledger>>,
-    generating: std::sync::atomic::AtomicU32,
+    generating: AtomicU32,
+    /// Whether the step in hand has no slot left to start.
+    is_tail: Arc<AtomicBool>,
+    fetched: Mutex<Fetched>,
+}
+
+/// What the trainer has fetched, and when.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fetched {
+    cursor: u64,
+    at_ms: u64,
 }
 
 impl TrainerTask {
@@ -57,7 +75,9 @@
             progress: watch::Sender::default(),
             lease,
             ledger: Mutex::default(),
-            generating: std::sync::atomic::AtomicU32::new(0),
+            generating: AtomicU32::new(0),
+            is_tail: Arc::default(),
+            fetched: Mutex::default(),
         }
     }
 
@@ -275,27 +295,76 @@
     }
 
     fn start_wanted(self: &Arc<Self>, daemon: &Arc<Daemon>) {
-        use std::sync::atomic::Ordering;
-        let most = daemon.settings.limits.max_generating;
-        let room = most.saturating_sub(self.generating.load(Ordering::Relaxed));
+        let Some(service) = self.service(daemon) else {
+            return;
+        };
+        let Fetched { cursor, at_ms } = *lock(&self.fetched);
+        let is_training = now_ms() > at_ms + WAITING_MS;
         let mut ledger = lock(&self.ledger);
         let Some(ledger) = ledger.as_mut() else {
             return;
         };
-        for slot in ledger.take_wanted(room as usize) {
+        let Some(next) = ledger.next_step(cursor) else {
+            return;
+        };
+        let is_waited_for = !is_training && ledger.has_wanted_until(next);
+        let newest = daemon
+            .service(&service)
+            .map_or(0, |service| service.weights_version);
+        let min_weights_version = min_weights_version(newest, is_waited_for);
+        let last_step = if is_waited_for {
+            next
+        } else {
+            last_step(next, is_training, 0)
+        };
+        let room = self.room(daemon, &service, min_weights_version);
+        let slots = ledger.take_wanted_until(last_step, room as usize);
+        let is_tail = !ledger.has_wanted_until(next);
+        self.is_tail.store(is_tail, Ordering::Relaxed);
+        for slot in slots {
             let Some(step) = ledger.step(slot.step).cloned() else {
                 continue;
             };
             self.generating.fetch_add(1, Ordering::Relaxed);
             let (task, daemon) = (self.clone(), daemon.clone());
+            let route = Route {
+                affinity: Some(format!("{}/{}/{}", self.trainer, slot.step, slot.group).into()),
+                min_weights_version,
+                is_tail: Some(self.is_tail.clone()),
+            };
             tokio::spawn(async move {
-                let sample = task.generate(&daemon, slot, &step).await;
+                let sample = task.generate(&daemon, slot, &step, route).await;
                 task.generating.fetch_sub(1, Ordering::Relaxed);
                 task.on_generated(&daemon, slot, sample).await;
             });
         }
     }
 
+    /// Returns how many samples may be started now.
+    fn room(&self, daemon: &Daemon, service: &str, min_weights_version: u64) -> u32 {
+        let generating = self.generating.load(Ordering::Relaxed);
+        let most = daemon.settings.limits.max_generating;
+        let trainers = daemon.trainers_of(service);
+        let table = lock(&daemon.endpoints);
+        let free = routing::free_slots(&table, now_ms(), service, min_weights_version);
+        let share = sample_room(free, trainers);
+        share.min(most.saturating_sub(generating))
+    }
+
+    fn service(&self, daemon: &Daemon) -> Option<Name> {
+        let config = daemon.config.borrow();
+        let trainer = config.document.trainers.get(&self.trainer)?;
+        Some(trainer.service.clone())
+    }
+
+    /// Notes that the trainer asked for samples, which it does while it waits.
+    pub(crate) fn note_fetched(&self, next_cursor: u64) {
+        *lock(&self.fetched) = Fetched {
+            cursor: next_cursor,
+            at_ms: now_ms(),
+        };
+    }
+
     async fn on_generated(&self, daemon: &Daemon, slot: Slot, sample: Option<Sample>) {
         let Some(sample) = sample else {
             // A slot that just failed is not tried again at once.
@@ -310,15 +379,14 @@
         self.wake.notify_one();
     }
 
-    async fn generate(&self, daemon: &Arc<Daemon>, slot: Slot, step: &OpenStep) -> Option<Sample> {
-        let service = daemon
-            .config
-            .borrow()
-            .document
-            .trainers
-            .get(&self.trainer)?
-            .service
-            .clone();
+    async fn generate(
+        &self,
+        daemon: &Arc<Daemon>,
+        slot: Slot,
+        step: &OpenStep,
+        route: Route,
+    ) -> Option<Sample> {
+        let service = self.service(daemon)?;
         let prompt = step.prompts.get(slot.group as usize)?.clone();
         let seed = rendezvous::weight(
             &self.trainer,
@@ -337,8 +405,15 @@
             max_attempts: 4,
             continue_elsewhere: true,
         };
-        let generated =
-            endpoints::generate(daemon, &service, spec, |_, _| {}, std::future::pending()).await;
+        let generated = endpoints::generate(
+            daemon,
+            &service,
+            spec,
+            route,
+            |_, _| {},
+            std::future::pending(),
+        )
+        .await;
         match generated {
             Ok(generated) => Some(Sample {
                 slot,
--- a/src/daemon/trainers.rs
+++ b/src/daemon/trainers.rs
@@ -47,6 +47,7 @@
         let request: Fetch = read(&daemon, body).await?;
         let task = task(&daemon, &trainer)?;
         let fetched: Fetched = task.with_ledger(&daemon, |ledger| ledger.fetch(request))?;
+        task.note_fetched(fetched.next_cursor);
         daemon
             .metrics
             .samples_delivered
