--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! the kernel chooses.
 
 pub mod bench_ledger;
+pub mod bench_policy;
 pub mod caller;
 pub mod drive;
 pub mod engine;
--- a/src/core/endpoint/endpoint.rs
+++ b/src/core/endpoint/endpoint.rs
@@ -1,7 +1,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    core::{Name, config::EndpointSettings},
+    core::{Name, config::EndpointSettings, routing::Health},
     wire::engine::Load,
 };
 
@@ -47,6 +47,10 @@
     pub is_listed_leaving: bool,
     /// Requests of this daemon that run there.
     pub in_flight: u32,
+    /// Requests of this daemon that ran there at the last load report.
+    pub in_flight_at_report: u32,
+    /// What this daemon's own requests met there.
+    pub health: Health,
     /// The last load report.
     pub load: Load,
     /// When the last load report came in.
@@ -69,6 +73,8 @@
             usage: Usage::Used,
             is_listed_leaving: false,
             in_flight: 0,
+            in_flight_at_report: 0,
+            health: Health::default(),
             load: Load::default(),
             reported_at_ms: 0,
             down_until_ms: 0,
@@ -89,6 +95,16 @@
         }
     }
 
+    /// Returns the requests that run or wait there: the last report, unless it
+    /// is too old, with what this daemon has started and ended since then.
+    #[must_use]
+    pub fn backlog(&self, now_ms: u64) -> u32 {
+        let reported = self
+            .fresh_load(now_ms)
+            .map_or(0, |load| load.running + load.queued);
+        reported.saturating_sub(self.in_flight_at_report) + self.in_flight
+    }
+
     /// Returns the last load report, unless it is too old to decide by.
     ///
     /// Without it only this daemon's own requests there are known.
--- a/src/daemon/sample_task.rs
+++ b/src/daemon/sample_task.rs
@@ -4,6 +4,7 @@
 
 use super::{
     clock::{now_ms, sleep_until},
+    dispatch::Route,
     endpoints,
     state::Daemon,
     trainer_task::TrainerTask,
@@ -23,11 +24,17 @@
 const MAX_ATTEMPTS: u32 = 4;
 
 /// Starts generating for one slot.
-pub(super) fn start(task: &Arc<TrainerTask>, daemon: &Arc<Daemon>, slot: Slot, step: OpenStep) {
+pub(super) fn start(
+    task: &Arc<TrainerTask>,
+    daemon: &Arc<Daemon>,
+    slot: Slot,
+    step: OpenStep,
+    route: Route,
+) {
     task.generating.fetch_add(1, Ordering::Relaxed);
     let (task, daemon) = (task.clone(), daemon.clone());
     tokio::spawn(async move {
-        let sample = generate(&task, &daemon, slot, &step).await;
+        let sample = generate(&task, &daemon, slot, &step, route).await;
         task.generating.fetch_sub(1, Ordering::Relaxed);
         let sample = sample.and_then(|sample| Uncommitted::try_new(&sample));
         on_generated(&task, &daemon, slot, sample).await;
@@ -61,15 +68,9 @@
     daemon: &Arc<Daemon>,
     slot: Slot,
     step: &OpenStep,
+    route: Route,
 ) -> Option<Sample> {
-    let service = daemon
-        .config
-        .borrow()
-        .document
-        .trainers
-        .get(&task.trainer)?
-        .service
-        .clone();
+    let service = task.service(daemon)?;
     let prompt = step.prompts.get(slot.group as usize)?.clone();
     let seed = rendezvous::weight(
         &task.trainer,
@@ -88,7 +89,7 @@
         continue_elsewhere: true,
     };
     let never_gone = std::future::pending();
-    match endpoints::generate(daemon, &service, spec, |_, _| {}, never_gone).await {
+    match endpoints::generate(daemon, &service, spec, route, |_, _| {}, never_gone).await {
         Ok(generated) => Some(Sample {
             slot,
             prompt,
--- a/src/daemon/trainers.rs
+++ b/src/daemon/trainers.rs
@@ -51,7 +51,9 @@
     let result = async {
         let request: Fetch = read(&daemon, body).await?;
         let task = task(&daemon, &trainer)?;
-        hand_over(&daemon, &task, request).await
+        let answer = hand_over(&daemon, &task, request).await?;
+        task.note_fetched(answer.next_cursor);
+        Ok(answer)
     };
     match result.await {
         Ok(answer) => {
