Hand a ledger over at once on a planned stop, and keep samples over an outage

Cause: with real processes a planned stop cost the trainer's waiting calls up to 2 s (first run of the test: "gap of a planned stop: 2016 ms"), since a leaving holder paced its commits while it waited for what generates; a call that came while the platform failed could slip in between two tries and stay pending; and after an outage longer than a lease any of two daemons took the ledger, so that what the first had made was made again. Change: a leaving holder commits each 100 ms; calls are refused with a time to come back from the first failure until a commit succeeds; for 1 s after the platform answers again a lease is left to its last holder; a call that comes while a ledger is taken over names 50 ms. Ruled out: a copy of what waits at a second daemon (docs/design/samples.md); shortening the term of leases, which is the agreement's to weigh.

The gap is taken from the first refusal now; the first run counted the wait of a paced acknowledgement too.

--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -56,6 +56,12 @@
         lock(&self.state).faults = faults;
     }
 
+    /// Returns what is wrong now; answers that were lost are counted down.
+    #[must_use]
+    pub fn faults(&self) -> Faults {
+        lock(&self.state).faults
+    }
+
     /// Changes the list of VMs.
     pub fn set_vms(&self, vms: Vec<ListedVm>) {
         lock(&self.state).store.vms = vms;
--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     ops::RangeInclusive,
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use chicoryreach::{
@@ -23,7 +23,8 @@
 
 use crate::oracle::Verdict;
 
-const TIMEOUT_MS: u64 = 15_000;
+/// Longer than a daemon waits for a commit.
+const TIMEOUT_MS: u64 = 6_000;
 const POLL_MS: u64 = 20;
 const RETRY_MS: u64 = 200;
 
@@ -62,6 +63,9 @@
     cursor: u64,
     weights_version: u64,
     seen: BTreeSet<Slot>,
+    /// The longest time for which nobody took a call, from the first refusal or
+    /// from a call that broke off.
+    pub longest_gap: Duration,
     /// How long it waited for samples.
     pub idle: Duration,
     /// How long it ran.
@@ -90,6 +94,7 @@
             cursor: 0,
             weights_version: 1,
             seen: BTreeSet::new(),
+            longest_gap: Duration::ZERO,
             idle: Duration::ZERO,
             total: Duration::ZERO,
         }
@@ -191,17 +196,32 @@
         A: DeserializeOwned,
     {
         let path = format!("/v1/trainers/{}/{what}", self.settings.trainer);
+        let mut refused: Option<Instant> = None;
         while Instant::now() < self.settings.deadline {
+            let asked = Instant::now();
             let answer = self
                 .http
                 .post_json(self.address, &path, request, TIMEOUT_MS)
                 .await;
             let error = match answer {
-                Ok(answer) => return Some(answer),
+                Ok(answer) => {
+                    let gap = refused.map_or(Duration::ZERO, |from| from.elapsed());
+                    self.longest_gap = self.longest_gap.max(gap);
+                    return Some(answer);
+                }
                 Err(error) => error,
             };
+            let is_refusal = matches!(error, HttpError::Status(..));
+            refused.get_or_insert(if is_refusal { Instant::now() } else { asked });
             match moved_to(&error) {
-                Some(address) if address != self.address => self.address = address,
+                Some(address) if address != self.address => {
+                    self.address = address;
+                    // Two daemons may each take the other for the holder.
+                    tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+                }
+                _ if kind(&error) == Some(ErrorKind::PlatformUnavailable) => {
+                    tokio::time::sleep(retry_after(&error)).await;
+                }
                 _ => {
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                     self.tries += 1;
@@ -259,6 +279,15 @@
     Some(error_body(error)?.kind)
 }
 
+/// Returns how long to wait until the time that a refusal names.
+fn retry_after(error: &HttpError) -> Duration {
+    let at_ms = error_body(error).and_then(|body| body.retry_at_ms);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_ms = now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX));
+    let wait_ms = at_ms.map_or(RETRY_MS, |at_ms| at_ms.saturating_sub(now_ms));
+    Duration::from_millis(wait_ms.max(POLL_MS))
+}
+
 fn moved_to(error: &HttpError) -> Option<SocketAddr> {
     error_body(error)?.address?.parse().ok()
 }
--- a/src/daemon/lease_keeper.rs
+++ b/src/daemon/lease_keeper.rs
@@ -71,12 +71,11 @@
         }
     }
 
-    /// Reads the row although nothing is due yet, unless the lease is held: a
-    /// holder that has given it back or renewed it is noticed sooner.
-    pub(crate) async fn look(&self, daemon: &Daemon) {
-        if self.fence().is_none() {
-            self.read(daemon).await;
-        }
+    /// Reads the row although nothing is due yet, and says whether the platform
+    /// answered: that a holder has given the lease back or renewed it is
+    /// noticed sooner. A lease that is held is not read.
+    pub(crate) async fn look(&self, daemon: &Daemon) -> bool {
+        self.fence().is_some() || self.try_read(daemon).await
     }
 
     /// Returns whether another VM is known to hold the lease.
@@ -98,14 +97,22 @@
     }
 
     async fn read(&self, daemon: &Daemon) -> u64 {
+        if self.try_read(daemon).await {
+            now_ms()
+        } else {
+            now_ms() + AFTER_FAILURE_MS
+        }
+    }
+
+    async fn try_read(&self, daemon: &Daemon) -> bool {
         daemon.metrics.platform_reads.inc();
         let Ok(row) = daemon.platform.get(&self.key()).await else {
-            return now_ms() + AFTER_FAILURE_MS;
+            return false;
         };
         let row_version = row.as_ref().map_or(0, |row| row.row_version);
         let row: Option<LeaseRow> = row.and_then(|row| serde_json::from_value(row.value).ok());
         lock(&self.lease).on_read(now_ms(), row, row_version);
-        now_ms()
+        true
     }
 
     async fn write(&self, daemon: &Daemon, row: LeaseRow, row_version: u64) -> u64 {
--- a/src/daemon/trainer_task.rs
+++ b/src/daemon/trainer_task.rs
@@ -20,7 +20,7 @@
 use crate::{
     core::{
         Name,
-        sample::{CommitPlan, Ledger, Pace, Taken, Uncommitted, Urgency},
+        sample::{CommitPlan, Ledger, Pace, Taken, Uncommitted},
     },
     error::{ErrorKind, Refusal},
     wire::trainers::Slot,
@@ -34,6 +34,10 @@
 const MIN_LOOK_MS: u64 = 100;
 /// How long a leaving holder waits for what generates.
 const HAND_OVER_MS: u64 = 2_000;
+const LEAVING_COMMIT_MS: u64 = 100;
+/// How long a lease that another VM held is left to it after the platform was
+/// down: it has what it could not commit.
+const GRACE_MS: u64 = 1_000;
 /// How many bytes of samples are kept while no ledger is held.
 const MAX_KEPT_BYTES: usize = 64 * 1024 * 1024;
 const OBJECT_DELETE_MS: u64 = 20;
@@ -69,8 +73,8 @@
     /// Samples that no ledger has taken, for the next one of this VM.
     kept: Vec<Uncommitted>,
     pace: Pace,
-    /// The platform failed; it is not tried again before.
-    retry_at_ms: u64,
+    /// When the platform is tried again, if it failed when last tried.
+    retry_at_ms: Option<u64>,
 }
 
 impl State {
@@ -104,6 +108,30 @@
     }
 }
 
+/// The looks at a lease that another VM holds.
+#[derive(Debug, Default)]
+struct Looks {
+    next_ms: u64,
+    /// Since when every look has been answered.
+    answered_since_ms: Option<u64>,
+}
+
+impl Looks {
+    fn on_look(&mut self, now_ms: u64, is_read: bool) {
+        self.next_ms = now_ms + LOOK_MS;
+        if is_read {
+            self.answered_since_ms.get_or_insert(now_ms);
+        } else {
+            self.answered_since_ms = None;
+        }
+    }
+
+    fn grace_until_ms(&self) -> u64 {
+        self.answered_since_ms
+            .map_or(self.next_ms, |since_ms| since_ms + GRACE_MS)
+    }
+}
+
 impl TrainerTask {
     pub(crate) fn new(daemon: &Daemon, trainer: Name) -> Self {
         let lease = LeaseKeeper::new(daemon, format!("trainer/{trainer}").into());
@@ -137,10 +165,9 @@
         Err(self.not_holder(daemon))
     }
 
-    /// Returns when the platform is tried again, if it has just failed.
+    /// Returns when the platform is tried again, if it failed when last tried.
     pub(crate) fn retry_at_ms(&self) -> Option<u64> {
-        let retry_at_ms = lock(&self.state).retry_at_ms;
-        (retry_at_ms > now_ms()).then_some(retry_at_ms)
+        lock(&self.state).retry_at_ms
     }
 
     fn not_holder(&self, daemon: &Daemon) -> Refusal {
@@ -185,37 +212,40 @@
 
     async fn keep_lease(&self, daemon: &Daemon) {
         let mut stop = daemon.stop.subscribe();
-        let mut look_at_ms = 0;
+        let mut looks = Looks::default();
         while !*stop.borrow_and_update() {
-            let at_ms = self.lease_turn(daemon, &mut look_at_ms).await;
+            let at_ms = self.lease_turn(daemon, &mut looks).await;
             tokio::select! {
                 () = sleep_until(at_ms) => {}
                 () = self.wake_lease.notified() => {
-                    look_at_ms = look_at_ms.min(now_ms() + MIN_LOOK_MS);
+                    looks.next_ms = looks.next_ms.min(now_ms() + MIN_LOOK_MS);
                 }
                 _ = stop.changed() => {}
             }
         }
     }
 
-    async fn lease_turn(&self, daemon: &Daemon, look_at_ms: &mut u64) -> u64 {
-        if self.is_leaving() && self.lease.fence().is_none() {
+    async fn lease_turn(&self, daemon: &Daemon, looks: &mut Looks) -> u64 {
+        let is_held = self.lease.fence().is_some();
+        if self.is_leaving() && !is_held {
             return now_ms() + IDLE_MS;
         }
         if !self.lease.is_candidate(daemon) {
             return now_ms() + AFTER_FAILURE_MS;
         }
+        if !is_held && now_ms() >= looks.next_ms {
+            let is_read = self.lease.look(daemon).await;
+            looks.on_look(now_ms(), is_read);
+        }
+        if self.lease.is_held_elsewhere(daemon) && looks.grace_until_ms() > now_ms() {
+            return looks.next_ms.min(looks.grace_until_ms());
+        }
         let at_ms = self.lease.turn(daemon).await;
         if self.lease.fence().is_some() {
             self.wake.notify_one();
             return at_ms;
         }
-        if now_ms() >= *look_at_ms {
-            *look_at_ms = now_ms() + LOOK_MS;
-            self.lease.look(daemon).await;
-            return now_ms() + MIN_LOOK_MS;
-        }
-        at_ms.min(*look_at_ms)
+        at_ms.min(looks.next_ms)
     }
 
     fn is_leaving(&self) -> bool {
@@ -243,7 +273,7 @@
             self.lapse(daemon);
             return now_ms() + IDLE_MS;
         }
-        if let Some(retry_at_ms) = self.retry_at_ms() {
+        if let Some(retry_at_ms) = self.retry_at_ms().filter(|at_ms| *at_ms > now_ms()) {
             return retry_at_ms;
         }
         if let Err(refusal) = self.ensure_ledger(daemon).await {
@@ -260,6 +290,7 @@
         let is_elsewhere = self.lease.is_held_elsewhere(daemon);
         let mut state = lock(&self.state);
         let had_ledger = state.lapse();
+        state.retry_at_ms = None;
         if is_elsewhere {
             // The other VM has these made again.
             state.kept = Vec::new();
@@ -274,7 +305,7 @@
 
     fn on_failure(&self, daemon: &Daemon) -> u64 {
         let retry_at_ms = now_ms() + AFTER_FAILURE_MS;
-        lock(&self.state).retry_at_ms = retry_at_ms;
+        lock(&self.state).retry_at_ms = Some(retry_at_ms);
         daemon.metrics.commit_failures.inc();
         self.progress.send_modify(|progress| progress.failures += 1);
         retry_at_ms
@@ -386,6 +417,7 @@
 
     fn on_committed(&self, daemon: &Daemon) {
         let mut state = lock(&self.state);
+        state.retry_at_ms = None;
         let Some(ledger) = &mut state.ledger else {
             return;
         };
@@ -411,27 +443,23 @@
     async fn hand_over(self: &Arc<Self>, daemon: &Arc<Daemon>) {
         let deadline_ms = now_ms() + HAND_OVER_MS;
         while now_ms() < deadline_ms && self.lease.fence().is_some() {
-            let is_idle = self.generating.load(Ordering::Relaxed) == 0;
             let urgency = lock(&self.state).ledger.as_ref().and_then(Ledger::urgency);
-            if urgency.is_none() && is_idle {
+            if urgency.is_some() {
+                self.commit_now(daemon).await;
+            } else if self.generating.load(Ordering::Relaxed) == 0 {
                 break;
             }
-            let at_ms = if is_idle || urgency == Some(Urgency::Now) {
-                lock(&self.state).pace = Pace::default();
-                self.commit_due(daemon).await
-            } else {
-                now_ms() + IDLE_MS
-            };
-            tokio::select! {
-                () = sleep_until(at_ms.min(deadline_ms)) => {}
-                () = self.wake.notified() => {}
-            }
+            sleep_until(now_ms() + LEAVING_COMMIT_MS).await;
         }
-        lock(&self.state).pace = Pace::default();
-        self.commit_due(daemon).await;
+        self.commit_now(daemon).await;
         self.lease.release(daemon).await;
         self.lapse(daemon);
     }
+
+    async fn commit_now(&self, daemon: &Daemon) {
+        lock(&self.state).pace = Pace::default();
+        self.commit_due(daemon).await;
+    }
 }
 
 /// Objects that stay behind after a failure cost room, and nothing else.
--- a/src/daemon/trainers.rs
+++ b/src/daemon/trainers.rs
@@ -23,6 +23,8 @@
 
 /// How long after a failure a trainer may come back.
 const RETRY_MS: u64 = 500;
+/// How long after a call that came too early for a new holder it may come back.
+const TAKEOVER_RETRY_MS: u64 = 50;
 /// How long a call waits for its change to be written.
 const COMMIT_TIMEOUT_MS: u64 = 5_000;
 
@@ -72,7 +74,9 @@
     request: Fetch,
 ) -> Result<HandOver, Refusal> {
     loop {
-        let (_, answer) = task.with_ledger(daemon, |ledger| ledger.fetch(request))?;
+        let (_, answer) = task
+            .with_ledger(daemon, |ledger| ledger.fetch(request))
+            .map_err(soon)?;
         // What grew stale leaves its slot by a commit.
         task.wake.notify_one();
         let Some(missing) = answer.missing.clone() else {
@@ -122,6 +126,15 @@
     })
 }
 
+/// A ledger that is being taken over is ready after one more commit.
+fn soon(refusal: Refusal) -> Refusal {
+    if refusal.kind() == ErrorKind::PlatformUnavailable {
+        refusal.with_retry_at(now_ms() + TAKEOVER_RETRY_MS)
+    } else {
+        refusal
+    }
+}
+
 /// Makes a change and waits until it has been written.
 ///
 /// While the platform is known to fail, nothing is changed and the call is
@@ -137,7 +150,7 @@
     }
     let mut progress = task.progress.subscribe();
     let failures = progress.borrow().failures;
-    let (ledger, number) = task.with_ledger(daemon, act)?;
+    let (ledger, number) = task.with_ledger(daemon, act).map_err(soon)?;
     task.wake.notify_one();
     let is_over = |progress: &Progress| {
         progress.ledger != ledger || progress.failures != failures || progress.settled >= number
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -104,6 +104,19 @@
             .collect()
     }
 
+    /// Returns a daemon's counters as text.
+    ///
+    /// # Panics
+    ///
+    /// If the daemon does not answer.
+    pub async fn metrics(&self, control: SocketAddr) -> String {
+        let request = hyper::Request::get(format!("http://{control}/metrics"))
+            .body(http_body_util::Full::default())
+            .expect("the request can be built");
+        let body = self.http.exchange(control, request, 10_000).await;
+        String::from_utf8_lossy(&body.expect("the daemon answers")).into_owned()
+    }
+
     /// Ends a daemon at once.
     ///
     /// # Panics
--- /dev/null
+++ b/tests/process_samples.rs
@@ -0,0 +1,294 @@
+//! A trainer's samples with real processes, whose holder is stopped, killed or
+//! told to leave, and a platform that fails.
+
+mod cluster;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use chicoryreach::{
+    core::{
+        lease::LeaseRow,
+        sample::{Head, head_key},
+    },
+    daemon::HttpError,
+    error::ErrorKind,
+    wire::{callers::ErrorBody, platform::Get, trainers::Acknowledge},
+};
+use cluster::{Cluster, PATIENCE, eventually};
+use rustix::process::Signal;
+use serde::de::DeserializeOwned;
+use standins::{
+    drive::prompts,
+    engine::EngineSettings,
+    oracle::Verdict,
+    platform::Faults,
+    trainer::{Trainer, TrainerSettings},
+    world::WorldSize,
+};
+use tokio::task::JoinHandle;
+
+const SIZE: WorldSize = WorldSize {
+    daemons: 3,
+    engines: 3,
+    services: 1,
+    data_centres: 2,
+};
+/// Slow enough that a step is under way when something happens to it.
+const ENGINE: EngineSettings = EngineSettings {
+    slots: 2,
+    chunk_tokens: 8,
+    chunk_ms: 100,
+    load_ms: 200,
+    restart_ms: 1_000,
+    checks_fence: true,
+    weights_version: 1,
+};
+const STEPS: u64 = 3;
+const GROUPS: usize = 6;
+const SAMPLES_PER_GROUP: u32 = 8;
+const SAMPLES: u64 = STEPS * GROUPS as u64 * SAMPLES_PER_GROUP as u64;
+const LEASE_TERM: Duration = Duration::from_secs(10);
+
+/// Starts a trainer, and returns when its first step is under way.
+async fn start(cluster: &Cluster) -> JoinHandle<(Trainer, Verdict)> {
+    let settings = TrainerSettings {
+        trainer: "pricing".into(),
+        service: "demand-lm".into(),
+        prompts: prompts()
+            .into_iter()
+            .take(GROUPS)
+            .collect::<Vec<Arc<str>>>(),
+        samples_per_group: SAMPLES_PER_GROUP,
+        max_tokens: 64,
+        staleness_bound: 1,
+        steps: STEPS,
+        train_ms: 0,
+        deadline: Instant::now() + PATIENCE,
+    };
+    let mut trainer = Trainer::new(
+        settings,
+        cluster.caller_addresses(),
+        cluster.control_addresses(),
+    );
+    let running = tokio::spawn(async move {
+        let mut verdict = Verdict::default();
+        trainer.run(&mut verdict).await;
+        (trainer, verdict)
+    });
+    wait_for_head(cluster, "samples are committed", |head| {
+        head.next_cursor > 4
+    })
+    .await;
+    running
+}
+
+/// Waits for the trainer's end: every sample once, fresh, with true versions.
+async fn finish(running: JoinHandle<(Trainer, Verdict)>) -> Trainer {
+    let (trainer, verdict) = running.await.expect("the trainer ends");
+    assert_eq!(verdict.broken, Vec::<String>::new());
+    let counts = (verdict.delivered, verdict.doubled, verdict.lost);
+    assert_eq!(counts, (SAMPLES, 0, 0));
+    trainer
+}
+
+fn row<T>(cluster: &Cluster, key: &str) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let get = Get {
+        keys: vec![key.into()],
+    };
+    let rows = cluster.world.platform.with_store(|store| store.get(&get));
+    serde_json::from_value(rows.into_iter().next()?.value).ok()
+}
+
+async fn wait_for_head<F>(cluster: &Cluster, what: &str, is_seen: F) -> Head
+where
+    F: Fn(&Head) -> bool,
+{
+    eventually(what, async || {
+        row::<Head>(cluster, &head_key("pricing")).filter(&is_seen)
+    })
+    .await
+}
+
+/// Returns the number of the daemon that holds the trainer's lease.
+fn holder(cluster: &Cluster) -> usize {
+    let lease: LeaseRow = row(cluster, "lease/trainer/pricing").expect("there is a lease");
+    let vm = lease.holder.expect("the lease is held");
+    let mut records = cluster.records.iter();
+    records
+        .position(|record| record.vm == vm)
+        .expect("the holder is known")
+}
+
+async fn counter(cluster: &Cluster, daemon: usize, name: &str) -> u64 {
+    let address = cluster.records[daemon].control_address;
+    let text = cluster.metrics(address).await;
+    let name = format!("chicoryreach_{name}_total ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&name));
+    let value = value.and_then(|value| value.parse().ok());
+    value.expect("the counter is shown")
+}
+
+async fn sum(cluster: &Cluster, name: &str) -> u64 {
+    let mut sum = 0;
+    for daemon in 0..SIZE.daemons {
+        sum += counter(cluster, daemon, name).await;
+    }
+    sum
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_stood_still_past_its_lease_doubles_nothing() {
+    let cluster = Cluster::start(SIZE, ENGINE).await;
+    let running = start(&cluster).await;
+    let stopped = holder(&cluster);
+    let before = wait_for_head(&cluster, "a head", |_| true).await;
+    cluster.signal(stopped, Signal::STOP);
+    wait_for_head(&cluster, "another daemon commits samples", |head| {
+        head.fence > before.fence && head.next_cursor > before.next_cursor
+    })
+    .await;
+    cluster.signal(stopped, Signal::CONT);
+    let trainer = finish(running).await;
+    println!("gap of a pause: {} ms", trainer.longest_gap.as_millis());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_platform_that_is_down_for_some_seconds_costs_no_sample() {
+    let cluster = Cluster::start(SIZE, ENGINE).await;
+    let running = start(&cluster).await;
+    let holder = holder(&cluster);
+    let failures = counter(&cluster, holder, "commit_failures").await;
+    cluster.world.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    eventually("commits fail", async || {
+        (counter(&cluster, holder, "commit_failures").await > failures + 3).then_some(())
+    })
+    .await;
+    // The version is new, so that the call has something to make last.
+    let ack = Acknowledge {
+        cursor: 0,
+        weights_version: 1_000,
+    };
+    let address = cluster.records[holder].caller_address;
+    let asked = Instant::now();
+    let path = "/v1/trainers/pricing/acknowledge";
+    let answer: Result<serde_json::Value, _> =
+        cluster.http.post_json(address, path, &ack, 60_000).await;
+    let waited = asked.elapsed();
+    let Err(HttpError::Status(_, body)) = answer else {
+        panic!("the call was not refused: {answer:?}");
+    };
+    let body: ErrorBody = serde_json::from_slice(&body).expect("the refusal can be read");
+    assert_eq!(
+        (body.kind, body.not_run),
+        (ErrorKind::PlatformUnavailable, true)
+    );
+    assert!(
+        body.retry_at_ms.is_some(),
+        "the refusal says when to come back"
+    );
+    assert!(
+        waited < Duration::from_secs(1),
+        "the refusal took {waited:?}"
+    );
+    cluster.world.platform.set_faults(Faults::default());
+    finish(running).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_longer_than_a_lease_has_nothing_made_twice() {
+    let cluster = Cluster::start(SIZE, ENGINE).await;
+    let running = start(&cluster).await;
+    let holder = holder(&cluster);
+    cluster.world.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    eventually("the lease lapses", async || {
+        (counter(&cluster, holder, "ledgers_lost").await > 0).then_some(())
+    })
+    .await;
+    cluster.world.platform.set_faults(Faults::default());
+    finish(running).await;
+    let made = sum(&cluster, "samples_generated").await;
+    let too_old = sum(&cluster, "samples_stale").await + sum(&cluster, "samples_dropped").await;
+    assert_eq!(made - too_old, SAMPLES, "{made} made, {too_old} too old");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_busy_trainer_commits_about_once_a_second_and_an_idle_one_not_at_all() {
+    let cluster = Cluster::start(SIZE, ENGINE).await;
+    let started = Instant::now();
+    finish(start(&cluster).await).await;
+    let busy = started.elapsed();
+    let commits = sum(&cluster, "commits").await;
+    println!(
+        "{commits} commits in {} ms, {STEPS} steps",
+        busy.as_millis()
+    );
+    // Paced commits, the burst, the takeover, and for each step its opening, its
+    // end, the acknowledgement of its end, and samples that grew stale.
+    let most = busy.as_secs() + 4 + 1 + 4 * STEPS;
+    assert!(commits <= most, "{commits} commits in {busy:?}, not {most}");
+    let lease_version = || {
+        let key = "lease/trainer/pricing";
+        let get = Get {
+            keys: vec![key.into()],
+        };
+        cluster
+            .world
+            .platform
+            .with_store(|store| store.get(&get)[0].row_version)
+    };
+    let before = lease_version();
+    eventually("the lease is renewed", async || {
+        (lease_version() > before + 1).then_some(())
+    })
+    .await;
+    assert_eq!(sum(&cluster, "commits").await, commits, "it was idle");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn commits_whose_answers_are_lost_are_settled() {
+    let cluster = Cluster::start(SIZE, ENGINE).await;
+    let running = start(&cluster).await;
+    cluster.world.platform.set_faults(Faults {
+        lose_answers: 4,
+        ..Faults::default()
+    });
+    finish(running).await;
+    let left = cluster.world.platform.faults().lose_answers;
+    assert_eq!(left, 0, "not every answer was lost");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_leaves_hands_over_without_a_term_in_between() {
+    let mut cluster = Cluster::start(SIZE, ENGINE).await;
+    let running = start(&cluster).await;
+    let leaving = holder(&cluster);
+    cluster.signal(leaving, Signal::TERM);
+    let code = cluster.exit_code(leaving).await;
+    let trainer = finish(running).await;
+    let gap = trainer.longest_gap;
+    println!("gap of a planned stop: {} ms", gap.as_millis());
+    assert_eq!(code, Some(0));
+    assert!(gap < LEASE_TERM / 2, "no answer for {gap:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_is_killed_in_the_middle_of_a_step_loses_nothing() {
+    let mut cluster = Cluster::start(SIZE, ENGINE).await;
+    let running = start(&cluster).await;
+    let killed = holder(&cluster);
+    cluster.kill(killed);
+    let trainer = finish(running).await;
+    println!("gap of a kill: {} ms", trainer.longest_gap.as_millis());
+}
