--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -32,6 +32,9 @@
     pub(crate) control_messages: Counter,
     pub(crate) control_bytes: Counter,
     pub(crate) orders: Counter,
+    pub(crate) endpoint_crashes: Counter,
+    pub(crate) abandoned: Counter,
+    pub(crate) settled: Counter,
     pub(crate) config_number: Gauge,
 }
 
@@ -58,6 +61,9 @@
             control_messages: Counter::default(),
             control_bytes: Counter::default(),
             orders: Counter::default(),
+            endpoint_crashes: Counter::default(),
+            abandoned: Counter::default(),
+            settled: Counter::default(),
             config_number: Gauge::default(),
         };
         metrics.register();
@@ -142,15 +148,30 @@
             ),
             (
                 "control_messages",
-                "Messages sent and received for control",
+                "HTTP messages sent and received for control",
                 &self.control_messages,
             ),
             (
                 "control_bytes",
-                "Body bytes sent and received for control",
+                "HTTP bytes sent and received for control, heads included",
                 &self.control_bytes,
             ),
             ("orders", "Orders sent to engines", &self.orders),
+            (
+                "endpoint_crashes",
+                "Crashes of endpoints that were seen here",
+                &self.endpoint_crashes,
+            ),
+            (
+                "abandoned",
+                "Requests given up since no caller waited",
+                &self.abandoned,
+            ),
+            (
+                "settled",
+                "Requests settled with the VM of their ticket",
+                &self.settled,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/src/daemon/sample_task.rs
+++ b/src/daemon/sample_task.rs
@@ -58,7 +58,7 @@
 
 async fn generate(
     task: &TrainerTask,
-    daemon: &Daemon,
+    daemon: &Arc<Daemon>,
     slot: Slot,
     step: &OpenStep,
 ) -> Option<Sample> {
@@ -83,10 +83,12 @@
         seed,
         priority: Priority::Background as u8,
         deadline_ms: now_ms() + SAMPLE_TIMEOUT_MS,
+        is_idempotent: true,
         max_attempts: MAX_ATTEMPTS,
         continue_elsewhere: true,
     };
-    match endpoints::generate(daemon, &service, spec, |_, _| {}).await {
+    let never_gone = std::future::pending();
+    match endpoints::generate(daemon, &service, spec, |_, _| {}, never_gone).await {
         Ok(generated) => Some(Sample {
             slot,
             prompt,
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -2,7 +2,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32},
+        atomic::{AtomicBool, AtomicU32, AtomicU64},
     },
 };
 
@@ -11,8 +11,8 @@
 use tokio::sync::watch;
 
 use super::{
-    http::HttpClient, metrics::Metrics, platform::Platform, rollout_task::RolloutTask,
-    trainer_task::TrainerTask,
+    clock::now_ms, http::HttpClient, metrics::Metrics, platform::Platform,
+    rollout_task::RolloutTask, settle::Run, traffic::Traffic, trainer_task::TrainerTask,
 };
 use crate::{
     core::{
@@ -22,7 +22,7 @@
         endpoint::EndpointTable,
         membership::Membership,
         quarantine::Quarantine,
-        request::Deduplication,
+        request::{Deduplication, TicketClock},
         retry::Budget,
     },
     error::{ErrorKind, Refusal},
@@ -48,6 +48,9 @@
     pub(crate) settings: Settings,
     pub(crate) me: MemberRecord,
     pub(crate) http: HttpClient,
+    /// For probes, polls and the platform: what it exchanges is counted.
+    pub(crate) control: HttpClient,
+    pub(crate) traffic: Traffic,
     pub(crate) http_once: HttpClient,
     pub(crate) platform: Platform,
     pub(crate) metrics: Metrics,
@@ -58,24 +61,36 @@
     pub(crate) budgets: Mutex<BTreeMap<Name, Budget>>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) deduplication: Mutex<Deduplication<Outcome>>,
-    pub(crate) running: Mutex<BTreeMap<Arc<str>, watch::Receiver<Option<Outcome>>>>,
+    pub(crate) running: Mutex<BTreeMap<Arc<str>, Run>>,
+    pub(crate) runs: AtomicU64,
+    pub(crate) ticket_clock: TicketClock,
     pub(crate) trainers: Mutex<BTreeMap<Name, Arc<TrainerTask>>>,
     pub(crate) rollouts: Mutex<BTreeMap<Name, Arc<RolloutTask>>>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) is_draining: AtomicBool,
     pub(crate) in_progress: AtomicU32,
+    /// Tells the tasks to end.
     pub(crate) stop: watch::Sender<bool>,
+    /// Tells the listeners to close, once nothing runs.
+    pub(crate) close: watch::Sender<bool>,
 }
 
 impl Daemon {
     pub(crate) fn new(settings: Settings, me: MemberRecord) -> Self {
-        let http = HttpClient::new();
-        let platform = Platform::new(http.clone(), &settings.platform_addresses);
+        let metrics = Metrics::new();
+        let traffic = Traffic::new(
+            metrics.control_messages.clone(),
+            metrics.control_bytes.clone(),
+        );
+        let control = HttpClient::new_counted(traffic.clone());
+        let platform = Platform::new(control.clone(), &settings.platform_addresses);
         let limit = Limit::new(settings.limits.max_requests);
         Self {
             http_once: HttpClient::new_unpooled(),
             platform,
-            metrics: Metrics::new(),
+            metrics,
+            control,
+            traffic,
             config: watch::Sender::new(Versioned::default()),
             endpoints: Mutex::default(),
             membership: Mutex::new(Membership::new(me.clone())),
@@ -84,15 +99,21 @@
             quarantine: Mutex::default(),
             deduplication: Mutex::default(),
             running: Mutex::default(),
+            runs: AtomicU64::new(0),
+            ticket_clock: TicketClock {
+                unix_ms: me.incarnation,
+                at_ms: now_ms(),
+            },
             trainers: Mutex::default(),
             rollouts: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             is_draining: AtomicBool::new(false),
             in_progress: AtomicU32::new(0),
             stop: watch::Sender::new(false),
+            close: watch::Sender::new(false),
+            http: HttpClient::new(),
             settings,
             me,
-            http,
         }
     }
 
--- a/tests/worlds/samples/engine.rs
+++ b/tests/worlds/samples/engine.rs
@@ -56,13 +56,13 @@
         let mut effects = Vec::new();
         let mut machine = Generation::new(spec(), &mut effects);
         effects.clear();
-        machine.handle(Event::Chosen(Some("sampler".into())), &mut effects);
+        machine.handle(from_ms, Event::Chosen(Some("sampler".into())), &mut effects);
         let Some(Effect::Start { generate, .. }) = effects.pop() else {
             panic!("the attempt starts");
         };
         for (half, version) in (0..).zip(versions) {
             let chunk = chunk(&generate, slot, half * TOKENS / 2, version);
-            machine.handle(Event::Chunk(chunk), &mut effects);
+            machine.handle(to_ms, Event::Chunk(chunk), &mut effects);
         }
         Sample {
             slot,
@@ -94,6 +94,7 @@
         seed: 0,
         priority: 0,
         deadline_ms: u64::MAX,
+        is_idempotent: true,
         max_attempts: 1,
         continue_elsewhere: true,
     }
