--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -1,11 +1,11 @@
 //! A trainer: opens steps, fetches samples, trains, publishes new weights.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     ops::RangeInclusive,
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use chicoryreach::{
@@ -23,7 +23,8 @@
 
 use crate::oracle::Verdict;
 
-const TIMEOUT_MS: u64 = 15_000;
+/// Longer than a daemon waits for a commit.
+const TIMEOUT_MS: u64 = 6_000;
 const POLL_MS: u64 = 20;
 const RETRY_MS: u64 = 200;
 
@@ -62,7 +63,14 @@
     cursor: u64,
     weights_version: u64,
     seen: BTreeSet<Slot>,
-    /// How long it waited for samples.
+    /// How many samples of each step it has.
+    taken: BTreeMap<u64, u64>,
+    /// The last step that it has opened.
+    opened: u64,
+    /// The longest time for which nobody took a call, from the first refusal or
+    /// from a call that broke off.
+    pub longest_gap: Duration,
+    /// How long it did not train: it waited for samples or for a call.
     pub idle: Duration,
     /// How long it ran.
     pub total: Duration,
@@ -90,6 +98,9 @@
             cursor: 0,
             weights_version: 1,
             seen: BTreeSet::new(),
+            taken: BTreeMap::new(),
+            opened: 0,
+            longest_gap: Duration::ZERO,
             idle: Duration::ZERO,
             total: Duration::ZERO,
         }
@@ -109,11 +120,11 @@
     /// Trains some steps, and notes in `verdict` what was seen.
     pub async fn run_steps(&mut self, steps: RangeInclusive<u64>, verdict: &mut Verdict) {
         let started = Instant::now();
+        let mut trained = Duration::ZERO;
         for step in steps {
-            self.open(step).await;
-            let waiting = Instant::now();
+            // The next step's samples are generated while this one is trained.
+            self.open_until(step + 1).await;
             let missing = self.collect(step, verdict).await;
-            self.idle += waiting.elapsed();
             verdict.lost += missing;
             if missing > 0 {
                 verdict
@@ -121,7 +132,9 @@
                     .push(format!("step {step} misses {missing} samples"));
                 break;
             }
+            let training = Instant::now();
             tokio::time::sleep(Duration::from_millis(self.settings.train_ms)).await;
+            trained += training.elapsed();
             self.weights_version += 1;
             self.publish().await;
             println!(
@@ -130,6 +143,16 @@
             );
         }
         self.total += started.elapsed();
+        self.idle += started.elapsed().saturating_sub(trained);
+    }
+
+    /// Opens the steps up to this one that are not open yet.
+    async fn open_until(&mut self, last: u64) {
+        let last = last.min(self.settings.steps);
+        while self.opened < last {
+            self.open(self.opened + 1).await;
+            self.opened += 1;
+        }
     }
 
     async fn open(&mut self, step: u64) {
@@ -149,8 +172,7 @@
         const LIMIT: u32 = 256;
         let wanted =
             self.settings.prompts.len() as u64 * u64::from(self.settings.samples_per_group);
-        let mut have = 0;
-        while have < wanted && Instant::now() < self.settings.deadline {
+        while self.have(step) < wanted && Instant::now() < self.settings.deadline {
             let fetch = Fetch {
                 cursor: self.cursor,
                 weights_version: self.weights_version,
@@ -168,20 +190,25 @@
                     bound,
                     self.settings.max_tokens,
                 );
-                have += u64::from(sample.slot.step == step);
+                *self.taken.entry(sample.slot.step).or_default() += 1;
             }
             self.cursor = fetched.next_cursor;
             if fetched.samples.is_empty() {
                 tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
-            } else {
-                let ack = Acknowledge {
-                    cursor: self.cursor,
-                    weights_version: self.weights_version,
-                };
-                let _: Option<Done> = self.ask("acknowledge", &ack).await;
             }
         }
-        wanted - have
+        // A cursor that is fetched from says already what the trainer has; the
+        // acknowledgement frees the step's rows and objects.
+        let ack = Acknowledge {
+            cursor: self.cursor,
+            weights_version: self.weights_version,
+        };
+        let _: Option<Done> = self.ask("acknowledge", &ack).await;
+        wanted.saturating_sub(self.have(step))
+    }
+
+    fn have(&self, step: u64) -> u64 {
+        self.taken.get(&step).copied().unwrap_or_default()
     }
 
     /// Asks the ledger's holder, going where it is told, until the deadline.
@@ -191,17 +218,32 @@
         A: DeserializeOwned,
     {
         let path = format!("/v1/trainers/{}/{what}", self.settings.trainer);
+        let mut refused: Option<Instant> = None;
         while Instant::now() < self.settings.deadline {
+            let asked = Instant::now();
             let answer = self
                 .http
                 .post_json(self.address, &path, request, TIMEOUT_MS)
                 .await;
             let error = match answer {
-                Ok(answer) => return Some(answer),
+                Ok(answer) => {
+                    let gap = refused.map_or(Duration::ZERO, |from| from.elapsed());
+                    self.longest_gap = self.longest_gap.max(gap);
+                    return Some(answer);
+                }
                 Err(error) => error,
             };
+            let is_refusal = matches!(error, HttpError::Status(..));
+            refused.get_or_insert(if is_refusal { Instant::now() } else { asked });
             match moved_to(&error) {
-                Some(address) if address != self.address => self.address = address,
+                Some(address) if address != self.address => {
+                    self.address = address;
+                    // Two daemons may each take the other for the holder.
+                    tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+                }
+                _ if kind(&error) == Some(ErrorKind::PlatformUnavailable) => {
+                    tokio::time::sleep(retry_after(&error)).await;
+                }
                 _ => {
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                     self.tries += 1;
@@ -259,6 +301,15 @@
     Some(error_body(error)?.kind)
 }
 
+/// Returns how long to wait until the time that a refusal names.
+fn retry_after(error: &HttpError) -> Duration {
+    let at_ms = error_body(error).and_then(|body| body.retry_at_ms);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_ms = now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX));
+    let wait_ms = at_ms.map_or(RETRY_MS, |at_ms| at_ms.saturating_sub(now_ms));
+    Duration::from_millis(wait_ms.max(POLL_MS))
+}
+
 fn moved_to(error: &HttpError) -> Option<SocketAddr> {
     error_body(error)?.address?.parse().ok()
 }
--- a/src/core/sample/ledger.rs
+++ b/src/core/sample/ledger.rs
@@ -404,6 +404,14 @@
         Some(&self.steps.get(&step)?.request)
     }
 
+    /// Notes that a sample for a slot is being generated already, which an
+    /// earlier ledger of this daemon took.
+    pub fn on_generating(&mut self, slot: Slot) {
+        if self.state(slot) == Some(SlotState::Open) {
+            self.set(slot, SlotState::Generating);
+        }
+    }
+
     /// Notes that no sample came of a slot that was taken.
     pub fn on_generation_failed(&mut self, slot: Slot) {
         if self.state(slot) == Some(SlotState::Generating) {
