--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -11,6 +11,7 @@
 use bpaf::Bpaf;
 use standins::{
     bench_ledger::{self, BenchSettings},
+    bench_policy::{self, Fault, Selection, WorkloadName},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
     fault,
@@ -109,6 +110,31 @@
         /// Uses the platform stand-in over loopback.
         loopback: bool,
     },
+    /// Compares the decisions with plain baselines, in virtual time.
+    #[bpaf(command("bench-policy"))]
+    BenchPolicy {
+        /// Only this workload: barek, rionegro or tenth.
+        #[bpaf(argument("NAME"))]
+        workload: Option<WorkloadName>,
+        /// Only this fault.
+        #[bpaf(argument("NAME"))]
+        fault: Option<Fault>,
+        /// Only this policy.
+        #[bpaf(argument("NAME"))]
+        policy: Option<String>,
+        /// The first seed.
+        #[bpaf(argument("N"), fallback(100))]
+        first_seed: u64,
+        /// How many seeds.
+        #[bpaf(argument("N"), fallback(10))]
+        seeds: u64,
+        /// How many runs go on at the same time.
+        #[bpaf(argument("N"), fallback(4))]
+        threads: usize,
+        /// The directory to which figures and charts are written.
+        #[bpaf(argument("DIR"))]
+        out: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -145,14 +171,7 @@
                 services,
                 data_centres,
             };
-            let world = World::try_start(size, EngineSettings::default())
-                .await
-                .map_err(|error| error.to_string())?;
-            world
-                .write_files(size, &dir)
-                .map_err(|error| error.to_string())?;
-            tokio::time::sleep(Duration::from_secs(seconds)).await;
-            Ok(())
+            run_world(size, &dir, seconds).await
         }
         Command::Proofs => {
             println!("{}", proofs::table(Path::new("tests/scenarios"))?);
@@ -193,10 +212,7 @@
                 samples_per_group: samples,
                 timeout_ms: seconds * 1_000,
             };
-            let prepared = drive::prepare(&settings).await?;
-            // Tells the demo's script that a fault may be played now.
-            fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
-            report(&drive::drive(&settings, &prepared).await?)
+            run_drive(settings, &dir).await
         }
         Command::BenchLedger {
             groups,
@@ -217,9 +233,43 @@
             println!("{line}");
             Ok(())
         }
+        Command::BenchPolicy {
+            workload,
+            fault,
+            policy,
+            first_seed,
+            seeds,
+            threads,
+            out,
+        } => bench_policy::run(&Selection {
+            workload,
+            fault,
+            policy,
+            first_seed,
+            seeds,
+            threads,
+            out,
+        }),
     }
 }
 
+async fn run_world(size: WorldSize, dir: &Path, seconds: u64) -> Result<(), String> {
+    let world = World::try_start(size, EngineSettings::default()).await;
+    let world = world.map_err(|error| error.to_string())?;
+    world
+        .write_files(size, dir)
+        .map_err(|error| error.to_string())?;
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    Ok(())
+}
+
+async fn run_drive(settings: DriveSettings, dir: &Path) -> Result<(), String> {
+    let prepared = drive::prepare(&settings).await?;
+    // Tells the demo's script that a fault may be played now.
+    fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
+    report(&drive::drive(&settings, &prepared).await?)
+}
+
 fn platform(dir: &Path) -> Result<SocketAddr, String> {
     read(dir, "platform")?
         .parse()
--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -66,7 +66,7 @@
     /// The longest time for which nobody took a call, from the first refusal or
     /// from a call that broke off.
     pub longest_gap: Duration,
-    /// How long it waited for samples.
+    /// How long it waited for steps to be opened and for samples.
     pub idle: Duration,
     /// How long it ran.
     pub total: Duration,
@@ -115,8 +115,8 @@
     pub async fn run_steps(&mut self, steps: RangeInclusive<u64>, verdict: &mut Verdict) {
         let started = Instant::now();
         for step in steps {
-            self.open(step).await;
             let waiting = Instant::now();
+            self.open(step).await;
             let missing = self.collect(step, verdict).await;
             self.idle += waiting.elapsed();
             verdict.lost += missing;
--- a/src/core/sample/ledger.rs
+++ b/src/core/sample/ledger.rs
@@ -362,9 +362,34 @@
     /// Takes up to `limit` slots for which a sample is to be generated now;
     /// none while too much waits to be committed.
     pub fn take_wanted(&mut self, limit: usize) -> Vec<Slot> {
+        self.take_wanted_until(u64::MAX, limit)
+    }
+
+    /// Returns the first open step that has samples from this cursor on, or
+    /// none yet.
+    #[must_use]
+    pub fn next_step(&self, taken_cursor: u64) -> Option<u64> {
+        let mut steps = self.steps.iter();
+        let next = steps.find(|(_, step)| !step.is_delivered(taken_cursor));
+        next.map(|(number, _)| *number)
+    }
+
+    /// Returns whether a slot of the steps up to `last_step` is still to be
+    /// generated for.
+    #[must_use]
+    pub fn has_wanted_until(&self, last_step: u64) -> bool {
+        self.wanted
+            .first()
+            .is_some_and(|slot| slot.step <= last_step)
+    }
+
+    /// Takes up to `limit` slots of steps up to `last_step`, oldest step
+    /// first; none while too much waits to be committed.
+    pub fn take_wanted_until(&mut self, last_step: u64, limit: usize) -> Vec<Slot> {
         let mut taken = Vec::new();
         while taken.len() < limit && self.buffered_bytes < MAX_BUFFERED_BYTES {
-            let Some(slot) = self.wanted.first().copied() else {
+            let first = self.wanted.first().copied();
+            let Some(slot) = first.filter(|slot| slot.step <= last_step) else {
                 break;
             };
             self.set(slot, SlotState::Generating);
--- a/src/daemon/ledger_io.rs
+++ b/src/daemon/ledger_io.rs
@@ -1,8 +1,15 @@
 //! What a ledger reads and writes at the platform.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
 
-use super::{platform::Written, state::Daemon};
+use super::{
+    clock::{now_ms, sleep_until},
+    platform::{Platform, Written},
+    state::Daemon,
+};
 use crate::{
     core::sample::{
         ChunkRow, CommitPlan, Head, Loaded, Missing, chunks_prefix, head_key, steps_prefix,
@@ -11,6 +18,8 @@
     wire::{platform::Row, trainers::OpenStep},
 };
 
+const OBJECT_DELETE_MS: u64 = 20;
+
 /// What came of a commit.
 pub(super) enum Commit {
     /// It took effect; the head has this row version now.
@@ -96,6 +105,16 @@
     daemon.platform.get_object(&missing.object).await
 }
 
+/// Objects that stay behind after a failure cost room, and nothing else.
+pub(super) async fn delete_objects(platform: Platform, deleted: Counter, objects: Vec<Arc<str>>) {
+    for object in objects {
+        if platform.delete_object(&object).await.is_ok() {
+            deleted.inc();
+        }
+        sleep_until(now_ms() + OBJECT_DELETE_MS).await;
+    }
+}
+
 fn internal<E>(error: E) -> Refusal
 where
     E: std::fmt::Display,
--- a/src/daemon/trainer_task.rs
+++ b/src/daemon/trainer_task.rs
@@ -12,6 +12,7 @@
 
 use super::{
     clock::{now_ms, sleep_until},
+    dispatch::Route,
     lease_keeper::LeaseKeeper,
     ledger_io::{self, Commit},
     sample_task,
@@ -20,27 +21,24 @@
 use crate::{
     core::{
         Name,
+        admission::sample_room,
+        routing,
+        run_ahead::{last_step, min_weights_version},
         sample::{CommitPlan, Ledger, Pace, Taken, Uncommitted},
     },
     error::{ErrorKind, Refusal},
     wire::trainers::Slot,
 };
 
-const IDLE_MS: u64 = 1_000;
-const AFTER_FAILURE_MS: u64 = 500;
-/// How often a member that may take over reads a lease that another one holds.
-const LOOK_MS: u64 = 2_000;
-/// How often it does so at most, when the trainer itself comes to it.
-const MIN_LOOK_MS: u64 = 100;
+pub(super) const IDLE_MS: u64 = 1_000;
+pub(super) const AFTER_FAILURE_MS: u64 = 500;
 /// How long a leaving holder waits for what generates.
 const HAND_OVER_MS: u64 = 2_000;
 const LEAVING_COMMIT_MS: u64 = 100;
-/// How long a lease that another VM held is left to it after the platform was
-/// down: it has what it could not commit.
-const GRACE_MS: u64 = 1_000;
 /// How many bytes of samples are kept while no ledger is held.
 const MAX_KEPT_BYTES: usize = 64 * 1024 * 1024;
-const OBJECT_DELETE_MS: u64 = 20;
+/// A trainer that has not asked for samples for this long does not wait for them.
+const WAITING_MS: u64 = 1_000;
 
 /// What has been committed, for those who wait for it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -61,9 +59,19 @@
     pub(crate) progress: watch::Sender<Progress>,
     pub(crate) lease: LeaseKeeper,
     pub(super) generating: AtomicU32,
-    wake_lease: Notify,
+    pub(super) wake_lease: Notify,
     is_leaving: AtomicBool,
     state: Mutex<State>,
+    /// Whether the step in hand has no slot left to start.
+    is_tail: Arc<AtomicBool>,
+    fetched: Mutex<Fetched>,
+}
+
+/// What the trainer has fetched, and when.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fetched {
+    cursor: u64,
+    at_ms: u64,
 }
 
 #[derive(Debug, Default)]
@@ -108,30 +116,6 @@
     }
 }
 
-/// The looks at a lease that another VM holds.
-#[derive(Debug, Default)]
-struct Looks {
-    next_ms: u64,
-    /// Since when every look has been answered.
-    answered_since_ms: Option<u64>,
-}
-
-impl Looks {
-    fn on_look(&mut self, now_ms: u64, is_read: bool) {
-        self.next_ms = now_ms + LOOK_MS;
-        if is_read {
-            self.answered_since_ms.get_or_insert(now_ms);
-        } else {
-            self.answered_since_ms = None;
-        }
-    }
-
-    fn grace_until_ms(&self) -> u64 {
-        self.answered_since_ms
-            .map_or(self.next_ms, |since_ms| since_ms + GRACE_MS)
-    }
-}
-
 impl TrainerTask {
     pub(crate) fn new(daemon: &Daemon, trainer: Name) -> Self {
         let lease = LeaseKeeper::new(daemon, format!("trainer/{trainer}").into());
@@ -144,6 +128,8 @@
             wake_lease: Notify::new(),
             is_leaving: AtomicBool::new(false),
             state: Mutex::default(),
+            is_tail: Arc::default(),
+            fetched: Mutex::default(),
         }
     }
 
@@ -210,45 +196,7 @@
         self.lease.release(&daemon).await;
     }
 
-    async fn keep_lease(&self, daemon: &Daemon) {
-        let mut stop = daemon.stop.subscribe();
-        let mut looks = Looks::default();
-        while !*stop.borrow_and_update() {
-            let at_ms = self.lease_turn(daemon, &mut looks).await;
-            tokio::select! {
-                () = sleep_until(at_ms) => {}
-                () = self.wake_lease.notified() => {
-                    looks.next_ms = looks.next_ms.min(now_ms() + MIN_LOOK_MS);
-                }
-                _ = stop.changed() => {}
-            }
-        }
-    }
-
-    async fn lease_turn(&self, daemon: &Daemon, looks: &mut Looks) -> u64 {
-        let is_held = self.lease.fence().is_some();
-        if self.is_leaving() && !is_held {
-            return now_ms() + IDLE_MS;
-        }
-        if !self.lease.is_candidate(daemon) {
-            return now_ms() + AFTER_FAILURE_MS;
-        }
-        if !is_held && now_ms() >= looks.next_ms {
-            let is_read = self.lease.look(daemon).await;
-            looks.on_look(now_ms(), is_read);
-        }
-        if self.lease.is_held_elsewhere(daemon) && looks.grace_until_ms() > now_ms() {
-            return looks.next_ms.min(looks.grace_until_ms());
-        }
-        let at_ms = self.lease.turn(daemon).await;
-        if self.lease.fence().is_some() {
-            self.wake.notify_one();
-            return at_ms;
-        }
-        at_ms.min(looks.next_ms)
-    }
-
-    fn is_leaving(&self) -> bool {
+    pub(super) fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::SeqCst)
     }
 
@@ -331,19 +279,69 @@
     }
 
     fn start_wanted(self: &Arc<Self>, daemon: &Arc<Daemon>) {
-        let most = daemon.settings.limits.max_generating;
-        let room = most.saturating_sub(self.generating.load(Ordering::Relaxed));
+        let Some(service) = self.service(daemon) else {
+            return;
+        };
+        let Fetched { cursor, at_ms } = *lock(&self.fetched);
+        let is_training = now_ms() > at_ms + WAITING_MS;
         let mut state = lock(&self.state);
         let Some(ledger) = &mut state.ledger else {
             return;
         };
-        for slot in ledger.take_wanted(room as usize) {
+        let Some(next) = ledger.next_step(cursor) else {
+            return;
+        };
+        let is_waited_for = !is_training && ledger.has_wanted_until(next);
+        let newest = daemon
+            .service(&service)
+            .map_or(0, |service| service.weights_version);
+        let min_weights_version = min_weights_version(newest, is_waited_for);
+        let last_step = if is_waited_for {
+            next
+        } else {
+            last_step(next, is_training, 0)
+        };
+        let room = self.room(daemon, &service, min_weights_version);
+        let slots = ledger.take_wanted_until(last_step, room as usize);
+        let is_tail = !ledger.has_wanted_until(next);
+        self.is_tail.store(is_tail, Ordering::Relaxed);
+        for slot in slots {
+            let route = Route {
+                affinity: Some(format!("{}/{}/{}", self.trainer, slot.step, slot.group).into()),
+                min_weights_version,
+                is_tail: Some(self.is_tail.clone()),
+            };
             if let Some(step) = ledger.step(slot.step) {
-                sample_task::start(self, daemon, slot, step.clone());
+                sample_task::start(self, daemon, slot, step.clone(), route);
             }
         }
     }
 
+    /// Returns how many samples may be started now.
+    fn room(&self, daemon: &Daemon, service: &str, min_weights_version: u64) -> u32 {
+        let generating = self.generating.load(Ordering::Relaxed);
+        let most = daemon.settings.limits.max_generating;
+        let trainers = daemon.trainers_of(service);
+        let table = lock(&daemon.endpoints);
+        let free = routing::free_slots(&table, now_ms(), service, min_weights_version);
+        let share = sample_room(free, trainers);
+        share.min(most.saturating_sub(generating))
+    }
+
+    pub(super) fn service(&self, daemon: &Daemon) -> Option<Name> {
+        let config = daemon.config.borrow();
+        let trainer = config.document.trainers.get(&self.trainer)?;
+        Some(trainer.service.clone())
+    }
+
+    /// Notes that the trainer asked for samples, which it does while it waits.
+    pub(crate) fn note_fetched(&self, next_cursor: u64) {
+        *lock(&self.fetched) = Fetched {
+            cursor: next_cursor,
+            at_ms: now_ms(),
+        };
+    }
+
     /// Commits what may not wait any longer, and returns when to look again.
     async fn commit_due(&self, daemon: &Daemon) -> u64 {
         let unsettled = lock(&self.state).unsettled.take();
@@ -430,7 +428,7 @@
             progress.acknowledged_cursor = acknowledged_cursor;
         });
         if !spent.is_empty() {
-            tokio::spawn(delete_objects(
+            tokio::spawn(ledger_io::delete_objects(
                 daemon.platform.clone(),
                 daemon.metrics.objects_deleted.clone(),
                 spent,
@@ -462,20 +460,6 @@
     }
 }
 
-/// Objects that stay behind after a failure cost room, and nothing else.
-async fn delete_objects(
-    platform: super::platform::Platform,
-    deleted: prometheus_client::metrics::counter::Counter,
-    objects: Vec<Arc<str>>,
-) {
-    for object in objects {
-        if platform.delete_object(&object).await.is_ok() {
-            deleted.inc();
-        }
-        sleep_until(now_ms() + OBJECT_DELETE_MS).await;
-    }
-}
-
 /// Has every ledger of this VM handed over, because the VM leaves.
 pub(crate) fn hand_over_all(daemon: &Daemon) {
     for task in lock(&daemon.trainers).values() {
