--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -25,6 +25,7 @@
 mod shutdown;
 mod state;
 mod traffic;
+mod trainer_lease;
 mod trainer_task;
 mod trainers;
 mod watch;
