Prove requests with real processes, and notice callers that go

Cause: poem's server goes on with a request whose caller has closed the connection, so an answer that nobody waited for was generated to its end.

Ways: (1) a heartbeat in the answer's body: no whole answer could carry it; (2) a look at the socket beside the server: the server owns it; (3) serving by hyper below the same poem endpoints, which drops the request's future. Requests on the control address run to their end all the same, since a patch must not stop half-way.

What the libraries refuse by themselves (unknown paths, methods) now gets an error of the closed list too; before: "a body of the list: expected ident".

--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -84,11 +84,7 @@
         ask.rotate_left(start);
         for address in ask {
             let asked = Instant::now();
-            let answer = self
-                .http
-                .get_json(address, "/v1/addresses", ADDRESSES_TIMEOUT_MS)
-                .await;
-            let Ok(Addresses { entries, keep_ms }) = answer else {
+            let Ok(Addresses { entries, keep_ms }) = addresses(&self.http, address).await else {
                 continue;
             };
             if !entries.is_empty() {
@@ -133,40 +129,128 @@
         method: Method,
         path: &str,
         body: Bytes,
-        idempotent: bool,
+        is_idempotent: bool,
         timeout_ms: u64,
     ) -> Ended {
-        const GRACE_MS: u64 = 2_000;
         let Some(entry) = self.entry().await else {
             return Ended::Cut("no address is known".to_owned());
         };
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", entry.address))
-            .header(REQUEST_ID, id)
-            .header(TIMEOUT_MS, timeout_ms)
+        let sending = Sending {
+            id: id.to_owned(),
+            method,
+            path: path.to_owned(),
+            body,
+            is_idempotent,
+            ticket: entry.ticket.to_string(),
+            timeout_ms,
+        };
+        let ended = sending.send(&self.http, entry.address).await;
+        if matches!(ended, Ended::Cut(_)) {
+            self.entries.retain(|other| other.address != entry.address);
+        }
+        ended
+    }
+}
+
+/// One request as it goes over the wire; sent again, it stays the same, the
+/// ticket included.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    /// The id.
+    pub id: String,
+    /// The HTTP method.
+    pub method: Method,
+    /// The path at the daemon.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// The ticket that came with the address.
+    pub ticket: String,
+    /// The time left for the answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl Sending {
+    /// Returns a call of a plain service.
+    #[must_use]
+    pub fn call(id: &str, spec: &CallSpec, ticket: &str, timeout_ms: u64) -> Self {
+        Self {
+            id: id.to_owned(),
+            method: Method::from_bytes(spec.method.as_bytes()).unwrap_or(Method::POST),
+            path: format!("/services/{}/{}", spec.service, spec.path),
+            body: spec.body.clone().into(),
+            is_idempotent: spec.idempotent,
+            ticket: ticket.to_owned(),
+            timeout_ms,
+        }
+    }
+
+    /// Returns an idempotent completion request.
+    #[must_use]
+    pub fn completion(id: &str, completion: &CompletionRequest, timeout_ms: u64) -> Self {
+        Self {
+            id: id.to_owned(),
+            method: Method::POST,
+            path: "/v1/completions".to_owned(),
+            body: serde_json::to_vec(completion).unwrap_or_default().into(),
+            is_idempotent: true,
+            ticket: String::new(),
+            timeout_ms,
+        }
+    }
+
+    /// Builds the request for one address.
+    ///
+    /// # Errors
+    ///
+    /// If the path or a header cannot stand in a request.
+    pub fn try_build(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(format!("http://{address}{}", self.path))
+            .header(REQUEST_ID, &self.id)
+            .header(TIMEOUT_MS, self.timeout_ms)
             .header(PRIORITY, "interactive")
-            .header(IDEMPOTENT, idempotent.to_string())
-            .header(TICKET, &*entry.ticket)
-            .body(Full::new(body));
-        let Ok(request) = request else {
-            return Ended::Cut("the request cannot be built".to_owned());
+            .header(IDEMPOTENT, self.is_idempotent.to_string());
+        if !self.ticket.is_empty() {
+            request = request.header(TICKET, &self.ticket);
+        }
+        request.body(Full::new(self.body.clone()))
+    }
+
+    /// Sends the request to one address and waits for the whole answer.
+    pub async fn send(&self, http: &HttpClient, address: SocketAddr) -> Ended {
+        const GRACE_MS: u64 = 2_000;
+        let request = match self.try_build(address) {
+            Ok(request) => request,
+            Err(error) => return Ended::Cut(error.to_string()),
         };
-        match self
-            .http
-            .exchange(entry.address, request, timeout_ms + GRACE_MS)
+        match http
+            .exchange(address, request, self.timeout_ms + GRACE_MS)
             .await
         {
             Ok(body) => Ended::Answer(body),
             Err(HttpError::Status(status, body)) => refused(status, &body),
-            Err(error) => {
-                self.entries.retain(|other| other.address != entry.address);
-                Ended::Cut(error.to_string())
-            }
+            Err(error) => Ended::Cut(error.to_string()),
         }
     }
 }
 
+/// Asks one daemon which addresses to use.
+///
+/// # Errors
+///
+/// Those of the exchange.
+pub async fn addresses(http: &HttpClient, address: SocketAddr) -> Result<Addresses, HttpError> {
+    http.get_json(address, "/v1/addresses", ADDRESSES_TIMEOUT_MS)
+        .await
+}
+
 fn refused(status: StatusCode, body: &[u8]) -> Ended {
     match serde_json::from_slice(body) {
         Ok(body) => Ended::Refused(body),
--- a/crates/standins/src/engine/engine.rs
+++ b/crates/standins/src/engine/engine.rs
@@ -115,6 +115,12 @@
         self.inner.lock().load.incarnation
     }
 
+    /// Returns how many attempts run now.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.inner.lock().load.running
+    }
+
     /// Returns the weights version in use.
     #[must_use]
     pub fn weights_version(&self) -> u64 {
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -10,7 +10,7 @@
 
 use hyper::{Request, body::Incoming};
 use serde::{Deserialize, Serialize};
-use tokio::task::JoinHandle;
+use tokio::{sync::watch, task::JoinHandle};
 
 use crate::http::{Answer, bind, json, read_bytes, serve};
 
@@ -31,6 +31,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     runs: Arc<Mutex<BTreeMap<String, u32>>>,
+    is_held: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -44,15 +45,23 @@
         let (listener, address) = bind().await?;
         let runs: Arc<Mutex<BTreeMap<String, u32>>> = Arc::default();
         let shared = runs.clone();
-        let handler = move |request| handle(shared.clone(), work_ms, request);
+        let is_held = watch::Sender::new(false);
+        let held = is_held.subscribe();
+        let handler = move |request| handle(shared.clone(), held.clone(), work_ms, request);
         let task = tokio::spawn(serve(listener, handler));
         Ok(Self {
             address,
             runs,
+            is_held,
             task,
         })
     }
 
+    /// Holds the answers back, or lets them go.
+    pub fn hold(&self, is_held: bool) {
+        self.is_held.send_replace(is_held);
+    }
+
     /// Returns how often each request id was run.
     #[must_use]
     pub fn runs(&self) -> BTreeMap<String, u32> {
@@ -71,6 +80,7 @@
 
 async fn handle(
     runs: Arc<Mutex<BTreeMap<String, u32>>>,
+    mut held: watch::Receiver<bool>,
     work_ms: u64,
     request: Request<Incoming>,
 ) -> Answer {
@@ -93,6 +103,8 @@
     if work_ms > 0 {
         tokio::time::sleep(Duration::from_millis(work_ms)).await;
     }
+    // An error means that the service is gone.
+    let _ = held.wait_for(|is_held| !is_held).await;
     json(&Slip {
         request_id: id,
         path,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -18,6 +18,7 @@
 mod platform;
 mod rollout_task;
 mod run;
+mod serve;
 mod settle;
 mod shutdown;
 mod state;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,20 +1,19 @@
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
-use poem::{
-    EndpointExt, IntoEndpoint, Response, Route, Server, get, handler,
-    listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
-    post,
-    web::Data,
-};
-use tokio::task::JoinSet;
+use poem::{EndpointExt, Response, Route, get, handler, post, web::Data};
+use tokio::{net::TcpListener, task::JoinSet};
 
 use super::{
-    callers, config, crash, operators, peers, rollout_task, settle,
+    answer::refuse,
+    callers, config, crash, operators, peers, rollout_task,
+    serve::{OnDisconnect, serve},
+    settle,
     shutdown::{self, Signals},
     state::{Daemon, lock},
     trainer_task, trainers, watch,
 };
 use crate::{
+    error::{ErrorKind, Refusal},
     settings::Settings,
     wire::peers::{MemberRecord, MemberState},
 };
@@ -28,17 +27,13 @@
 /// Those of binding the two addresses, and of listening for signals.
 pub async fn run(settings: Settings) -> io::Result<()> {
     let mut signals = Signals::try_new()?;
-    let callers = TcpListener::bind(settings.caller_address)
-        .into_acceptor()
-        .await?;
-    let control = TcpListener::bind(settings.control_address)
-        .into_acceptor()
-        .await?;
+    let callers = TcpListener::bind(settings.caller_address).await?;
+    let control = TcpListener::bind(settings.control_address).await?;
     let me = MemberRecord {
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
-        caller_address: local_address(&callers)?,
-        control_address: local_address(&control)?,
+        caller_address: callers.local_addr()?,
+        control_address: control.local_addr()?,
         incarnation: super::clock::unix_ms(),
         generation: 0,
         state: MemberState::Alive,
@@ -46,8 +41,18 @@
     tracing::info!(vm = %me.vm, callers = %me.caller_address, control = %me.control_address, "listening");
     let daemon = Arc::new(Daemon::new(settings, me));
     let mut tasks = JoinSet::new();
-    tasks.spawn(serve(callers, caller_routes(), daemon.clone()));
-    tasks.spawn(serve(control, control_routes(), daemon.clone()));
+    tasks.spawn(serve_routes(
+        callers,
+        caller_routes(),
+        OnDisconnect::Cancel,
+        daemon.clone(),
+    ));
+    tasks.spawn(serve_routes(
+        control,
+        control_routes(),
+        OnDisconnect::Finish,
+        daemon.clone(),
+    ));
     tasks.spawn(keep_announced(daemon.clone()));
     tasks.spawn(config::poll(daemon.clone()));
     tasks.spawn(peers::gossip_loop(daemon.clone()));
@@ -71,12 +76,6 @@
     Ok(())
 }
 
-fn local_address(acceptor: &TcpAcceptor) -> io::Result<SocketAddr> {
-    let address = acceptor.local_addr().into_iter().next();
-    let address = address.and_then(|address| address.as_socket_addr().copied());
-    address.ok_or_else(|| io::Error::other("a listener has no address"))
-}
-
 fn caller_routes() -> Route {
     Route::new()
         .at("/v1/addresses", get(callers::addresses))
@@ -104,20 +103,21 @@
         .at("/readyz", get(readyz))
 }
 
-async fn serve(acceptor: TcpAcceptor, routes: Route, daemon: Arc<Daemon>) {
-    let mut close = daemon.close.subscribe();
-    let closed = async move {
-        // An error means that the daemon is gone: close as well.
-        let _ = close.wait_for(|close| *close).await;
+/// Serves routes; whatever the library refuses by itself gets an error of the
+/// list as well.
+async fn serve_routes(
+    listener: TcpListener,
+    routes: Route,
+    on_disconnect: OnDisconnect,
+    daemon: Arc<Daemon>,
+) {
+    let (refusing, close) = (daemon.clone(), daemon.close.subscribe());
+    let refuse_all = move |error: poem::Error| {
+        let refusal = Refusal::new(ErrorKind::BadRequest, error.to_string());
+        std::future::ready(refuse(&refusing, &refusal))
     };
-    let endpoint = routes.data(daemon).into_endpoint();
-    let server = Server::new_with_acceptor(acceptor);
-    let result = server
-        .run_with_graceful_shutdown(endpoint, closed, None)
-        .await;
-    if let Err(error) = result {
-        tracing::error!(%error, "a listener failed");
-    }
+    let endpoint = routes.data(daemon).catch_all_error(refuse_all);
+    serve(listener, Arc::new(endpoint), on_disconnect, close).await;
 }
 
 async fn keep_announced(daemon: Arc<Daemon>) {
--- /dev/null
+++ b/tests/process_requests.rs
@@ -0,0 +1,492 @@
+//! Requests through real processes that die, leave and crash on the way.
+
+mod cluster;
+
+use std::net::SocketAddr;
+
+use chicoryreach::{
+    daemon::HttpClient,
+    error::ErrorKind,
+    wire::callers::{Addresses, Completion, CompletionRequest, ErrorBody, VersionSpan},
+};
+use cluster::{Cluster, eventually};
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, BodyStream, Full};
+use hyper::{Method, Request};
+use rstest::rstest;
+use rustix::process::Signal;
+use standins::{
+    caller::{CallSpec, Ended, Sending, addresses, read_completion},
+    drive::{calls, prompts},
+    engine::{CRASH_MARK, EngineSettings},
+    oracle::Verdict,
+    service::Slip,
+    text,
+    world::WorldSize,
+};
+
+const SIZE: WorldSize = WorldSize {
+    daemons: 3,
+    engines: 3,
+    services: 1,
+    data_centres: 1,
+};
+const TIMEOUT_MS: u64 = 40_000;
+
+/// A non-idempotent call of the plain service.
+fn restock() -> CallSpec {
+    let mut calls = calls().into_iter();
+    calls
+        .find(|call| !call.idempotent)
+        .expect("there is such a call")
+}
+
+async fn tickets(cluster: &Cluster) -> Vec<(SocketAddr, String)> {
+    let first = cluster.caller_addresses()[0];
+    let listed = eventually("all daemons are listed", async || {
+        let Addresses { entries, .. } = addresses(&cluster.http, first).await.ok()?;
+        (entries.len() == SIZE.daemons).then_some(entries)
+    });
+    let mut listed = listed.await;
+    listed.sort_by(|a, b| a.vm.cmp(&b.vm));
+    let tickets = listed.iter();
+    tickets
+        .map(|entry| (entry.address, entry.ticket.to_string()))
+        .collect()
+}
+
+fn spawn_send(sending: &Sending, address: SocketAddr) -> tokio::task::JoinHandle<Ended> {
+    let sending = sending.clone();
+    tokio::spawn(async move { sending.send(&HttpClient::new(), address).await })
+}
+
+fn runs(cluster: &Cluster, id: &str) -> u32 {
+    let (_, service) = &cluster.world.services[0];
+    service.runs().get(id).copied().unwrap_or_default()
+}
+
+async fn wait_until_it_runs(cluster: &Cluster, id: &str) {
+    eventually("the service runs the call", async || {
+        (runs(cluster, id) == 1).then_some(())
+    })
+    .await;
+}
+
+#[track_caller]
+fn refused(ended: Ended) -> ErrorBody {
+    match ended {
+        Ended::Refused(body) => body,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[track_caller]
+fn slip(ended: Ended) -> Slip {
+    match ended {
+        Ended::Answer(body) => serde_json::from_slice(&body).expect("the answer is a slip"),
+        other => panic!("not answered: {other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_daemon_is_killed_never_runs_again() {
+    let mut cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let tickets = tickets(&cluster).await;
+    let sending = Sending::call("slip-1", &restock(), &tickets[0].1, TIMEOUT_MS);
+    cluster.world.services[0].1.hold(true);
+    let first = spawn_send(&sending, tickets[0].0);
+    wait_until_it_runs(&cluster, "slip-1").await;
+    cluster.kill(0);
+    assert!(matches!(first.await, Ok(Ended::Cut(_))));
+    let resent = refused(sending.send(&cluster.http, tickets[1].0).await);
+    assert_eq!(
+        (resent.kind, resent.not_run),
+        (ErrorKind::OutcomeUnknown, false)
+    );
+    cluster.world.services[0].1.hold(false);
+    cluster.restart(0).await;
+    let restarted = cluster.records[0].caller_address;
+    let resent = refused(sending.send(&cluster.http, restarted).await);
+    assert_eq!(resent.kind, ErrorKind::OutcomeUnknown);
+    assert_eq!(runs(&cluster, "slip-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_runs_is_answered_at_another_daemon() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let tickets = tickets(&cluster).await;
+    let sending = Sending::call("slip-2", &restock(), &tickets[0].1, TIMEOUT_MS);
+    cluster.world.services[0].1.hold(true);
+    let first = spawn_send(&sending, tickets[0].0);
+    wait_until_it_runs(&cluster, "slip-2").await;
+    let (second, third) = (
+        spawn_send(&sending, tickets[1].0),
+        spawn_send(&sending, tickets[2].0),
+    );
+    eventually("both daemons ask the first", async || {
+        let mut asked = 0;
+        for address in &cluster.control_addresses()[1..] {
+            asked += counter(&cluster, *address, "settled_total").await?;
+        }
+        (asked == 2).then_some(())
+    })
+    .await;
+    cluster.world.services[0].1.hold(false);
+    for ended in [first, second, third] {
+        let slip = slip(ended.await.expect("the caller ends"));
+        assert_eq!(slip.request_id, "slip-2");
+    }
+    assert_eq!(runs(&cluster, "slip-2"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_never_ran_is_sealed_and_runs_elsewhere() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let tickets = tickets(&cluster).await;
+    let sending = Sending::call("slip-3", &restock(), &tickets[0].1, TIMEOUT_MS);
+    slip(sending.send(&cluster.http, tickets[1].0).await);
+    slip(sending.send(&cluster.http, tickets[2].0).await);
+    let late = refused(sending.send(&cluster.http, tickets[0].0).await);
+    assert_eq!(late.kind, ErrorKind::OutcomeUnknown);
+    assert_eq!(runs(&cluster, "slip-3"), 1);
+}
+
+async fn counter(cluster: &Cluster, address: SocketAddr, name: &str) -> Option<u64> {
+    let request = get(address, "/metrics");
+    let text = cluster.http.exchange(address, request, 1_000).await.ok()?;
+    let text = String::from_utf8(text.to_vec()).ok()?;
+    let prefix = format!("chicoryreach_{name} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+    value?.parse().ok()
+}
+
+fn get(address: SocketAddr, path: &str) -> Request<Full<bytes::Bytes>> {
+    Request::builder()
+        .method(Method::GET)
+        .uri(format!("http://{address}{path}"))
+        .body(Full::default())
+        .expect("the request is valid")
+}
+
+/// An engine that takes its time.
+fn slow_engine(chunk_ms: u64) -> EngineSettings {
+    EngineSettings {
+        chunk_tokens: 1,
+        chunk_ms,
+        ..EngineSettings::default()
+    }
+}
+
+/// A request for as many tokens as are allowed.
+fn long_request(max_tokens: u32, stream: bool) -> CompletionRequest {
+    let prompt = prompts()[0].clone();
+    let mut seeds = 0..;
+    let seed = seeds.find(|seed| text::length(&prompt, *seed, max_tokens) == max_tokens);
+    CompletionRequest {
+        model: "demand-lm".into(),
+        prompt,
+        max_tokens,
+        seed: seed.expect("a seed gives a long answer"),
+        stream,
+    }
+}
+
+/// Reads a stream to its end; an error if it does not end as it should.
+async fn read_stream(
+    http: &HttpClient,
+    address: SocketAddr,
+    sending: &Sending,
+) -> Result<(String, Vec<VersionSpan>), String> {
+    let request = sending.try_build(address).expect("the request is valid");
+    let response = http.send(address, request).await;
+    let body = response.map_err(|error| error.to_string())?.into_body();
+    let bytes = BodyStream::new(body)
+        .filter_map(|frame| async { frame.map(|frame| frame.into_data().ok()).transpose() });
+    let mut events = Box::pin(bytes.eventsource());
+    let (mut text, mut weights) = (String::new(), Vec::new());
+    while let Some(event) = events.next().await {
+        let event = event.map_err(|error| error.to_string())?;
+        if event.data == "[DONE]" {
+            return Ok((text, weights));
+        }
+        if event.event == "error" {
+            return Err(event.data);
+        }
+        let piece: Completion =
+            serde_json::from_str(&event.data).map_err(|error| error.to_string())?;
+        text += &piece.choices[0].text;
+        weights.extend(piece.weights);
+    }
+    Err("the stream is short".to_owned())
+}
+
+fn check(request: &CompletionRequest, text: &str, weights: &[VersionSpan]) {
+    let mut verdict = Verdict::default();
+    let (prompt, seed) = (&request.prompt, request.seed);
+    verdict.check_text(prompt, seed, request.max_tokens, text, weights);
+    assert_eq!(verdict.broken, Vec::<String>::new());
+}
+
+fn tokens(cluster: &Cluster) -> u64 {
+    let engines = cluster.world.engines.iter();
+    engines.map(|(_, engine)| engine.generated_tokens()).sum()
+}
+
+/// The stream goes on for longer than callers keep addresses and than the
+/// listeners once waited.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_off_nothing() {
+    let mut cluster = Cluster::start(SIZE, slow_engine(120)).await;
+    let tickets = tickets(&cluster).await;
+    let call = Sending::call("slip-4", &restock(), &tickets[0].1, TIMEOUT_MS);
+    cluster.world.services[0].1.hold(true);
+    let call = spawn_send(&call, tickets[0].0);
+    let request = long_request(120, true);
+    let stream = Sending::completion("stream-4", &request, TIMEOUT_MS);
+    let address = tickets[0].0;
+    let stream =
+        tokio::spawn(async move { read_stream(&HttpClient::new(), address, &stream).await });
+    wait_until_it_runs(&cluster, "slip-4").await;
+    eventually("the stream has begun", async || {
+        (tokens(&cluster) > 0).then_some(())
+    })
+    .await;
+    cluster.signal(0, Signal::TERM);
+    let other = tickets[1].0;
+    eventually("the address is no longer given out", async || {
+        let listed = addresses(&cluster.http, other).await.ok()?;
+        let is_gone = listed.entries.iter().all(|entry| entry.address != address);
+        is_gone.then_some(())
+    })
+    .await;
+    let mut ids = 0..;
+    let late = eventually("new work is refused", async || {
+        let id = format!("late-4-{}", ids.next()?);
+        let late = Sending::completion(&id, &long_request(1, false), 1_000);
+        match late.send(&cluster.http, address).await {
+            Ended::Refused(body) => Some(body),
+            _ => None,
+        }
+    })
+    .await;
+    assert_eq!((late.kind, late.not_run), (ErrorKind::Draining, true));
+    assert!(late.retry_at_ms.is_some());
+    let (text, weights) = stream.await.expect("the reader ends").expect("it is whole");
+    check(&request, &text, &weights);
+    cluster.world.services[0].1.hold(false);
+    assert_eq!(
+        slip(call.await.expect("the caller ends")).request_id,
+        "slip-4"
+    );
+    assert_eq!(cluster.exit_code(0).await, Some(0));
+    assert_eq!(runs(&cluster, "slip-4"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_signal_ends_the_process_at_once() {
+    let mut cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let tickets = tickets(&cluster).await;
+    let call = Sending::call("slip-5", &restock(), &tickets[0].1, TIMEOUT_MS);
+    cluster.world.services[0].1.hold(true);
+    let call = spawn_send(&call, tickets[0].0);
+    wait_until_it_runs(&cluster, "slip-5").await;
+    cluster.signal(0, Signal::TERM);
+    let (other, address) = (tickets[1].0, tickets[0].0);
+    eventually("the address is no longer given out", async || {
+        let listed = addresses(&cluster.http, other).await.ok()?;
+        let is_gone = listed.entries.iter().all(|entry| entry.address != address);
+        is_gone.then_some(())
+    })
+    .await;
+    cluster.signal(0, Signal::TERM);
+    assert!(cluster.exit_code(0).await.is_some());
+    assert!(matches!(call.await, Ok(Ended::Cut(_))));
+}
+
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_though_its_engine_crashes(#[case] stream: bool) {
+    let cluster = Cluster::start(SIZE, slow_engine(20)).await;
+    let address = cluster.caller_addresses()[0];
+    let request = long_request(60, stream);
+    let sending = Sending::completion("crash-6", &request, TIMEOUT_MS);
+    let reader = tokio::spawn(async move {
+        let http = HttpClient::new();
+        if stream {
+            return read_stream(&http, address, &sending).await;
+        }
+        match sending.send(&http, address).await {
+            Ended::Answer(body) => {
+                let completion = read_completion(&body)?;
+                Ok((completion.choices[0].text.clone(), completion.weights))
+            }
+            other => Err(format!("{other:?}")),
+        }
+    });
+    let engines = &cluster.world.engines;
+    eventually("an engine is in the middle of it", async || {
+        let (_, engine) = engines.iter().find(|(_, engine)| engine.running() > 0)?;
+        (engine.generated_tokens() > 5).then(|| engine.crash())
+    })
+    .await;
+    let (text, weights) = reader.await.expect("the reader ends").expect("it is whole");
+    check(&request, &text, &weights);
+    let crashed = engines
+        .iter()
+        .filter(|(_, engine)| engine.incarnation() > 1);
+    assert_eq!(crashed.count(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_nobody_waits_for_is_cancelled() {
+    let cluster = Cluster::start(SIZE, slow_engine(50)).await;
+    let address = cluster.caller_addresses()[0];
+    let request = long_request(600, false);
+    let sending = Sending::completion("gone-7", &request, TIMEOUT_MS);
+    let caller = spawn_send(&sending, address);
+    eventually("the answer has begun", async || {
+        (tokens(&cluster) > 0).then_some(())
+    })
+    .await;
+    caller.abort();
+    let control = cluster.control_addresses()[0];
+    eventually("the daemon gives the request up", async || {
+        (counter(&cluster, control, "abandoned_total").await? == 1).then_some(())
+    })
+    .await;
+    eventually("the engine stops", async || {
+        let mut engines = cluster.world.engines.iter();
+        engines
+            .all(|(_, engine)| engine.running() == 0)
+            .then_some(())
+    })
+    .await;
+    assert!(tokens(&cluster) < 600);
+    let short = long_request(5, false);
+    let again = Sending::completion("gone-7", &short, TIMEOUT_MS);
+    assert!(matches!(
+        again.send(&cluster.http, address).await,
+        Ended::Answer(_)
+    ));
+}
+
+/// One caller; the bound is that of one content in flight once, five crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_endpoints_is_isolated() {
+    const MOST_CRASHES: u64 = 5;
+    let engine = EngineSettings {
+        restart_ms: 100,
+        ..EngineSettings::default()
+    };
+    let cluster = Cluster::start(SIZE, engine).await;
+    let tickets = tickets(&cluster).await;
+    let mut request = long_request(8, false);
+    request.prompt = format!("{CRASH_MARK} {}", request.prompt).into();
+    let mut isolated_in_a_row = 0;
+    for number in 0..30 {
+        request.seed = number;
+        let address = tickets[usize::try_from(number).expect("it is small") % SIZE.daemons].0;
+        let id = format!("crash-8-{number}");
+        let sending = Sending::completion(&id, &request, TIMEOUT_MS);
+        let body = refused(sending.send(&cluster.http, address).await);
+        assert!(
+            !body.not_run || body.kind == ErrorKind::NoEndpoint,
+            "{body:?}"
+        );
+        let is_isolated = body.kind == ErrorKind::Quarantined;
+        isolated_in_a_row = if is_isolated {
+            isolated_in_a_row + 1
+        } else {
+            0
+        };
+    }
+    assert!(isolated_in_a_row >= SIZE.daemons, "{isolated_in_a_row}");
+    let engines = cluster.world.engines.iter();
+    let crashes: u64 = engines.map(|(_, engine)| engine.incarnation() - 1).sum();
+    assert!((1..=MOST_CRASHES).contains(&crashes), "{crashes}");
+    let innocent = long_request(8, false);
+    for (number, (address, _)) in tickets.iter().enumerate() {
+        let sending = Sending::completion(&format!("fine-8-{number}"), &innocent, TIMEOUT_MS);
+        eventually("an innocent request is answered", async || {
+            match sending.send(&cluster.http, *address).await {
+                Ended::Answer(body) => {
+                    let answer = read_completion(&body).expect("the answer can be read");
+                    check(&innocent, &answer.choices[0].text, &answer.weights);
+                    Some(())
+                }
+                _ => None,
+            }
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_gets_one_error_of_the_closed_list() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let tickets = tickets(&cluster).await;
+    let (address, http) = (tickets[0].0, &cluster.http);
+    let fine = Sending::completion("bad-0", &long_request(4, false), TIMEOUT_MS);
+    let with = |id: &str, change: &dyn Fn(&mut Sending)| {
+        let mut sending = fine.clone();
+        sending.id = id.to_owned();
+        change(&mut sending);
+        sending
+    };
+    let mut unknown = long_request(4, false);
+    unknown.model = "no-lm".into();
+    let call = |ticket: &str| Sending::call("bad-9", &restock(), ticket, TIMEOUT_MS);
+    let cases = [
+        (
+            with("bad-1", &|it| it.body = it.body.slice(..20)),
+            ErrorKind::BadRequest,
+        ),
+        (
+            with("bad-2", &|it| {
+                it.body = r#"{"model": 5, "prompt": []}"#.into();
+            }),
+            ErrorKind::BadRequest,
+        ),
+        (
+            with("bad-3", &|it| it.body = vec![b' '; 5 * 1024 * 1024].into()),
+            ErrorKind::BodyTooLarge,
+        ),
+        (
+            Sending::completion("bad-4", &unknown, TIMEOUT_MS),
+            ErrorKind::UnknownService,
+        ),
+        (
+            with("bad-5", &|it| it.timeout_ms = 0),
+            ErrorKind::DeadlinePassed,
+        ),
+        (with("bad id", &|_| {}), ErrorKind::BadRequest),
+        (
+            with("bad-6", &|it| it.ticket = "?".to_owned()),
+            ErrorKind::BadRequest,
+        ),
+        (call(""), ErrorKind::TicketInvalid),
+        (call("vm-0.1.99999999999999"), ErrorKind::OutcomeUnknown),
+        (call("no-such-vm.1.1"), ErrorKind::OutcomeUnknown),
+    ];
+    for (sending, kind) in cases {
+        let body = refused(sending.send(http, address).await);
+        assert_eq!(body.kind, kind, "{}: {}", sending.id, body.message);
+        assert_eq!(body.not_run, kind != ErrorKind::OutcomeUnknown);
+    }
+    let first = Sending::call("bad-7", &restock(), &tickets[0].1, TIMEOUT_MS);
+    slip(first.send(http, address).await);
+    let mut other = first.clone();
+    other.body = "hotel=rynek room=401 items=cola:9".into();
+    let body = refused(other.send(http, address).await);
+    assert_eq!(body.kind, ErrorKind::IdReused);
+    assert_eq!(runs(&cluster, "bad-7"), 1);
+    let unframed = get(address, "/v1/no-such-path");
+    let answer = http.send(address, unframed).await.expect("it is answered");
+    assert_eq!(answer.status().as_u16(), 400);
+    let body = answer.into_body().collect().await.expect("it has a body");
+    let body: ErrorBody = serde_json::from_slice(&body.to_bytes()).expect("a body of the list");
+    assert_eq!(body.kind, ErrorKind::BadRequest);
+}
