--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod caller;
 pub mod drive;
 pub mod engine;
+pub mod fault;
 pub mod http;
 pub mod oracle;
 pub mod platform;
+pub mod proofs;
 pub mod service;
 pub mod text;
 pub mod trainer;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,6 +22,7 @@
 mod settle;
 mod shutdown;
 mod state;
+mod traffic;
 mod trainer_task;
 mod trainers;
 mod watch;
