Measure the path, and reuse connections for calls that run once

Ways: (1) keep it unpooled: a call never meets a connection that is being closed, and pays for that each time; (2) the common pool, idle for 30 s: a call may meet one that the endpoint closes for idleness, and its outcome is unknown; (3) a pool idle for 1 s at most (chosen).

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,6 +10,7 @@
 
 use bpaf::Bpaf;
 use standins::{
+    bench_path::{BenchSettings, bench_path},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
     fault,
@@ -44,6 +45,19 @@
         #[bpaf(argument("SECONDS"), fallback(600))]
         seconds: u64,
     },
+    /// Measures the path against going straight to the endpoint.
+    #[bpaf(command)]
+    BenchPath {
+        /// The directory of a world.
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// How many daemons to wait for.
+        #[bpaf(argument("N"), fallback(3))]
+        daemons: usize,
+        /// What the run is called in the output.
+        #[bpaf(argument("TEXT"), fallback("path".to_owned()))]
+        label: String,
+    },
     /// Prints the table of stories for docs/PROOFS.md.
     #[bpaf(command)]
     Proofs,
@@ -135,6 +149,25 @@
             tokio::time::sleep(Duration::from_secs(seconds)).await;
             Ok(())
         }
+        Command::BenchPath {
+            dir,
+            daemons,
+            label,
+        } => {
+            let settings = BenchSettings {
+                platform: read(&dir, "platform")?
+                    .parse()
+                    .map_err(|error| format!("{error}"))?,
+                daemons,
+                config: serde_json::from_str(&read(&dir, "config.json")?)
+                    .map_err(|error| error.to_string())?,
+                rates: vec![100, 400, 1_300],
+                slice_ms: 2_000,
+                slices: 3,
+                label,
+            };
+            bench_path(settings).await
+        }
         Command::Proofs => {
             println!("{}", proofs::table(Path::new("tests/scenarios"))?);
             Ok(())
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -1,11 +1,12 @@
 //! Callers: which addresses to use, completions, plain calls.
 
 use std::{
+    pin::pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
 use poem::{
     Body, IntoResponse, Request, Response, handler,
@@ -298,17 +299,28 @@
     (1..=128).contains(&text.len()) && text.bytes().all(is_allowed)
 }
 
+/// Reads a body. One that is too large is read on and dropped, up to a bound:
+/// a caller that is still sending would see a broken connection and not the
+/// refusal.
 async fn read_body(daemon: &Daemon, body: Body) -> Result<Bytes, Refusal> {
+    const MAX_DROPPED_BYTES: usize = 64 * 1024 * 1024;
     let limit = usize::try_from(daemon.settings.limits.max_body_bytes).unwrap_or(usize::MAX);
-    body.into_bytes_limit(limit)
-        .await
-        .map_err(|error| match error {
-            poem::error::ReadBodyError::PayloadTooLarge => Refusal::new(
-                ErrorKind::BodyTooLarge,
-                format!("the body has more than {limit} bytes"),
-            ),
-            error => bad_request(&error.to_string()),
-        })
+    let mut pieces = pin!(body.into_bytes_stream());
+    let (mut read, mut len) = (BytesMut::new(), 0);
+    while let Some(piece) = pieces.next().await {
+        let piece = piece.map_err(|error| bad_request(&error.to_string()))?;
+        len += piece.len();
+        if len <= limit {
+            read.extend_from_slice(&piece);
+        } else if len > limit.saturating_add(MAX_DROPPED_BYTES) {
+            break;
+        }
+    }
+    if len > limit {
+        let message = format!("the body has more than {limit} bytes");
+        return Err(Refusal::new(ErrorKind::BodyTooLarge, message));
+    }
+    Ok(read.freeze())
 }
 
 fn bad_request(message: &str) -> Refusal {
--- a/src/daemon/crash.rs
+++ b/src/daemon/crash.rs
@@ -24,6 +24,8 @@
     wire::{engine::Load, peers::CrashNews},
 };
 
+/// Where other members are told of crashes.
+pub(crate) const NEWS_PATH: &str = "/peer/crash";
 const PROBE_TIMEOUT_MS: u64 = 250;
 const NEWS_TIMEOUT_MS: u64 = 300;
 const MAX_NEWS_BYTES: usize = 1024 * 1024;
@@ -221,11 +223,10 @@
 }
 
 async fn tell(daemon: Arc<Daemon>, address: SocketAddr, news: CrashNews) {
-    daemon.metrics.control_messages.inc();
     // A member that is not told learns it by a crash of its own.
     let _: Result<(), _> = daemon
-        .http
-        .post_rmp(address, "/peer/crash", &news, NEWS_TIMEOUT_MS)
+        .control
+        .post_rmp(address, NEWS_PATH, &news, NEWS_TIMEOUT_MS)
         .await;
 }
 
@@ -233,16 +234,19 @@
 #[handler]
 pub(crate) async fn take_news(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
     let bytes = body.into_bytes_limit(MAX_NEWS_BYTES).await;
-    let Ok(news) = rmp_serde::from_slice::<CrashNews>(&bytes.unwrap_or_default()) else {
+    let bytes = bytes.unwrap_or_default();
+    daemon.traffic.on_request_received(NEWS_PATH, bytes.len());
+    let Ok(news) = rmp_serde::from_slice::<CrashNews>(&bytes) else {
         let refusal = Refusal::new(ErrorKind::BadRequest, "the news cannot be read");
         return refuse(&daemon, &refusal);
     };
-    daemon.metrics.control_messages.inc();
     match news {
         CrashNews::Crashed(report) => lock(&daemon.quarantine).on_report(now_ms(), report),
         CrashNews::Cleared(clearance) => lock(&daemon.quarantine).on_clearance(clearance),
     }
+    let answer = rmp_serde::to_vec(&()).unwrap_or_default();
+    daemon.traffic.on_answer_sent(answer.len());
     Response::builder()
         .content_type("application/msgpack")
-        .body(rmp_serde::to_vec(&()).unwrap_or_default())
+        .body(answer)
 }
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
+    rt::{TokioExecutor, TokioTimer},
 };
 use quick_error::quick_error;
 use serde::{Serialize, de::DeserializeOwned};
@@ -70,11 +70,12 @@
         Self::with_idle(64)
     }
 
-    /// Creates a client that makes a new connection for each request, so that
-    /// a request never meets a connection that is just being closed.
+    /// Creates a client that reuses a connection only if it was in use lately,
+    /// so that a request hardly ever meets one that is just being closed.
     #[must_use]
-    pub fn new_unpooled() -> Self {
-        Self::with_idle(0)
+    pub fn new_short_idle() -> Self {
+        const IDLE_MS: u64 = 1_000;
+        Self::with_idle_time(64, IDLE_MS)
     }
 
     /// Creates a client whose exchanges are counted.
@@ -87,12 +88,18 @@
     }
 
     fn with_idle(max_idle: usize) -> Self {
+        const IDLE_MS: u64 = 30_000;
+        Self::with_idle_time(max_idle, IDLE_MS)
+    }
+
+    fn with_idle_time(max_idle: usize, idle_ms: u64) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(max_idle)
-            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_idle_timeout(Duration::from_millis(idle_ms))
+            .pool_timer(TokioTimer::new())
             .build(connector);
         Self {
             client,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -93,8 +93,8 @@
 
 fn control_routes() -> Route {
     Route::new()
-        .at("/peer/settle", post(settle::settle))
-        .at("/peer/crash", post(crash::take_news))
+        .at(settle::SETTLE_PATH, post(settle::settle))
+        .at(crash::NEWS_PATH, post(crash::take_news))
         .at("/peer/gossip", post(peers::answer_gossip))
         .at("/peer/probe", post(peers::answer_probe))
         .at("/peer/synchronise", post(peers::answer_synchronise))
--- a/src/daemon/settle.rs
+++ b/src/daemon/settle.rs
@@ -18,6 +18,8 @@
     wire::peers::{MemberRecord, SettleAnswer, SettleQuestion},
 };
 
+/// Where another VM is asked what became of a request.
+pub(crate) const SETTLE_PATH: &str = "/peer/settle";
 const MAX_QUESTION_BYTES: usize = 64 * 1024;
 const TIMEOUT_MS: u64 = 1_000;
 /// How long one question waits for an answer that is not there yet.
@@ -264,12 +266,11 @@
             incarnation: daemon.me.incarnation,
             wait_ms,
         };
-        daemon.metrics.control_messages.inc();
         let answer: Result<SettleAnswer, _> = daemon
-            .http
+            .control
             .post_rmp(
                 member.control_address,
-                "/peer/settle",
+                SETTLE_PATH,
                 &question,
                 wait_ms + TIMEOUT_MS,
             )
@@ -314,7 +315,9 @@
 #[handler]
 pub(crate) async fn settle(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
     let bytes = body.into_bytes_limit(MAX_QUESTION_BYTES).await;
-    let question = rmp_serde::from_slice::<SettleQuestion>(&bytes.unwrap_or_default()).ok();
+    let bytes = bytes.unwrap_or_default();
+    daemon.traffic.on_request_received(SETTLE_PATH, bytes.len());
+    let question = rmp_serde::from_slice::<SettleQuestion>(&bytes).ok();
     let question = question.and_then(|question| {
         let ticket = Ticket::try_parse(&question.ticket)?;
         Some((question, ticket))
@@ -323,15 +326,16 @@
         let refusal = Refusal::new(ErrorKind::BadRequest, "the question cannot be read");
         return refuse(&daemon, &refusal);
     };
-    daemon.metrics.control_messages.inc();
     let mut settled = settle_once(&daemon, &question, &ticket);
     if matches!(settled, Settled::Running) && question.wait_ms > 0 {
         wait_for_end(&daemon, &question).await;
         settled = settle_once(&daemon, &question, &ticket);
     }
+    let answer = rmp_serde::to_vec(&answer(settled)).unwrap_or_default();
+    daemon.traffic.on_answer_sent(answer.len());
     Response::builder()
         .content_type("application/msgpack")
-        .body(rmp_serde::to_vec(&answer(settled)).unwrap_or_default())
+        .body(answer)
 }
 
 fn settle_once(daemon: &Daemon, question: &SettleQuestion, ticket: &Ticket) -> Settled<Outcome> {
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -86,7 +86,7 @@
         let platform = Platform::new(control.clone(), &settings.platform_addresses);
         let limit = Limit::new(settings.limits.max_requests);
         Self {
-            http_once: HttpClient::new_unpooled(),
+            http_once: HttpClient::new_short_idle(),
             platform,
             metrics,
             control,
--- a/tests/process_requests.rs
+++ b/tests/process_requests.rs
@@ -112,6 +112,27 @@
     assert_eq!(runs(&cluster, "slip-1"), 1);
 }
 
+/// A frozen daemon still believes that the call is its own, and it is.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_daemon_is_frozen_never_runs_again() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let tickets = tickets(&cluster).await;
+    let sending = Sending::call("slip-0", &restock(), &tickets[0].1, TIMEOUT_MS);
+    cluster.world.services[0].1.hold(true);
+    let first = spawn_send(&sending, tickets[0].0);
+    wait_until_it_runs(&cluster, "slip-0").await;
+    cluster.signal(0, Signal::STOP);
+    let resent = refused(sending.send(&cluster.http, tickets[1].0).await);
+    assert_eq!(resent.kind, ErrorKind::OutcomeUnknown);
+    cluster.world.services[0].1.hold(false);
+    cluster.signal(0, Signal::CONT);
+    assert_eq!(
+        slip(first.await.expect("the caller ends")).request_id,
+        "slip-0"
+    );
+    assert_eq!(runs(&cluster, "slip-0"), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_runs_is_answered_at_another_daemon() {
     let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
@@ -340,13 +361,23 @@
     assert_eq!(crashed.count(), 1);
 }
 
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn an_answer_that_nobody_waits_for_is_cancelled() {
+async fn an_answer_that_nobody_waits_for_is_cancelled(#[case] stream: bool) {
     let cluster = Cluster::start(SIZE, slow_engine(50)).await;
     let address = cluster.caller_addresses()[0];
-    let request = long_request(600, false);
+    let request = long_request(600, stream);
     let sending = Sending::completion("gone-7", &request, TIMEOUT_MS);
-    let caller = spawn_send(&sending, address);
+    let caller = tokio::spawn(async move {
+        let http = HttpClient::new();
+        if stream {
+            drop(read_stream(&http, address, &sending).await);
+        } else {
+            sending.send(&http, address).await;
+        }
+    });
     eventually("the answer has begun", async || {
         (tokens(&cluster) > 0).then_some(())
     })
