--- a/crates/standins/src/bench_path.rs
+++ b/crates/standins/src/bench_path.rs
@@ -2,7 +2,9 @@
 //! the endpoint, in turns, in one run.
 
 use std::{
+    fs,
     net::SocketAddr,
+    path::Path,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -32,7 +34,7 @@
 
 /// What to measure.
 #[derive(Clone, Debug)]
-pub struct BenchSettings {
+pub struct PathSettings {
     /// The platform.
     pub platform: SocketAddr,
     /// How many daemons to wait for.
@@ -49,6 +51,31 @@
     pub label: String,
 }
 
+impl PathSettings {
+    /// Reads the files of a world, and takes the rates up to the planned peak.
+    ///
+    /// # Errors
+    ///
+    /// A sentence that says which file cannot be read.
+    pub fn try_read(dir: &Path, daemons: usize, label: String) -> Result<Self, String> {
+        let read = |name: &str| {
+            let text = fs::read_to_string(dir.join(name));
+            text.map_err(|error| format!("{name}: {error}"))
+        };
+        let platform = read("platform")?.parse();
+        let config = serde_json::from_str(&read("config.json")?);
+        Ok(Self {
+            platform: platform.map_err(|error| format!("platform: {error}"))?,
+            daemons,
+            config: config.map_err(|error| error.to_string())?,
+            rates: vec![100, 400, 1_300],
+            slice_ms: 2_000,
+            slices: 3,
+            label,
+        })
+    }
+}
+
 /// Which way the requests take.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -86,7 +113,7 @@
 /// # Errors
 ///
 /// A sentence if the run would be too long or cannot start.
-pub async fn bench_path(settings: BenchSettings) -> Result<(), String> {
+pub async fn bench_path(settings: PathSettings) -> Result<(), String> {
     const START_MS: u64 = 30_000;
     let ways = WAYS.len() as u64;
     let per_s: u64 = settings.rates.iter().sum();
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,7 +10,9 @@
 
 use bpaf::Bpaf;
 use standins::{
-    bench_path::{BenchSettings, bench_path},
+    bench_ledger::{self, BenchSettings},
+    bench_path::{PathSettings, bench_path},
+    bench_policy::{self, Fault, Selection, WorkloadName},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
     fault,
@@ -104,6 +106,49 @@
         #[bpaf(argument("SECONDS"), fallback(60))]
         seconds: u64,
     },
+    /// Measures one trainer's ledger over one step; prints one line of JSON.
+    #[bpaf(command("bench-ledger"))]
+    BenchLedger {
+        /// Groups of the step.
+        #[bpaf(argument("N"), fallback(1_024))]
+        groups: u32,
+        /// Samples in a group.
+        #[bpaf(argument("N"), fallback(8))]
+        samples_per_group: u32,
+        /// Tokens in a sample.
+        #[bpaf(argument("N"), fallback(1_500))]
+        tokens: u32,
+        /// Samples that come in between two commits.
+        #[bpaf(argument("N"), fallback(15))]
+        samples_per_commit: u32,
+        /// Uses the platform stand-in over loopback.
+        loopback: bool,
+    },
+    /// Compares the decisions with plain baselines, in virtual time.
+    #[bpaf(command("bench-policy"))]
+    BenchPolicy {
+        /// Only this workload: barek, rionegro or tenth.
+        #[bpaf(argument("NAME"))]
+        workload: Option<WorkloadName>,
+        /// Only this fault.
+        #[bpaf(argument("NAME"))]
+        fault: Option<Fault>,
+        /// Only this policy.
+        #[bpaf(argument("NAME"))]
+        policy: Option<String>,
+        /// The first seed.
+        #[bpaf(argument("N"), fallback(100))]
+        first_seed: u64,
+        /// How many seeds.
+        #[bpaf(argument("N"), fallback(10))]
+        seeds: u64,
+        /// How many runs go on at the same time.
+        #[bpaf(argument("N"), fallback(4))]
+        threads: usize,
+        /// The directory to which figures and charts are written.
+        #[bpaf(argument("DIR"))]
+        out: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -140,34 +185,13 @@
                 services,
                 data_centres,
             };
-            let world = World::try_start(size, EngineSettings::default())
-                .await
-                .map_err(|error| error.to_string())?;
-            world
-                .write_files(size, &dir)
-                .map_err(|error| error.to_string())?;
-            tokio::time::sleep(Duration::from_secs(seconds)).await;
-            Ok(())
+            run_world(size, &dir, seconds).await
         }
         Command::BenchPath {
             dir,
             daemons,
             label,
-        } => {
-            let settings = BenchSettings {
-                platform: read(&dir, "platform")?
-                    .parse()
-                    .map_err(|error| format!("{error}"))?,
-                daemons,
-                config: serde_json::from_str(&read(&dir, "config.json")?)
-                    .map_err(|error| error.to_string())?,
-                rates: vec![100, 400, 1_300],
-                slice_ms: 2_000,
-                slices: 3,
-                label,
-            };
-            bench_path(settings).await
-        }
+        } => bench_path(PathSettings::try_read(&dir, daemons, label)?).await,
         Command::Proofs => {
             println!("{}", proofs::table(Path::new("tests/scenarios"))?);
             Ok(())
@@ -207,14 +231,68 @@
                 samples_per_group: samples,
                 timeout_ms: seconds * 1_000,
             };
-            let prepared = drive::prepare(&settings).await?;
-            // Tells the demo's script that a fault may be played now.
-            fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
-            report(&drive::drive(&settings, &prepared).await?)
+            run_drive(settings, &dir).await
+        }
+        Command::BenchLedger {
+            groups,
+            samples_per_group,
+            tokens,
+            samples_per_commit,
+            loopback,
+        } => {
+            let settings = BenchSettings {
+                groups,
+                samples_per_group,
+                tokens,
+                samples_per_commit,
+                is_loopback: loopback,
+            };
+            run_bench_ledger(settings).await
         }
+        Command::BenchPolicy {
+            workload,
+            fault,
+            policy,
+            first_seed,
+            seeds,
+            threads,
+            out,
+        } => bench_policy::run(&Selection {
+            workload,
+            fault,
+            policy,
+            first_seed,
+            seeds,
+            threads,
+            out,
+        }),
     }
 }
 
+async fn run_world(size: WorldSize, dir: &Path, seconds: u64) -> Result<(), String> {
+    let world = World::try_start(size, EngineSettings::default()).await;
+    let world = world.map_err(|error| error.to_string())?;
+    world
+        .write_files(size, dir)
+        .map_err(|error| error.to_string())?;
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    Ok(())
+}
+
+async fn run_bench_ledger(settings: BenchSettings) -> Result<(), String> {
+    let report = bench_ledger::run(settings).await?;
+    let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
+    println!("{line}");
+    Ok(())
+}
+
+async fn run_drive(settings: DriveSettings, dir: &Path) -> Result<(), String> {
+    let prepared = drive::prepare(&settings).await?;
+    // Tells the demo's script that a fault may be played now.
+    fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
+    report(&drive::drive(&settings, &prepared).await?)
+}
+
 fn platform(dir: &Path) -> Result<SocketAddr, String> {
     read(dir, "platform")?
         .parse()
--- a/src/core/endpoint/table.rs
+++ b/src/core/endpoint/table.rs
@@ -8,6 +8,7 @@
     core::{
         Name,
         config::{Document, EndpointSettings, ServiceKind},
+        routing::Health,
     },
     wire::engine::Load,
 };
@@ -192,6 +193,7 @@
         endpoint.is_unanswered = load.is_none();
         if let Some(load) = load {
             endpoint.load = load;
+            endpoint.in_flight_at_report = endpoint.in_flight;
             endpoint.reported_at_ms = now_ms;
             endpoint.down_until_ms = 0;
         }
@@ -226,6 +228,11 @@
         }
     }
 
+    /// Returns what this daemon's own requests met at an endpoint.
+    pub fn health_mut(&mut self, service: &str, endpoint: &str) -> Option<&mut Health> {
+        Some(&mut self.get_mut(service, endpoint)?.health)
+    }
+
     fn get_mut(&mut self, service: &str, endpoint: &str) -> Option<&mut Endpoint> {
         self.services.get_mut(service)?.endpoints.get_mut(endpoint)
     }
--- a/src/core/guard.rs
+++ b/src/core/guard.rs
@@ -52,6 +52,20 @@
     SettleByReading,
     /// Freshness is checked when a sample is handed over.
     FreshnessAtHandOver,
+    /// A sample leaves its slot by a commit, before the hand-over passes it.
+    DropCommitted,
+    /// Samples leave their slots only where the trainer is known not to hold them.
+    DropAtHandOverOnly,
+    /// A step that is finished is not opened again.
+    StepOnce,
+    /// A new holder serves nothing before its first commit took effect.
+    ClaimBeforeServing,
+    /// What was not committed when the lease lapsed is kept for the next term.
+    KeepUncommitted,
+    /// Committed samples whose payload cannot be read are made again.
+    RemakeUnreadable,
+    /// A step may be opened again with later weights.
+    ReopenWithLaterWeights,
     /// Versions are taken from the engine's chunks.
     VersionsFromChunks,
     /// Contents that crash endpoints are isolated.
@@ -76,6 +90,14 @@
     Incarnation,
     /// Retries are limited to a share of first tries.
     RetryBudget,
+    /// An endpoint is the better of two drawn, not the best of all.
+    TwoChoices,
+    /// Requests wait or are refused beyond a limit learned from latency.
+    AdmissionLimit,
+    /// Callers leave a share of the endpoints to trainers.
+    BackgroundShare,
+    /// Work that cannot meet its deadline is refused at once.
+    DeadlineAdmission,
     /// Weights are swapped in waves.
     WeightWaves,
     /// What an engine reports is compared with what it was ordered.
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -4,6 +4,7 @@
 mod leases;
 mod quarantine;
 mod requests;
+mod samples;
 mod tickets;
 
 use serde_json::Value;
@@ -16,6 +17,7 @@
         "quarantine" => quarantine::play(body, seed),
         "requests" => requests::play(body, seed),
         "tickets" => tickets::play(body, seed),
+        "samples" => samples::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
 }
