--- a/src/daemon/crash.rs
+++ b/src/daemon/crash.rs
@@ -217,10 +217,9 @@
     let me = &daemon.me.vm;
     let members = lock(&daemon.membership);
     let others = members.alive().filter(|member| member.vm != *me);
-    let told: JoinSet<()> = others
+    let mut told: JoinSet<()> = others
         .map(|member| tell(daemon.clone(), member.control_address, news.clone()))
         .collect();
-    let mut told = told;
     async move { while told.join_next().await.is_some() {} }
 }
 
--- a/tests/process_requests.rs
+++ b/tests/process_requests.rs
@@ -13,7 +13,7 @@
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, BodyStream, Full};
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response, body::Incoming};
 use rstest::rstest;
 use rustix::process::Signal;
 use standins::{
@@ -221,7 +221,11 @@
 ) -> Result<(String, Vec<VersionSpan>), String> {
     let request = sending.try_build(address).expect("the request is valid");
     let response = http.send(address, request).await;
-    let body = response.map_err(|error| error.to_string())?.into_body();
+    read_events(response.map_err(|error| error.to_string())?).await
+}
+
+async fn read_events(response: Response<Incoming>) -> Result<(String, Vec<VersionSpan>), String> {
+    let body = response.into_body();
     let bytes = BodyStream::new(body)
         .filter_map(|frame| async { frame.map(|frame| frame.into_data().ok()).transpose() });
     let mut events = Box::pin(bytes.eventsource());
@@ -304,6 +308,40 @@
     assert_eq!(runs(&cluster, "slip-4"), 1);
 }
 
+/// The answer has more bytes than the sockets hold, and its caller reads none
+/// of them before the daemon has begun to refuse new work.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_slow_readers() {
+    const TOKENS: u32 = 800_000;
+    let engine = EngineSettings {
+        chunk_tokens: 800,
+        ..slow_engine(0)
+    };
+    let mut cluster = Cluster::start(SIZE, engine).await;
+    let address = cluster.caller_addresses()[0];
+    let request = long_request(TOKENS, true);
+    let sending = Sending::completion("slow-9", &request, TIMEOUT_MS);
+    let sent = sending.try_build(address).expect("the request is valid");
+    let response = cluster.http.send(address, sent).await;
+    let response = response.expect("the stream begins");
+    eventually("the answer is generated", async || {
+        (tokens(&cluster) >= u64::from(TOKENS)).then_some(())
+    })
+    .await;
+    cluster.signal(0, Signal::TERM);
+    let mut ids = 0..;
+    eventually("new work is refused", async || {
+        let id = format!("late-9-{}", ids.next()?);
+        let late = Sending::completion(&id, &long_request(1, false), 1_000);
+        let ended = late.send(&cluster.http, address).await;
+        matches!(ended, Ended::Refused(_)).then_some(())
+    })
+    .await;
+    let (text, weights) = read_events(response).await.expect("it is whole");
+    check(&request, &text, &weights);
+    assert_eq!(cluster.exit_code(0).await, Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_signal_ends_the_process_at_once() {
     let mut cluster = Cluster::start(SIZE, EngineSettings::default()).await;
