--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -11,6 +11,7 @@
 use bpaf::Bpaf;
 use standins::{
     bench_ledger::{self, BenchSettings},
+    bench_path::{PathSettings, bench_path},
     bench_policy::{self, Fault, Selection, WorkloadName},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
@@ -46,6 +47,19 @@
         #[bpaf(argument("SECONDS"), fallback(600))]
         seconds: u64,
     },
+    /// Measures the path against going straight to the endpoint.
+    #[bpaf(command)]
+    BenchPath {
+        /// The directory of a world.
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// How many daemons to wait for.
+        #[bpaf(argument("N"), fallback(3))]
+        daemons: usize,
+        /// What the run is called in the output.
+        #[bpaf(argument("TEXT"), fallback("path".to_owned()))]
+        label: String,
+    },
     /// Prints the table of stories for docs/PROOFS.md.
     #[bpaf(command)]
     Proofs,
@@ -173,6 +187,11 @@
             };
             run_world(size, &dir, seconds).await
         }
+        Command::BenchPath {
+            dir,
+            daemons,
+            label,
+        } => bench_path(PathSettings::try_read(&dir, daemons, label)?).await,
         Command::Proofs => {
             println!("{}", proofs::table(Path::new("tests/scenarios"))?);
             Ok(())
@@ -228,10 +247,7 @@
                 samples_per_commit,
                 is_loopback: loopback,
             };
-            let report = bench_ledger::run(settings).await?;
-            let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
-            println!("{line}");
-            Ok(())
+            run_bench_ledger(settings).await
         }
         Command::BenchPolicy {
             workload,
@@ -263,6 +279,13 @@
     Ok(())
 }
 
+async fn run_bench_ledger(settings: BenchSettings) -> Result<(), String> {
+    let report = bench_ledger::run(settings).await?;
+    let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
+    println!("{line}");
+    Ok(())
+}
+
 async fn run_drive(settings: DriveSettings, dir: &Path) -> Result<(), String> {
     let prepared = drive::prepare(&settings).await?;
     // Tells the demo's script that a fault may be played now.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,6 +21,7 @@
 mod rollout_task;
 mod run;
 mod sample_task;
+mod serve;
 mod settle;
 mod shutdown;
 mod state;
