Write patches under a number row, fetch by difference, refuse when too old

Cause: every patch and every poll moved the whole document; a patch was called accepted before any other daemon had it; a daemon cut off from table and peers went on with an old version for ever; endpoints were configured outside the lock, so that a slower thread could bring back those of an older version. Built: core/config submission (patch id and number in one transaction, lost answers settled by reading), replica (changes, whole document when too far behind), freshness (12 s after the table or a quorum vouched); announced through one member of each data centre; accepted only with a quorum. Conclusion: an accepted version is in force, or the daemon refuses, 12 s after the operator was answered.

--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -1,11 +1,29 @@
 //! The numbered configuration: its document, patches and versions.
+//!
+//! A patch is accepted by a compare-and-set of one small row, in the
+//! transaction that also writes the change and the patch's id
+//! ([`Submission`]). Daemons keep up by differences ([`Replica`]), and one
+//! that may be behind takes no new work ([`Freshness`]).
 
+mod change;
 mod document;
+mod freshness;
 mod patch;
+mod replica;
+mod rows;
+mod submission;
 mod versioned;
 
 pub use self::{
+    change::{Change, Update},
     document::{Document, EndpointSettings, Service, ServiceKind, Trainer},
+    freshness::{ASK_EVERY_MS, FRESH_MS, Freshness, Vouch, quorum},
     patch::{apply, changed_keys},
+    replica::Replica,
+    rows::{
+        HISTORY_PREFIX, NUMBER_KEY, NumberRow, PatchRow, SNAPSHOT_EVERY, SNAPSHOT_KEY, history_key,
+        patch_key,
+    },
+    submission::{Submission, SubmitStep, WriteOutcome},
     versioned::Versioned,
 };
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -21,7 +21,7 @@
 use super::{
     answer::{error_body, json, refuse},
     clock::now_ms,
-    dispatch,
+    config, dispatch,
     endpoints::{self, Generated, PlainCall},
     state::{Daemon, Outcome, WholeAnswer, lock},
 };
@@ -83,6 +83,10 @@
 )]
 #[handler]
 pub(crate) fn addresses(daemon: Data<&Arc<Daemon>>, query: Query<AddressQuery>) -> Response {
+    // A daemon that may be cut off would send callers to VMs that are gone.
+    if let Err(refusal) = config::check_fresh(&daemon) {
+        return refuse(&daemon, &refusal);
+    }
     let members = lock(&daemon.membership);
     let mut entries: Vec<Entry> = members
         .records()
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -1,56 +1,89 @@
-//! The numbered configuration: read from the table, written by patches.
+//! The numbered configuration: what is in force here, and the poll of the table.
 
 use std::sync::Arc;
 
 use rand::Rng;
-use serde_json::Value;
 
 use super::{
     clock::{now_ms, sleep_until},
-    platform::Written,
+    config_peers,
     state::{Daemon, lock},
 };
 use crate::{
-    core::config::{Versioned, apply, changed_keys},
-    error::{ErrorKind, Refusal},
-    wire::{
-        operators::{Accepted, HistoryEntry, Patch},
-        platform::{Check, Transaction, Write},
+    core::config::{
+        ASK_EVERY_MS, Change, HISTORY_PREFIX, NUMBER_KEY, NumberRow, SNAPSHOT_EVERY, SNAPSHOT_KEY,
+        Update, Versioned, history_key,
     },
+    error::{ErrorKind, Refusal},
+    wire::operators::HistoryEntry,
 };
 
-const HEAD_KEY: &str = "config/head";
-const HISTORY_PREFIX: &str = "config/history/";
-const MIN_POLL_MS: u64 = 1_000;
-const MAX_POLL_MS: u64 = 2_000;
-const PATCH_TRIES: u32 = 5;
+const MIN_POLL_MS: u64 = 2_000;
+const MAX_POLL_MS: u64 = 4_000;
+/// From so many missing changes on, the snapshot is read instead.
+const MAX_CHANGES_READ: u64 = 2 * SNAPSHOT_EVERY;
 
-/// Puts a configuration in force if its number is higher than what is here.
-pub(crate) fn put_in_force(daemon: &Daemon, versioned: Versioned) {
-    let number = versioned.number;
-    let document = versioned.document.clone();
-    let is_newer = daemon
-        .config
-        .send_if_modified(|here| here.replace_with(versioned));
-    if !is_newer {
-        return;
+/// Puts an update in force, if it gives a higher number than what is here.
+///
+/// The parts are told under the lock of the replica: told outside of it, a
+/// slower thread could bring back the endpoints of an older version.
+pub(crate) fn put_in_force(daemon: &Daemon, update: Update) -> Result<(), Refusal> {
+    let mut replica = lock(&daemon.replica);
+    if !replica.take(update)? {
+        return Ok(());
     }
-    lock(&daemon.endpoints).configure(&document);
+    let versioned = replica.versioned().clone();
+    let number = versioned.number;
+    lock(&daemon.endpoints).configure(&versioned.document);
+    daemon.config.send_replace(versioned);
+    lock(&daemon.freshness).on_number(number);
     daemon
         .metrics
         .config_number
         .set(i64::try_from(number).unwrap_or(i64::MAX));
+    drop(replica);
     tracing::info!(number, "configuration in force");
+    Ok(())
+}
+
+/// Returns the number in force here.
+pub(crate) fn number(daemon: &Daemon) -> u64 {
+    daemon.config.borrow().number
+}
+
+/// Returns an error unless this daemon may act on its configuration.
+pub(crate) fn check_fresh(daemon: &Daemon) -> Result<(), Refusal> {
+    if lock(&daemon.freshness).is_fresh(now_ms()) {
+        return Ok(());
+    }
+    let message = if number(daemon) == 0 {
+        "no configuration could be read since this VM started"
+    } else {
+        "neither the table nor a quorum of the VMs vouches for the configuration here"
+    };
+    Err(Refusal::new(ErrorKind::ConfigTooOld, message))
 }
 
-/// Reads the table again and again, as the floor under what peers tell.
+/// Reads the number again and again, as the floor under what peers tell, and
+/// asks members while the table does not vouch.
 pub(crate) async fn poll(daemon: Arc<Daemon>) {
     let mut stop = daemon.stop.subscribe();
+    let mut turn = 0;
     while !*stop.borrow_and_update() {
-        if let Ok((versioned, _)) = read_head(&daemon).await {
-            put_in_force(&daemon, versioned);
+        if let Err(refusal) = read_table(&daemon).await {
+            tracing::debug!(%refusal, "the configuration was not read");
         }
-        let wait_ms = lock(&daemon.rng).random_range(MIN_POLL_MS..=MAX_POLL_MS);
+        config_peers::expect_members(&daemon);
+        let needs_members = lock(&daemon.freshness).needs_members(now_ms());
+        if needs_members {
+            config_peers::ask_members(&daemon, turn).await;
+        }
+        turn += 1;
+        let wait_ms = if needs_members {
+            ASK_EVERY_MS
+        } else {
+            lock(&daemon.rng).random_range(MIN_POLL_MS..=MAX_POLL_MS)
+        };
         tokio::select! {
             () = sleep_until(now_ms() + wait_ms) => {}
             _ = stop.changed() => {}
@@ -58,125 +91,64 @@
     }
 }
 
-async fn read_head(daemon: &Daemon) -> Result<(Versioned, u64), Refusal> {
+/// Reads the number of the table, and then what is missing here.
+async fn read_table(daemon: &Daemon) -> Result<(), Refusal> {
+    let asked_ms = now_ms();
     daemon.metrics.platform_reads.inc();
-    let Some(row) = daemon.platform.get(HEAD_KEY).await? else {
-        return Ok((Versioned::default(), 0));
-    };
-    let versioned = serde_json::from_value(row.value).map_err(internal)?;
-    Ok((versioned, row.row_version))
-}
-
-fn patch_key(id: &str) -> Arc<str> {
-    format!("config/patch/{id}").into()
-}
-
-/// Submits a patch; sending the same patch again gives the first answer.
-pub(crate) async fn submit(daemon: &Daemon, patch: &Patch) -> Result<Accepted, Refusal> {
-    for _ in 0..PATCH_TRIES {
-        if let Some(row) = daemon.platform.get(&patch_key(&patch.id)).await? {
-            return first_answer(patch, row.value);
-        }
-        let (current, row_version) = read_head(daemon).await?;
-        put_in_force(daemon, current.clone());
-        let next = match apply(&current, patch.against, &patch.merge) {
-            Ok(next) => next,
-            Err(refusal) => return Err(explain(daemon, patch, refusal).await),
-        };
-        let transaction = transaction(patch, &next, row_version)?;
-        daemon.metrics.platform_writes.inc();
-        match daemon.platform.transact(&transaction).await {
-            Written::Committed(_) => {
-                put_in_force(daemon, next.clone());
-                return Ok(Accepted {
-                    number: next.number,
-                });
-            }
-            // Read again: either this patch is there now, or another one is.
-            Written::Conflict | Written::Unknown | Written::Refused => {}
-        }
+    let row = daemon.platform.get(NUMBER_KEY).await?;
+    let number = row.map_or(Ok(0), |row| {
+        serde_json::from_value::<NumberRow>(row.value).map(|row| row.number)
+    });
+    let number = number.map_err(internal)?;
+    if number > self::number(daemon) {
+        catch_up(daemon, number).await?;
     }
-    Err(Refusal::new(
-        ErrorKind::NotConfirmed,
-        "the patch is not known to be written; send it again",
-    ))
+    lock(&daemon.freshness).on_store_read(asked_ms, number);
+    Ok(())
 }
 
-fn first_answer(patch: &Patch, row: Value) -> Result<Accepted, Refusal> {
-    let (number, earlier): (u64, Patch) = serde_json::from_value(row).map_err(internal)?;
-    if earlier == *patch {
-        return Ok(Accepted { number });
+/// Brings this daemon to version `number` at least: from a member if one has
+/// it, else from the table.
+pub(crate) async fn catch_up(daemon: &Daemon, number: u64) -> Result<(), Refusal> {
+    if config_peers::fetch_from_any(daemon, number).await {
+        return Ok(());
     }
-    Err(Refusal::new(
-        ErrorKind::IdReused,
-        format!("the patch id '{}' was used with another patch", patch.id),
-    ))
-}
-
-fn transaction(patch: &Patch, next: &Versioned, row_version: u64) -> Result<Transaction, Refusal> {
-    let history = HistoryEntry {
-        number: next.number,
-        patch_id: patch.id.clone(),
-        changed: changed_keys(&patch.merge).into_iter().collect(),
-    };
-    let history_key = format!("{HISTORY_PREFIX}{:020}", next.number).into();
-    let write = |key: Arc<str>, value: Result<Value, serde_json::Error>| {
-        value
-            .map(|value| Write {
-                key,
-                value: Some(value),
-            })
-            .map_err(internal)
-    };
-    Ok(Transaction {
-        checks: vec![
-            Check {
-                key: HEAD_KEY.into(),
-                row_version,
-            },
-            Check {
-                key: patch_key(&patch.id),
-                row_version: 0,
-            },
-        ],
-        writes: vec![
-            write(HEAD_KEY.into(), serde_json::to_value(next))?,
-            write(history_key, serde_json::to_value(&history))?,
-            write(
-                patch_key(&patch.id),
-                serde_json::to_value((next.number, patch)),
-            )?,
-        ],
-    })
+    let here = self::number(daemon);
+    if here >= number {
+        return Ok(());
+    }
+    let is_far_behind = here == 0 || number - here > MAX_CHANGES_READ;
+    if is_far_behind && let Some(whole) = read_snapshot(daemon).await? {
+        put_in_force(daemon, Update::Whole(whole))?;
+    }
+    let changes = read_changes(daemon, self::number(daemon)).await?;
+    put_in_force(daemon, Update::Changes(changes))
 }
 
-/// Adds to a refused patch which keys changed since it was written.
-async fn explain(daemon: &Daemon, patch: &Patch, refusal: Refusal) -> Refusal {
-    if refusal.kind() != ErrorKind::ConfigConflict {
-        return refusal;
-    }
-    let Ok(history) = history(daemon).await else {
-        return refusal;
-    };
-    let later = history
-        .into_iter()
-        .filter(|entry| entry.number > patch.against);
-    let keys: Vec<_> = later.flat_map(|entry| entry.changed).collect();
-    Refusal::new(
-        refusal.kind(),
-        format!("{refusal}; changed since: {}", keys.join(", ")),
-    )
+async fn read_snapshot(daemon: &Daemon) -> Result<Option<Versioned>, Refusal> {
+    daemon.metrics.platform_reads.inc();
+    let row = daemon.platform.get(SNAPSHOT_KEY).await?;
+    row.map(|row| serde_json::from_value(row.value).map_err(internal))
+        .transpose()
 }
 
-/// Reads the history of the configuration.
-pub(crate) async fn history(daemon: &Daemon) -> Result<Vec<HistoryEntry>, Refusal> {
-    let rows = daemon.platform.scan(HISTORY_PREFIX).await?;
+/// Reads the changes after version `number`, in order.
+pub(crate) async fn read_changes(daemon: &Daemon, number: u64) -> Result<Vec<Change>, Refusal> {
+    daemon.metrics.platform_reads.inc();
+    let after = history_key(number);
+    let rows = daemon.platform.scan_after(HISTORY_PREFIX, after).await?;
     rows.into_iter()
         .map(|row| serde_json::from_value(row.value).map_err(internal))
         .collect()
 }
 
-fn internal<E>(error: E) -> Refusal
+/// Reads the history of the configuration after version `number`.
+pub(crate) async fn history(daemon: &Daemon, number: u64) -> Result<Vec<HistoryEntry>, Refusal> {
+    let changes = read_changes(daemon, number).await?;
+    Ok(changes.iter().map(HistoryEntry::from).collect())
+}
+
+pub(crate) fn internal<E>(error: E) -> Refusal
 where
     E: std::fmt::Display,
 {
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -5,6 +5,7 @@
 
 use super::{
     clock::now_ms,
+    config,
     state::{Daemon, lock},
 };
 use crate::{
@@ -28,6 +29,7 @@
             "this VM is shutting down",
         ));
     }
+    config::check_fresh(daemon)?;
     if !lock(&daemon.limit).try_start() {
         return Err(Refusal::new(
             ErrorKind::Overloaded,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,8 @@
 mod callers;
 mod clock;
 mod config;
+mod config_peers;
+mod config_submit;
 mod dispatch;
 mod endpoints;
 mod http;
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -2,12 +2,16 @@
 
 use std::sync::Arc;
 
-use poem::{Body, Response, handler, web::Data};
+use poem::{
+    Body, Response, handler,
+    web::{Data, Query},
+};
+use serde::Deserialize;
 
 use super::{
     answer::{json, json_or_refuse},
     clock::now_ms,
-    config,
+    config, config_submit,
     state::{Daemon, lock},
 };
 use crate::{
@@ -40,15 +44,21 @@
             bytes.map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
         let patch: Patch = serde_json::from_slice(&bytes)
             .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
-        config::submit(&daemon, &patch).await
+        config_submit::submit(&daemon, patch).await
     };
     json_or_refuse(&daemon, result.await)
 }
 
-/// `GET /operator/history`: every change of the configuration.
+#[derive(Debug, Deserialize)]
+pub(crate) struct HistoryQuery {
+    since: Option<u64>,
+}
+
+/// `GET /operator/history?since=N`: the changes after version N, or all.
 #[handler]
-pub(crate) async fn history(daemon: Data<&Arc<Daemon>>) -> Response {
-    json_or_refuse(&daemon, config::history(&daemon).await)
+pub(crate) async fn history(daemon: Data<&Arc<Daemon>>, query: Query<HistoryQuery>) -> Response {
+    let after = query.since.unwrap_or_default();
+    json_or_refuse(&daemon, config::history(&daemon, after).await)
 }
 
 /// `GET /operator/status`: what this daemon knows.
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -1,20 +1,19 @@
 //! Other daemons: records of members, and the configuration's number.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use poem::{Body, Response, handler, web::Data};
 
 use super::{
     answer::refuse,
     clock::{now_ms, sleep_until},
-    config::put_in_force,
+    config_peers,
     state::{Daemon, lock},
 };
 use crate::{
-    core::config::Versioned,
     error::{ErrorKind, Refusal},
     wire::{
-        peers::{Gossip, MemberRecord},
+        peers::Gossip,
         platform::{Transaction, Write},
     },
 };
@@ -93,18 +92,7 @@
     };
     lock(&daemon.membership).merge(received.records);
     if received.config_number > daemon.config.borrow().number {
-        fetch_config(daemon, &peer).await;
-    }
-}
-
-async fn fetch_config(daemon: &Daemon, peer: &MemberRecord) {
-    let answer = daemon
-        .http
-        .get_json(peer.control_address, "/operator/config", TIMEOUT_MS)
-        .await;
-    let versioned: Result<Versioned, _> = answer;
-    if let Ok(versioned) = versioned {
-        put_in_force(daemon, versioned);
+        config_peers::fetch(daemon, peer.control_address, received.config_number).await;
     }
 }
 
@@ -117,6 +105,7 @@
         .into_iter()
         .filter_map(|row| serde_json::from_value(row.value).ok());
     lock(&daemon.membership).merge(records);
+    daemon.has_read_members.store(true, Ordering::SeqCst);
 }
 
 /// Writes this member's record to the table, where starting members look.
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -58,11 +58,30 @@
         Ok(rows.into_iter().next().filter(|row| row.row_version > 0))
     }
 
+    /// Reads rows together, as they stand at one time; version 0 for no row.
+    pub(crate) async fn get_rows(&self, keys: &[Arc<str>]) -> Result<Vec<Row>, Refusal> {
+        let get = Get {
+            keys: keys.to_vec(),
+        };
+        self.post("/table/get", &get).await.map_err(unavailable)
+    }
+
     /// Reads every row whose key starts with a prefix.
     pub(crate) async fn scan(&self, prefix: &str) -> Result<Vec<Row>, Refusal> {
+        self.scan_after(prefix, "".into()).await
+    }
+
+    /// Reads every row whose key starts with a prefix and comes after a key.
+    pub(crate) async fn scan_after(
+        &self,
+        prefix: &str,
+        after: Arc<str>,
+    ) -> Result<Vec<Row>, Refusal> {
         let mut rows: Vec<Row> = Vec::new();
         loop {
-            let after = rows.last().map_or_else(|| "".into(), |row| row.key.clone());
+            let after = rows
+                .last()
+                .map_or_else(|| after.clone(), |row| row.key.clone());
             let scan = Scan {
                 prefix: prefix.into(),
                 after,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -9,12 +9,13 @@
 use tokio::task::JoinSet;
 
 use super::{
-    callers, config, operators, peers, rollout_task,
+    callers, config, config_peers, operators, peers, rollout_task,
     shutdown::{self, Signals},
     state::{Daemon, lock},
     trainer_task, trainers, watch,
 };
 use crate::{
+    error::{ErrorKind, Refusal},
     settings::Settings,
     wire::peers::{MemberRecord, MemberState},
 };
@@ -87,6 +88,9 @@
 fn control_routes() -> Route {
     Route::new()
         .at("/peer/gossip", post(peers::exchange))
+        .at("/peer/config/announce", post(config_peers::announced))
+        .at("/peer/config/since", post(config_peers::changes_since))
+        .at("/peer/config/vouches", post(config_peers::vouches))
         .at("/operator/config", get(operators::get_config))
         .at("/operator/patch", post(operators::patch))
         .at("/operator/history", get(operators::history))
@@ -152,11 +156,21 @@
 )]
 #[handler]
 fn readyz(daemon: Data<&Arc<Daemon>>) -> Response {
-    let is_ready = daemon.config.borrow().number > 0
-        && !daemon.is_draining.load(std::sync::atomic::Ordering::SeqCst);
-    let status = if is_ready { 200 } else { 503 };
+    let refused = if daemon.is_draining.load(std::sync::atomic::Ordering::SeqCst) {
+        Some(Refusal::new(
+            ErrorKind::Draining,
+            "this VM is shutting down",
+        ))
+    } else {
+        config::check_fresh(&daemon).err()
+    };
+    let status = refused
+        .as_ref()
+        .map_or(200, |refusal| refusal.answer().status);
     let status = poem::http::StatusCode::from_u16(status).unwrap_or_default();
-    Response::builder()
-        .status(status)
-        .body(if is_ready { "ready\n" } else { "not ready\n" })
+    let text = refused.map_or_else(
+        || "ready\n".to_owned(),
+        |refusal| format!("not ready: {refusal}\n"),
+    );
+    Response::builder().status(status).body(text)
 }
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -11,14 +11,14 @@
 use tokio::sync::watch;
 
 use super::{
-    http::HttpClient, metrics::Metrics, platform::Platform, rollout_task::RolloutTask,
-    trainer_task::TrainerTask,
+    clock::now_ms, http::HttpClient, metrics::Metrics, platform::Platform,
+    rollout_task::RolloutTask, trainer_task::TrainerTask,
 };
 use crate::{
     core::{
         Name,
         admission::Limit,
-        config::{Service, Versioned},
+        config::{Freshness, Replica, Service, Versioned},
         endpoint::EndpointTable,
         membership::Membership,
         quarantine::Quarantine,
@@ -51,7 +51,13 @@
     pub(crate) http_once: HttpClient,
     pub(crate) platform: Platform,
     pub(crate) metrics: Metrics,
+    /// What is in force, as [`Daemon::replica`] has it.
     pub(crate) config: watch::Sender<Versioned>,
+    pub(crate) replica: Mutex<Replica>,
+    pub(crate) freshness: Mutex<Freshness>,
+    /// Whether the members were read since the start: until then this VM
+    /// does not know whether it is the only one.
+    pub(crate) has_read_members: AtomicBool,
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) membership: Mutex<Membership>,
     pub(crate) limit: Mutex<Limit>,
@@ -77,6 +83,9 @@
             platform,
             metrics: Metrics::new(),
             config: watch::Sender::new(Versioned::default()),
+            replica: Mutex::default(),
+            freshness: Mutex::new(Freshness::new(me.vm.clone(), now_ms())),
+            has_read_members: AtomicBool::new(false),
             endpoints: Mutex::default(),
             membership: Mutex::new(Membership::new(me.clone())),
             limit: Mutex::new(limit),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,6 +4,7 @@
 //! `MessagePack` between daemons.
 
 pub mod callers;
+pub mod config;
 pub mod engine;
 pub mod operators;
 pub mod peers;
--- a/src/wire/operators.rs
+++ b/src/wire/operators.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::core::Name;
+use crate::core::{
+    Name,
+    config::{Change, changed_keys},
+};
 
 /// A patch to the numbered configuration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -37,6 +40,16 @@
     pub changed: Vec<Arc<str>>,
 }
 
+impl From<&Change> for HistoryEntry {
+    fn from(change: &Change) -> Self {
+        Self {
+            number: change.number,
+            patch_id: change.patch_id.clone(),
+            changed: changed_keys(&change.merge).into_iter().collect(),
+        }
+    }
+}
+
 /// What one daemon knows, for operators.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Status {
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -1,5 +1,6 @@
 //! The fakes that stories are played with, one file a part of the core.
 
+mod config;
 mod leases;
 
 use serde_json::Value;
@@ -7,6 +8,7 @@
 /// Plays a story's body in its world and returns every promise that was broken.
 pub fn play(world: &str, body: &Value, seed: u64) -> Vec<String> {
     match world {
+        "config" => config::play(body, seed),
         "leases" => leases::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
