Swap weights by data centre, order again what is not reported, keep a lease over a lost answer

Cause: a wave was half of all samplers, whichever they were, so that a data centre could swap whole; an order was given up after 8 s and its sampler then no longer counted as swapping; a sampler that crashed under an order waited out those 8 s; the first orders all left at once; a holder with an old configuration ordered old weights; a successor ordered while orders of its predecessor could be under way; a lease was lost for its whole term whenever the answer of a renewal was lost.

--- a/src/core/lease/lease.rs
+++ b/src/core/lease/lease.rs
@@ -58,6 +58,15 @@
     incarnation: u64,
     seen: Option<Seen>,
     held: Option<Held>,
+    unanswered: Option<Unanswered>,
+}
+
+/// A write that may have taken effect.
+#[derive(Clone, Debug)]
+struct Unanswered {
+    sent_ms: u64,
+    row: LeaseRow,
+    row_version: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +92,7 @@
             incarnation,
             seen: None,
             held: None,
+            unanswered: None,
         }
     }
 
@@ -123,9 +133,16 @@
 
     /// Notes the row as it was read.
     ///
-    /// A row that is read to be this member's own counts as not held, since it
-    /// is not known when its write was sent: its term is waited out.
+    /// A row that is the work of a write without an answer counts as written.
+    /// Any other row of this member's own counts as not held, since it is not
+    /// known when its write was sent: its term is waited out.
     pub fn on_read(&mut self, now_ms: u64, row: Option<LeaseRow>, row_version: u64) {
+        if let Some(sent_ms) = self.settle(row.as_ref(), row_version)
+            && let Some(row) = row
+        {
+            self.on_written(sent_ms, row, row_version);
+            return;
+        }
         if self
             .seen
             .as_ref()
@@ -157,12 +174,34 @@
         });
     }
 
-    /// Notes that the row had another version, or that the answer was lost:
-    /// the row has to be read again.
+    /// Returns when the write was sent, at the earliest, that made this row.
+    fn settle(&self, row: Option<&LeaseRow>, row_version: u64) -> Option<u64> {
+        let unanswered = self.unanswered.as_ref()?;
+        let is_own = row == Some(&unanswered.row) && row_version == unanswered.row_version + 1;
+        (is_own && guard::is_on(Guard::SettleByReading)).then_some(unanswered.sent_ms)
+    }
+
+    /// Notes that the row had another version: it has to be read again.
     pub fn on_conflict(&mut self) {
         self.seen = None;
     }
 
+    /// Notes that a write of `row` over version `row_version`, sent at
+    /// `sent_ms`, got no answer: only reading tells whether it took effect.
+    ///
+    /// Where a write over the same version had no answer before, it may be the
+    /// earlier one that took effect, so the term counts from that one.
+    pub fn on_unanswered(&mut self, sent_ms: u64, row: LeaseRow, row_version: u64) {
+        self.seen = None;
+        let first = self.unanswered.take();
+        let first = first.filter(|first| first.row_version == row_version && first.row == row);
+        self.unanswered = first.or(Some(Unanswered {
+            sent_ms,
+            row,
+            row_version,
+        }));
+    }
+
     /// Returns the fencing number while the lease is held, with the margin.
     #[must_use]
     pub fn fence(&self, now_ms: u64) -> Option<u64> {
--- a/src/core/weights/mod.rs
+++ b/src/core/weights/mod.rs
@@ -2,4 +2,4 @@
 
 mod rollout;
 
-pub use self::rollout::{Rollout, Sampler};
+pub use self::rollout::{LONGEST_ORDER_MS, ORDER_TIMEOUT_MS, Rollout, Sampler, WAVE_PERCENT};
--- a/src/daemon/lease_keeper.rs
+++ b/src/daemon/lease_keeper.rs
@@ -118,10 +118,14 @@
                 lock(&self.lease).on_written(sent_ms, row, row_version + 1);
                 now_ms()
             }
-            Written::Conflict | Written::Unknown => {
+            Written::Conflict => {
                 lock(&self.lease).on_conflict();
                 now_ms()
             }
+            Written::Unknown => {
+                lock(&self.lease).on_unanswered(sent_ms, row, row_version);
+                now_ms()
+            }
             Written::Refused => now_ms() + AFTER_FAILURE_MS,
         }
     }
--- a/src/daemon/rollout_task.rs
+++ b/src/daemon/rollout_task.rs
@@ -11,6 +11,7 @@
 
 use super::{
     clock::now_ms,
+    config,
     http::{HttpError, request},
     lease_keeper::LeaseKeeper,
     state::{Daemon, lock},
@@ -19,6 +20,7 @@
     core::{
         Name,
         config::ServiceKind,
+        endpoint::EndpointState,
         weights::{Rollout, Sampler},
     },
     wire::engine::Order,
@@ -72,19 +74,27 @@
     }
 
     async fn send_orders(&self, daemon: &Daemon, fence: u64) {
+        // An old target would take samplers back to old weights.
+        if config::check_fresh(daemon).is_err() {
+            return;
+        }
         let Ok(service) = daemon.service(&self.service) else {
             return;
         };
+        let now_ms = now_ms();
         let samplers: Vec<Sampler> = lock(&daemon.endpoints)
             .of_service(&self.service)
             .filter(|endpoint| endpoint.reported_at_ms > 0)
+            .filter(|endpoint| endpoint.state(now_ms) == EndpointState::Serving)
             .map(|endpoint| Sampler {
                 name: endpoint.name.clone(),
+                data_centre: endpoint.settings.data_centre.clone(),
                 weights_version: endpoint.load.weights_version,
+                incarnation: endpoint.load.incarnation,
             })
             .collect();
         let target = service.weights_version;
-        let orders = lock(&self.rollout).orders(now_ms(), target, fence, &samplers);
+        let orders = lock(&self.rollout).orders(now_ms, target, fence, &samplers);
         let sends = orders.into_iter().filter_map(|(name, order)| {
             let address = service.endpoints.get(&name)?.address;
             Some(self.send(daemon, address, order))
--- a/tests/worlds/leases.rs
+++ b/tests/worlds/leases.rs
@@ -14,6 +14,7 @@
 
 const KEY: &str = "lease";
 const TURN_MS: u64 = 200;
+const TIMEOUT_MS: u64 = 1_000;
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -26,6 +27,11 @@
     /// Whether the resource refuses old fencing numbers.
     resource_checks: bool,
     pauses: Vec<Pause>,
+    /// How many of a thousand writes take effect and get no answer.
+    #[serde(default)]
+    unanswered_permille: u32,
+    /// The longest that nobody may hold the lease, where that is bounded.
+    max_gap_ms: Option<u64>,
 }
 
 /// A member that stands still and goes on as if nothing had happened.
@@ -45,6 +51,7 @@
     WriteArrives(usize, u64, LeaseRow, u64),
     WriteAnswered(usize, u64, LeaseRow, Option<u64>),
     AnswerLost(usize),
+    Unanswered(usize, u64, LeaseRow, u64),
     Act(usize, u64),
 }
 
@@ -68,6 +75,7 @@
     leases: Vec<Lease>,
     highest_fence: u64,
     acts: u64,
+    last_act_ms: Option<u64>,
     broken: Vec<String>,
 }
 
@@ -85,6 +93,7 @@
             table: Table::default(),
             highest_fence: 0,
             acts: 0,
+            last_act_ms: None,
             broken: Vec::new(),
         }
     }
@@ -103,6 +112,12 @@
             }
             Event::WriteArrives(member, sent_ms, row, row_version) => {
                 let written = self.write(&row, row_version);
+                let permille = self.body.unanswered_permille;
+                if rand::Rng::random_ratio(&mut self.sim.rng, permille, 1_000) {
+                    let event = Event::Unanswered(member, sent_ms, row, row_version);
+                    self.sim.at(now_ms + TIMEOUT_MS, event);
+                    return;
+                }
                 self.answer(member, &Event::WriteAnswered(member, sent_ms, row, written));
             }
             Event::WriteAnswered(member, sent_ms, row, Some(version)) => {
@@ -111,6 +126,9 @@
             Event::WriteAnswered(member, _, _, None) | Event::AnswerLost(member) => {
                 self.leases[member].on_conflict();
             }
+            Event::Unanswered(member, sent_ms, row, row_version) => {
+                self.leases[member].on_unanswered(sent_ms, row, row_version);
+            }
             Event::Act(member, fence) => self.act(member, fence),
         }
     }
@@ -149,7 +167,6 @@
 
     /// An answer that is lost is noticed by a time-out.
     fn answer(&mut self, member: usize, event: &Event) {
-        const TIMEOUT_MS: u64 = 1_000;
         let lost = self.body.network.lost_permille;
         if rand::Rng::random_ratio(&mut self.sim.rng, lost, 1_000) {
             self.sim
@@ -178,12 +195,24 @@
         outcome.committed.then_some(row_version + 1)
     }
 
+    /// Checks for how long nobody acted, once somebody has.
+    fn check_gap(&mut self) {
+        let now_ms = self.sim.now_ms;
+        let last_ms = self.last_act_ms.replace(now_ms).unwrap_or(now_ms);
+        let most_ms = self.body.max_gap_ms.unwrap_or(u64::MAX);
+        if now_ms > last_ms.saturating_add(most_ms) {
+            self.broken
+                .push(format!("nobody acted from {last_ms} to {now_ms} ms"));
+        }
+    }
+
     fn act(&mut self, member: usize, fence: u64) {
         let is_checked = self.body.resource_checks && guard::is_on(Guard::Fencing);
         if is_checked && fence < self.highest_fence {
             return;
         }
         self.acts += 1;
+        self.check_gap();
         if fence < self.highest_fence {
             let now_ms = self.sim.now_ms;
             let highest = self.highest_fence;
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod leases;
+mod weights;
 
 use serde_json::Value;
 
@@ -10,6 +11,7 @@
     match world {
         "config" => config::play(body, seed),
         "leases" => leases::play(body, seed),
+        "weights" => weights::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
 }
