--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,12 +4,15 @@
 //! Nothing of this ships. Each stand-in listens on loopback, at a port that
 //! the kernel chooses.
 
+pub mod bench_ledger;
 pub mod caller;
 pub mod drive;
 pub mod engine;
+pub mod fault;
 pub mod http;
 pub mod oracle;
 pub mod platform;
+pub mod proofs;
 pub mod service;
 pub mod text;
 pub mod trainer;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,11 +1,21 @@
 //! The stand-ins' command line: see `standins --help`.
 
-use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
 
 use bpaf::Bpaf;
 use standins::{
+    bench_ledger::{self, BenchSettings},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
+    fault,
+    platform::Faults,
+    proofs,
     world::{World, WorldSize},
 };
 
@@ -35,6 +45,27 @@
         #[bpaf(argument("SECONDS"), fallback(600))]
         seconds: u64,
     },
+    /// Prints the table of stories for docs/PROOFS.md.
+    #[bpaf(command)]
+    Proofs,
+    /// Switches faults of the platform on for a while.
+    #[bpaf(command)]
+    Fault {
+        /// The directory of a world.
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// Every request is refused.
+        down: bool,
+        /// How long every request waits first, in milliseconds.
+        #[bpaf(argument("MS"), fallback(0))]
+        delay_ms: u64,
+        /// How many answers of writes are lost after the write took effect.
+        #[bpaf(argument("N"), fallback(0))]
+        lose_answers: u32,
+        /// For how long, in milliseconds.
+        #[bpaf(argument("MS"), fallback(5_000))]
+        for_ms: u64,
+    },
     /// Drives callers and a trainer, and judges what they saw.
     #[bpaf(command)]
     Drive {
@@ -60,6 +91,24 @@
         #[bpaf(argument("SECONDS"), fallback(60))]
         seconds: u64,
     },
+    /// Measures one trainer's ledger over one step; prints one line of JSON.
+    #[bpaf(command("bench-ledger"))]
+    BenchLedger {
+        /// Groups of the step.
+        #[bpaf(argument("N"), fallback(1_024))]
+        groups: u32,
+        /// Samples in a group.
+        #[bpaf(argument("N"), fallback(8))]
+        samples_per_group: u32,
+        /// Tokens in a sample.
+        #[bpaf(argument("N"), fallback(1_500))]
+        tokens: u32,
+        /// Samples that come in between two commits.
+        #[bpaf(argument("N"), fallback(15))]
+        samples_per_commit: u32,
+        /// Uses the platform stand-in over loopback.
+        loopback: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -105,6 +154,25 @@
             tokio::time::sleep(Duration::from_secs(seconds)).await;
             Ok(())
         }
+        Command::Proofs => {
+            println!("{}", proofs::table(Path::new("tests/scenarios"))?);
+            Ok(())
+        }
+        Command::Fault {
+            dir,
+            down,
+            delay_ms,
+            lose_answers,
+            for_ms,
+        } => {
+            let faults = Faults {
+                is_down: down,
+                delay_ms,
+                lose_answers,
+                ..Faults::default()
+            };
+            fault::play(platform(&dir)?, faults, for_ms).await
+        }
         Command::Drive {
             dir,
             daemons,
@@ -115,9 +183,7 @@
             seconds,
         } => {
             let settings = DriveSettings {
-                platform: read(&dir, "platform")?
-                    .parse()
-                    .map_err(|error| format!("{error}"))?,
+                platform: platform(&dir)?,
                 daemons,
                 config: serde_json::from_str(&read(&dir, "config.json")?)
                     .map_err(|error| error.to_string())?,
@@ -127,12 +193,40 @@
                 samples_per_group: samples,
                 timeout_ms: seconds * 1_000,
             };
-            report(&drive::drive(settings).await?)
+            let prepared = drive::prepare(&settings).await?;
+            // Tells the demo's script that a fault may be played now.
+            fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
+            report(&drive::drive(&settings, &prepared).await?)
+        }
+        Command::BenchLedger {
+            groups,
+            samples_per_group,
+            tokens,
+            samples_per_commit,
+            loopback,
+        } => {
+            let settings = BenchSettings {
+                groups,
+                samples_per_group,
+                tokens,
+                samples_per_commit,
+                is_loopback: loopback,
+            };
+            let report = bench_ledger::run(settings).await?;
+            let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
+            println!("{line}");
+            Ok(())
         }
     }
 }
 
-fn read(dir: &std::path::Path, name: &str) -> Result<String, String> {
+fn platform(dir: &Path) -> Result<SocketAddr, String> {
+    read(dir, "platform")?
+        .parse()
+        .map_err(|error| format!("platform: {error}"))
+}
+
+fn read(dir: &Path, name: &str) -> Result<String, String> {
     fs::read_to_string(dir.join(name)).map_err(|error| format!("{name}: {error}"))
 }
 
--- a/src/daemon/config_peers.rs
+++ b/src/daemon/config_peers.rs
@@ -26,10 +26,13 @@
     error::{ErrorKind, Refusal},
     wire::{
         config::{Announce, Announced, MemberVouch, Since, Vouches},
-        peers::{MemberRecord, MemberState},
+        peers::MemberRecord,
     },
 };
 
+const ANNOUNCE: &str = "/peer/config/announce";
+const SINCE: &str = "/peer/config/since";
+const VOUCHES: &str = "/peer/config/vouches";
 const TIMEOUT_MS: u64 = 1_000;
 /// A member that passes an announcement on waits for others meanwhile.
 const PASS_ON_TIMEOUT_MS: u64 = 2_500;
@@ -41,7 +44,7 @@
 /// `POST /peer/config/announce`: takes a new version, and passes it on.
 #[handler]
 pub(crate) async fn announced(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
-    let announce: Announce = match read(body).await {
+    let announce: Announce = match read(&daemon, ANNOUNCE, body).await {
         Ok(announce) => announce,
         Err(refusal) => return refuse(&daemon, &refusal),
     };
@@ -72,7 +75,7 @@
 /// `POST /peer/config/since`: what a member lacks.
 #[handler]
 pub(crate) async fn changes_since(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
-    match read::<Since>(body).await {
+    match read::<Since>(&daemon, SINCE, body).await {
         Ok(since) => {
             let update = lock(&daemon.replica).since(since.number);
             answer(&daemon, &update)
@@ -88,6 +91,7 @@
 )]
 #[handler]
 pub(crate) fn vouches(daemon: Data<&Arc<Daemon>>) -> Response {
+    daemon.traffic.on_request_received(VOUCHES, 1);
     let now_ms = now_ms();
     let freshness = lock(&daemon.freshness);
     let vouches = freshness
@@ -114,18 +118,20 @@
 
 fn expected(daemon: &Daemon) -> BTreeMap<Name, Name> {
     let members = lock(&daemon.membership);
-    members
-        .records()
-        .filter(|record| record.vm == daemon.me.vm || record.state != MemberState::Leaving)
+    let mut expected: BTreeMap<Name, Name> = members
+        .expected_records()
         .map(|record| (record.vm.clone(), record.data_centre.clone()))
-        .collect()
+        .collect();
+    // One that leaves still answers for what it has in force.
+    expected.insert(daemon.me.vm.clone(), daemon.me.data_centre.clone());
+    expected
 }
 
 fn records(daemon: &Daemon) -> BTreeMap<Name, MemberRecord> {
     let members = lock(&daemon.membership);
     let others = members
-        .records()
-        .filter(|record| record.vm != daemon.me.vm && record.state != MemberState::Leaving);
+        .expected_records()
+        .filter(|record| record.vm != daemon.me.vm);
     others
         .map(|record| (record.vm.clone(), record.clone()))
         .collect()
@@ -145,9 +151,8 @@
 
 async fn ask(daemon: &Daemon, record: &MemberRecord) {
     let asked_ms = now_ms();
-    let path = "/peer/config/vouches";
     let Some(answer) =
-        exchange::<_, Vouches>(daemon, record.control_address, path, &(), TIMEOUT_MS).await
+        exchange::<_, Vouches>(daemon, record.control_address, VOUCHES, &(), TIMEOUT_MS).await
     else {
         return;
     };
@@ -183,8 +188,7 @@
     let since = Since {
         number: config::number(daemon),
     };
-    let path = "/peer/config/since";
-    let update = exchange::<_, Update>(daemon, source, path, &since, FETCH_TIMEOUT_MS).await;
+    let update = exchange::<_, Update>(daemon, source, SINCE, &since, FETCH_TIMEOUT_MS).await;
     if let Some(update) = update
         && let Err(refusal) = config::put_in_force(daemon, update)
     {
@@ -257,10 +261,9 @@
     announce: &Announce,
     timeout_ms: u64,
 ) -> BTreeSet<Name> {
-    let path = "/peer/config/announce";
     let tells = addresses
         .iter()
-        .map(|address| exchange::<_, Announced>(daemon, *address, path, announce, timeout_ms));
+        .map(|address| exchange::<_, Announced>(daemon, *address, ANNOUNCE, announce, timeout_ms));
     let answers = join_all(tells).await;
     let answers = answers.into_iter().flatten();
     answers.flat_map(|answer| answer.in_force).collect()
@@ -278,19 +281,22 @@
     T: Serialize + Sync,
     A: DeserializeOwned,
 {
-    daemon.metrics.control_messages.inc();
-    let answer = daemon.http.post_rmp(address, path, body, timeout_ms).await;
+    let answer = daemon
+        .control
+        .post_rmp(address, path, body, timeout_ms)
+        .await;
     answer
         .inspect_err(|error| tracing::debug!(%error, path, "a member did not answer"))
         .ok()
 }
 
-async fn read<T>(body: Body) -> Result<T, Refusal>
+async fn read<T>(daemon: &Daemon, path: &str, body: Body) -> Result<T, Refusal>
 where
     T: DeserializeOwned,
 {
     let bytes = body.into_bytes_limit(MAX_BODY_BYTES).await;
     let bytes = bytes.map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
+    daemon.traffic.on_request_received(path, bytes.len());
     rmp_serde::from_slice(&bytes)
         .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))
 }
@@ -300,8 +306,7 @@
     T: Serialize,
 {
     let body = rmp_serde::to_vec(body).unwrap_or_default();
-    daemon.metrics.control_messages.inc();
-    daemon.metrics.control_bytes.inc_by(body.len() as u64);
+    daemon.traffic.on_answer_sent(body.len());
     Response::builder()
         .content_type("application/msgpack")
         .body(body)
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -21,11 +21,20 @@
     pub(crate) samples_generated: Counter,
     pub(crate) samples_delivered: Counter,
     pub(crate) commits: Counter,
+    pub(crate) samples_stale: Counter,
+    pub(crate) samples_dropped: Counter,
+    pub(crate) commit_failures: Counter,
+    pub(crate) takeovers: Counter,
+    pub(crate) ledgers_lost: Counter,
+    pub(crate) objects_deleted: Counter,
     pub(crate) platform_reads: Counter,
     pub(crate) platform_writes: Counter,
     pub(crate) control_messages: Counter,
     pub(crate) control_bytes: Counter,
     pub(crate) orders: Counter,
+    pub(crate) endpoint_crashes: Counter,
+    pub(crate) abandoned: Counter,
+    pub(crate) settled: Counter,
     pub(crate) config_number: Gauge,
 }
 
@@ -41,11 +50,20 @@
             samples_generated: Counter::default(),
             samples_delivered: Counter::default(),
             commits: Counter::default(),
+            samples_stale: Counter::default(),
+            samples_dropped: Counter::default(),
+            commit_failures: Counter::default(),
+            takeovers: Counter::default(),
+            ledgers_lost: Counter::default(),
+            objects_deleted: Counter::default(),
             platform_reads: Counter::default(),
             platform_writes: Counter::default(),
             control_messages: Counter::default(),
             control_bytes: Counter::default(),
             orders: Counter::default(),
+            endpoint_crashes: Counter::default(),
+            abandoned: Counter::default(),
+            settled: Counter::default(),
             config_number: Gauge::default(),
         };
         metrics.register();
@@ -92,6 +110,32 @@
                 &self.samples_delivered,
             ),
             ("commits", "Commits of ledgers", &self.commits),
+            (
+                "samples_stale",
+                "Samples that came in too old for their trainer",
+                &self.samples_stale,
+            ),
+            (
+                "samples_dropped",
+                "Committed samples that left their slots",
+                &self.samples_dropped,
+            ),
+            (
+                "commit_failures",
+                "Commits that did not take effect or got no answer",
+                &self.commit_failures,
+            ),
+            ("takeovers", "Ledgers taken over", &self.takeovers),
+            (
+                "ledgers_lost",
+                "Ledgers lost to another VM or with the lease",
+                &self.ledgers_lost,
+            ),
+            (
+                "objects_deleted",
+                "Objects deleted that no row lists any more",
+                &self.objects_deleted,
+            ),
             (
                 "platform_reads",
                 "Reads sent to the platform",
@@ -104,15 +148,30 @@
             ),
             (
                 "control_messages",
-                "Messages sent and received for control",
+                "HTTP messages sent and received for control",
                 &self.control_messages,
             ),
             (
                 "control_bytes",
-                "Body bytes sent and received for control",
+                "HTTP bytes sent and received for control, heads included",
                 &self.control_bytes,
             ),
             ("orders", "Orders sent to engines", &self.orders),
+            (
+                "endpoint_crashes",
+                "Crashes of endpoints that were seen here",
+                &self.endpoint_crashes,
+            ),
+            (
+                "abandoned",
+                "Requests given up since no caller waited",
+                &self.abandoned,
+            ),
+            (
+                "settled",
+                "Requests settled with the VM of their ticket",
+                &self.settled,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -1,7 +1,12 @@
 //! The fakes that stories are played with, one file a part of the core.
 
 mod config;
+mod drain;
 mod leases;
+mod quarantine;
+mod requests;
+mod samples;
+mod tickets;
 mod weights;
 
 use serde_json::Value;
@@ -10,7 +15,12 @@
 pub fn play(world: &str, body: &Value, seed: u64) -> Vec<String> {
     match world {
         "config" => config::play(body, seed),
+        "drain" => drain::play(body, seed),
         "leases" => leases::play(body, seed),
+        "quarantine" => quarantine::play(body, seed),
+        "requests" => requests::play(body, seed),
+        "tickets" => tickets::play(body, seed),
+        "samples" => samples::play(body, seed),
         "weights" => weights::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
