--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -83,6 +83,8 @@
 }
 
 /// Marks a VM as draining, or an endpoint as leaving, by a patch.
+///
+/// A name that is both is taken for the endpoint.
 pub(crate) async fn drain(daemon: SocketAddr, name: Arc<str>) -> Result<(), String> {
     let config: Versioned = get(daemon, "/operator/config").await?;
     let services = &config.document.services;
@@ -93,6 +95,11 @@
         let endpoint = json!({"leaving": true});
         json!({"services": {service.as_ref(): {"endpoints": {name.as_ref(): endpoint}}}})
     } else {
+        // A name with a typing error would else be accepted and drain nothing.
+        let status: Status = get(daemon, "/operator/status").await?;
+        if !status.vms.iter().any(|vm| vm.vm == name) {
+            return Err(format!("there is no VM or endpoint '{name}'"));
+        }
         let mut vms = config.document.draining_vms.clone();
         vms.insert(name);
         json!({"draining_vms": vms})
--- /dev/null
+++ b/tests/process_agreement.rs
@@ -0,0 +1,183 @@
+//! Agreement with real processes: races, outages, lost answers, crashes.
+
+mod cluster;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use chicoryreach::{
+    daemon::{HttpClient, HttpError},
+    wire::operators::{Accepted, HistoryEntry, Patch},
+};
+use cluster::{Cluster, eventually};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use standins::{engine::EngineSettings, platform::Faults, world::WorldSize};
+
+const TIMEOUT_MS: u64 = 20_000;
+const LOOK: Duration = Duration::from_millis(100);
+const SIZE: WorldSize = WorldSize {
+    daemons: 3,
+    engines: 3,
+    services: 1,
+    data_centres: 2,
+};
+
+async fn submit(
+    daemon: SocketAddr,
+    id: &str,
+    against: u64,
+    weights_version: u64,
+) -> Result<u64, Value> {
+    let merge = json!({"services": {"demand-lm": {"weights_version": weights_version}}});
+    let patch = Patch {
+        id: id.into(),
+        against,
+        merge,
+    };
+    let answer: Result<Accepted, _> = HttpClient::new()
+        .post_json(daemon, "/operator/patch", &patch, TIMEOUT_MS)
+        .await;
+    match answer {
+        Ok(accepted) => Ok(accepted.number),
+        Err(HttpError::Status(_, body)) => Err(serde_json::from_slice(&body).expect("it is JSON")),
+        Err(error) => panic!("the daemon did not answer: {error}"),
+    }
+}
+
+async fn history(daemon: SocketAddr) -> Vec<HistoryEntry> {
+    HttpClient::new()
+        .get_json(daemon, "/operator/history", TIMEOUT_MS)
+        .await
+        .expect("the history is answered")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_in_a_race_one_is_refused() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let control = cluster.control_addresses();
+    for against in 1..=5 {
+        let (one, other) = (format!("one-{against}"), format!("other-{against}"));
+        let (one, other) = tokio::join!(
+            submit(control[0], &one, against, against),
+            submit(control[1], &other, against, against + 1)
+        );
+        let (accepted, refused) = match (one, other) {
+            (Ok(accepted), Err(refused)) | (Err(refused), Ok(accepted)) => (accepted, refused),
+            both => panic!("of the two, one has to be refused: {both:?}"),
+        };
+        assert_eq!(accepted, against + 1);
+        assert_eq!(refused["kind"], "config_conflict", "{refused}");
+        assert_eq!(refused["not_run"], true, "{refused}");
+    }
+    assert_eq!(history(control[2]).await.len(), 6);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_takes_no_patch_and_stops_no_work() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let control = cluster.control_addresses();
+    cluster.world.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    let refused = submit(control[0], "in-outage", 1, 2).await;
+    let refused = refused.expect_err("nothing can be accepted");
+    assert_eq!(refused["kind"], "platform_unavailable", "{refused}");
+    assert_eq!(refused["not_run"], true, "{refused}");
+    for daemon in &control {
+        assert_eq!(readiness(&cluster.http, *daemon).await, "ready");
+    }
+    cluster.world.platform.set_faults(Faults::default());
+    assert_eq!(submit(control[1], "in-outage", 1, 2).await, Ok(2));
+    assert_eq!(history(control[2]).await.len(), 2);
+}
+
+async fn readiness(http: &HttpClient, daemon: SocketAddr) -> String {
+    let answer: Result<Value, _> = http.get_json(daemon, "/readyz", TIMEOUT_MS).await;
+    match answer {
+        Err(HttpError::Status(_, body)) => String::from_utf8_lossy(&body).into_owned(),
+        Err(HttpError::Invalid(_)) => "ready".to_owned(),
+        other => panic!("readiness was answered with {other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn in_an_outage_a_quorum_goes_on_and_one_alone_refuses() {
+    // Longer than any daemon acts on what the table said last.
+    const OUTAGE: Duration = Duration::from_secs(14);
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let control = cluster.control_addresses();
+    cluster.world.platform.set_faults(Faults {
+        is_down: true,
+        ..Faults::default()
+    });
+    let from = Instant::now();
+    while from.elapsed() < OUTAGE {
+        for daemon in &control {
+            assert_eq!(readiness(&cluster.http, *daemon).await, "ready");
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    cluster.signal(1, Signal::STOP);
+    cluster.signal(2, Signal::STOP);
+    let refuses = async || {
+        let said = readiness(&cluster.http, control[0]).await;
+        said.contains("config_too_old").then_some(())
+    };
+    eventually("the daemon alone refuses", refuses).await;
+    let answer: Result<Value, _> = cluster
+        .http
+        .get_json(cluster.caller_addresses()[0], "/v1/addresses", TIMEOUT_MS)
+        .await;
+    assert!(
+        matches!(answer, Err(HttpError::Status(status, _)) if status.as_u16() == 503),
+        "{answer:?}"
+    );
+    cluster.signal(1, Signal::CONT);
+    cluster.signal(2, Signal::CONT);
+    for daemon in &control {
+        let ready = async || (readiness(&cluster.http, *daemon).await == "ready").then_some(());
+        eventually("the quorum is back, the table is not", ready).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_settled_by_reading() {
+    // Leases write as well: the answers lost are enough for them and the patch.
+    const LOST: u32 = 6;
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let control = cluster.control_addresses();
+    cluster.world.platform.set_faults(Faults {
+        lose_answers: LOST,
+        ..Faults::default()
+    });
+    assert_eq!(submit(control[0], "lost", 1, 2).await, Ok(2));
+    assert_eq!(submit(control[1], "lost", 1, 2).await, Ok(2));
+    let history = history(control[2]).await;
+    let written = history.iter().filter(|entry| &*entry.patch_id == "lost");
+    assert_eq!(written.count(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn new_weights_reach_engines_that_crash_meanwhile() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    let control = cluster.control_addresses();
+    assert_eq!(submit(control[0], "weights", 1, 2).await, Ok(2));
+    let engines = &cluster.world.engines;
+    engines[0].1.crash();
+    let all_have = async |version: u64| {
+        let mut engines = engines.iter();
+        engines
+            .all(|(_, engine)| engine.weights_version() == version)
+            .then_some(())
+    };
+    eventually("all engines have version 2", async || all_have(2).await).await;
+    let before = engines[1].1.incarnation();
+    engines[1].1.crash();
+    let restarted = async || (engines[1].1.incarnation() > before).then_some(());
+    eventually("the engine starts anew", restarted).await;
+    eventually("it has version 2 again", async || all_have(2).await).await;
+}
