--- a/crates/standins/src/bench_agreement.rs
+++ b/crates/standins/src/bench_agreement.rs
@@ -17,6 +17,8 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 
+/// Endpoints and daemons.
+const SIZES: [(usize, usize); 5] = [(25, 12), (260, 36), (650, 90), (1_300, 180), (2_600, 360)];
 const ROUNDS: u32 = 20;
 const DATA_CENTRES: usize = 9;
 const SILENT_TURN_MS: u64 = 4_000;
@@ -41,6 +43,20 @@
     orders: usize,
 }
 
+/// Measures the costs at several sizes, and prints a line of JSON for each.
+///
+/// # Errors
+///
+/// A sentence if a line cannot be written as JSON.
+pub fn print() -> Result<(), String> {
+    for (endpoints, daemons) in SIZES {
+        let costs = measure(endpoints, daemons);
+        let line = serde_json::to_string(&costs).map_err(|error| error.to_string())?;
+        println!("{line}");
+    }
+    Ok(())
+}
+
 /// Measures the costs for so many endpoints and daemons.
 ///
 /// # Panics
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod bench_agreement;
 pub mod bench_ledger;
+pub mod bench_policy;
 pub mod caller;
 pub mod drive;
 pub mod engine;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod dispatch;
 mod endpoints;
+mod gate;
 mod http;
 mod lease_keeper;
 mod ledger_io;
--- a/src/daemon/trainer_task.rs
+++ b/src/daemon/trainer_task.rs
@@ -12,6 +12,7 @@
 
 use super::{
     clock::{now_ms, sleep_until},
+    dispatch::Route,
     lease_keeper::LeaseKeeper,
     ledger_io::{self, Commit},
     sample_task,
@@ -20,6 +21,9 @@
 use crate::{
     core::{
         Name,
+        admission::sample_room,
+        routing,
+        run_ahead::{last_step, min_weights_version},
         sample::{CommitPlan, Ledger, Pace, Taken, Uncommitted, Urgency},
     },
     error::{ErrorKind, Refusal},
@@ -36,6 +40,8 @@
 const HAND_OVER_MS: u64 = 2_000;
 /// How many bytes of samples are kept while no ledger is held.
 const MAX_KEPT_BYTES: usize = 64 * 1024 * 1024;
+/// A trainer that has not asked for samples for this long does not wait for them.
+const WAITING_MS: u64 = 1_000;
 const OBJECT_DELETE_MS: u64 = 20;
 
 /// What has been committed, for those who wait for it.
@@ -60,6 +66,16 @@
     wake_lease: Notify,
     is_leaving: AtomicBool,
     state: Mutex<State>,
+    /// Whether the step in hand has no slot left to start.
+    is_tail: Arc<AtomicBool>,
+    fetched: Mutex<Fetched>,
+}
+
+/// What the trainer has fetched, and when.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fetched {
+    cursor: u64,
+    at_ms: u64,
 }
 
 #[derive(Debug, Default)]
@@ -116,6 +132,8 @@
             wake_lease: Notify::new(),
             is_leaving: AtomicBool::new(false),
             state: Mutex::default(),
+            is_tail: Arc::default(),
+            fetched: Mutex::default(),
         }
     }
 
@@ -300,19 +318,69 @@
     }
 
     fn start_wanted(self: &Arc<Self>, daemon: &Arc<Daemon>) {
-        let most = daemon.settings.limits.max_generating;
-        let room = most.saturating_sub(self.generating.load(Ordering::Relaxed));
+        let Some(service) = self.service(daemon) else {
+            return;
+        };
+        let Fetched { cursor, at_ms } = *lock(&self.fetched);
+        let is_training = now_ms() > at_ms + WAITING_MS;
         let mut state = lock(&self.state);
         let Some(ledger) = &mut state.ledger else {
             return;
         };
-        for slot in ledger.take_wanted(room as usize) {
+        let Some(next) = ledger.next_step(cursor) else {
+            return;
+        };
+        let is_waited_for = !is_training && ledger.has_wanted_until(next);
+        let newest = daemon
+            .service(&service)
+            .map_or(0, |service| service.weights_version);
+        let min_weights_version = min_weights_version(newest, is_waited_for);
+        let last_step = if is_waited_for {
+            next
+        } else {
+            last_step(next, is_training, 0)
+        };
+        let room = self.room(daemon, &service, min_weights_version);
+        let slots = ledger.take_wanted_until(last_step, room as usize);
+        let is_tail = !ledger.has_wanted_until(next);
+        self.is_tail.store(is_tail, Ordering::Relaxed);
+        for slot in slots {
+            let route = Route {
+                affinity: Some(format!("{}/{}/{}", self.trainer, slot.step, slot.group).into()),
+                min_weights_version,
+                is_tail: Some(self.is_tail.clone()),
+            };
             if let Some(step) = ledger.step(slot.step) {
-                sample_task::start(self, daemon, slot, step.clone());
+                sample_task::start(self, daemon, slot, step.clone(), route);
             }
         }
     }
 
+    /// Returns how many samples may be started now.
+    fn room(&self, daemon: &Daemon, service: &str, min_weights_version: u64) -> u32 {
+        let generating = self.generating.load(Ordering::Relaxed);
+        let most = daemon.settings.limits.max_generating;
+        let trainers = daemon.trainers_of(service);
+        let table = lock(&daemon.endpoints);
+        let free = routing::free_slots(&table, now_ms(), service, min_weights_version);
+        let share = sample_room(free, trainers);
+        share.min(most.saturating_sub(generating))
+    }
+
+    pub(super) fn service(&self, daemon: &Daemon) -> Option<Name> {
+        let config = daemon.config.borrow();
+        let trainer = config.document.trainers.get(&self.trainer)?;
+        Some(trainer.service.clone())
+    }
+
+    /// Notes that the trainer asked for samples, which it does while it waits.
+    pub(crate) fn note_fetched(&self, next_cursor: u64) {
+        *lock(&self.fetched) = Fetched {
+            cursor: next_cursor,
+            at_ms: now_ms(),
+        };
+    }
+
     /// Commits what may not wait any longer, and returns when to look again.
     async fn commit_due(&self, daemon: &Daemon) -> u64 {
         let unsettled = lock(&self.state).unsettled.take();
