--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,6 +10,7 @@
 
 use bpaf::Bpaf;
 use standins::{
+    bench_agreement,
     bench_ledger::{self, BenchSettings},
     bench_path::{PathSettings, bench_path},
     bench_policy::{self, Fault, Selection, WorkloadName},
@@ -60,6 +61,9 @@
         #[bpaf(argument("TEXT"), fallback("path".to_owned()))]
         label: String,
     },
+    /// Measures what agreement costs, and prints a line of JSON for each size.
+    #[bpaf(command("bench-agreement"))]
+    BenchAgreement,
     /// Prints the table of stories for docs/PROOFS.md.
     #[bpaf(command)]
     Proofs,
@@ -192,6 +196,7 @@
             daemons,
             label,
         } => bench_path(PathSettings::try_read(&dir, daemons, label)?).await,
+        Command::BenchAgreement => bench_agreement::print(),
         Command::Proofs => {
             println!("{}", proofs::table(Path::new("tests/scenarios"))?);
             Ok(())
--- a/src/core/membership/membership.rs
+++ b/src/core/membership/membership.rs
@@ -261,6 +261,13 @@
             .count()
     }
 
+    /// Returns the records of the members that [`Membership::expected`] counts.
+    pub fn expected_records(&self) -> impl Iterator<Item = &MemberRecord> {
+        let members = self.members.values();
+        let expected = members.filter(|member| member.is_expected());
+        expected.map(|member| &member.record)
+    }
+
     /// Returns how many members, with this one, were lately heard of, directly
     /// or through others.
     ///
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -22,7 +22,7 @@
 use super::{
     answer::{error_body, json, refuse},
     clock::now_ms,
-    crash, dispatch,
+    config, crash, dispatch,
     endpoints::{self, Generated, PlainCall},
     gate,
     settle::{self, Awaited},
@@ -83,6 +83,10 @@
 )]
 #[handler]
 pub(crate) fn addresses(daemon: Data<&Arc<Daemon>>, query: Query<AddressQuery>) -> Response {
+    // A daemon that may be cut off would send callers to VMs that are gone.
+    if let Err(refusal) = config::check_fresh(&daemon) {
+        return refuse(&daemon, &refusal);
+    }
     let issued_ms = daemon.ticket_clock.time_ms(now_ms());
     let near = query
         .data_centre
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -11,6 +11,7 @@
 
 use super::{
     clock::{now_ms, sleep_until},
+    config,
     state::{Daemon, lock},
 };
 use crate::{
@@ -35,6 +36,7 @@
             "this VM is shutting down",
         ));
     }
+    config::check_fresh(daemon)?;
     if !lock(&daemon.limit).try_start() {
         return Err(Refusal::new(
             ErrorKind::Overloaded,
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -1,6 +1,6 @@
 //! Other daemons: probes, news, anti-entropy, and the configuration's number.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use poem::{Body, Response, handler, web::Data};
 use serde::{Serialize, de::DeserializeOwned};
@@ -8,15 +8,12 @@
 use super::{
     answer::refuse,
     clock::{now_ms, sleep_until},
-    config::put_in_force,
+    config, config_peers,
     platform::Written,
     state::{Daemon, lock},
 };
 use crate::{
-    core::{
-        config::Versioned,
-        membership::{Digests, Effect, Event},
-    },
+    core::membership::{Digests, Effect, Event},
     error::{ErrorKind, Refusal},
     wire::{
         peers::{Gossip, MemberRecord, ProbeRequest, SynchroniseRequest},
@@ -26,7 +23,6 @@
 
 const GOSSIP: &str = "/peer/gossip";
 const PROBE_TIMEOUT_MS: u64 = 500;
-const CONFIG_TIMEOUT_MS: u64 = 1_000;
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 const MAX_SYNCHRONISED: usize = 64;
 const VM_PREFIX: &str = "vm/";
@@ -105,7 +101,9 @@
     };
     let config_number = gossip.config_number;
     handle(daemon, Event::Answered { probe, gossip });
-    fetch_newer_config(daemon, to, config_number).await;
+    if config_number > config::number(daemon) {
+        config_peers::fetch(daemon, to.control_address, config_number).await;
+    }
 }
 
 async fn synchronise(
@@ -147,7 +145,9 @@
         .cloned();
     if let Some(sender) = sender.filter(|_| config_number > daemon.config.borrow().number) {
         let daemon = daemon.clone();
-        tokio::spawn(async move { fetch_newer_config(&daemon, &sender, config_number).await });
+        tokio::spawn(async move {
+            config_peers::fetch(&daemon, sender.control_address, config_number).await;
+        });
     }
     write(&daemon, &with_number(&daemon, answer))
 }
@@ -206,20 +206,6 @@
         .body(answer)
 }
 
-async fn fetch_newer_config(daemon: &Daemon, peer: &MemberRecord, config_number: u64) {
-    if config_number <= daemon.config.borrow().number {
-        return;
-    }
-    let answer = daemon
-        .control
-        .get_json(peer.control_address, "/operator/config", CONFIG_TIMEOUT_MS)
-        .await;
-    let versioned: Result<Versioned, _> = answer;
-    if let Ok(versioned) = versioned {
-        put_in_force(daemon, versioned);
-    }
-}
-
 async fn read_table(daemon: &Arc<Daemon>) {
     daemon.metrics.platform_reads.inc();
     let Ok(rows) = daemon.platform.scan(VM_PREFIX).await else {
@@ -229,6 +215,7 @@
         .into_iter()
         .filter_map(|row| serde_json::from_value(row.value).ok());
     handle(daemon, Event::Records(records.collect()));
+    daemon.has_read_members.store(true, Ordering::SeqCst);
 }
 
 /// Writes this member's record to the table, where starting members look.
