Prove membership and endpoint shares by stories, and measure control work

Cause: membership had no story, the cost of control was counted in body bytes only, and nothing measured it against the number of daemons.

Ruled out: a story with a quarter of all messages lost does not need anti-entropy (it passed with it off); the one with a long pause does.

Control bytes now count HTTP heads and both ways, by what they are for.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing of this ships. Each stand-in listens on loopback, at a port that
 //! the kernel chooses.
 
+pub mod bench_control;
 pub mod bench_ledger;
 pub mod bench_policy;
 pub mod caller;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,6 +10,7 @@
 
 use bpaf::Bpaf;
 use standins::{
+    bench_control::{self, ControlSettings},
     bench_ledger::{self, BenchSettings},
     bench_policy::{self, Fault, Selection, WorkloadName},
     drive::{self, DriveSettings, Driven},
@@ -110,6 +111,42 @@
         /// Uses the platform stand-in over loopback.
         loopback: bool,
     },
+    /// Measures the control work of daemons that a script starts; prints one
+    /// line of JSON.
+    #[bpaf(command("bench-control"))]
+    BenchControl {
+        /// Where settings are written, and process ids are read.
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// How many daemons the script starts.
+        #[bpaf(argument("N"))]
+        daemons: usize,
+        /// Over how many data centres all is spread.
+        #[bpaf(argument("N"), fallback(3))]
+        data_centres: usize,
+        /// How long the daemons may settle, in milliseconds.
+        #[bpaf(argument("MS"), fallback(8_000))]
+        settle_ms: u64,
+        /// Over how long the means are taken, in milliseconds.
+        #[bpaf(argument("MS"), fallback(12_000))]
+        window_ms: u64,
+        /// After how long an event counts as not known, in milliseconds.
+        #[bpaf(argument("MS"), fallback(20_000))]
+        patience_ms: u64,
+    },
+    /// Writes the table and the plot of what was measured.
+    #[bpaf(command("bench-control-report"))]
+    BenchControlReport {
+        /// The measurements, one JSON line each.
+        #[bpaf(argument("FILE"))]
+        lines: PathBuf,
+        /// Where the table is written.
+        #[bpaf(argument("FILE"))]
+        table: PathBuf,
+        /// Where the plot is written.
+        #[bpaf(argument("FILE"))]
+        plot: PathBuf,
+    },
     /// Compares the decisions with plain baselines, in virtual time.
     #[bpaf(command("bench-policy"))]
     BenchPolicy {
@@ -177,6 +214,9 @@
             println!("{}", proofs::table(Path::new("tests/scenarios"))?);
             Ok(())
         }
+        command @ (Command::BenchControl { .. } | Command::BenchControlReport { .. }) => {
+            run_bench_control(command).await
+        }
         Command::Fault {
             dir,
             down,
@@ -276,6 +316,42 @@
         .map_err(|error| format!("platform: {error}"))
 }
 
+async fn run_bench_control(command: Command) -> Result<(), String> {
+    match command {
+        Command::BenchControl {
+            dir,
+            daemons,
+            data_centres,
+            settle_ms,
+            window_ms,
+            patience_ms,
+        } => {
+            let measured = bench_control::measure(ControlSettings {
+                dir,
+                daemons,
+                data_centres,
+                settle_ms,
+                window_ms,
+                patience_ms,
+            });
+            print_json(&measured.await?)
+        }
+        Command::BenchControlReport { lines, table, plot } => {
+            bench_control::report(&lines, &table, &plot)
+        }
+        _ => Ok(()),
+    }
+}
+
+fn print_json<T>(value: &T) -> Result<(), String>
+where
+    T: serde::Serialize,
+{
+    let line = serde_json::to_string(value).map_err(|error| error.to_string())?;
+    println!("{line}");
+    Ok(())
+}
+
 fn read(dir: &Path, name: &str) -> Result<String, String> {
     fs::read_to_string(dir.join(name)).map_err(|error| format!("{name}: {error}"))
 }
--- /dev/null
+++ b/examples/embed_membership.rs
@@ -0,0 +1,129 @@
+//! Embeds two parts outside the daemon: members find out who is there, and
+//! share out keys among themselves by rendezvous hashing.
+//!
+//! The messages go through memory and the time is counted by hand; a program
+//! of its own would send them over a network and read a clock.
+
+use std::collections::BTreeMap;
+
+use chicoryreach::{
+    core::{
+        Name,
+        membership::{Effect, Event, Membership},
+        rendezvous,
+    },
+    wire::peers::{MemberRecord, MemberState},
+};
+
+const MEMBERS: u16 = 5;
+const KEYS: [&str; 4] = ["krk-north", "krk-south", "tarnow", "katowice"];
+
+fn main() {
+    let mut members: BTreeMap<Name, Membership> = (0..MEMBERS)
+        .map(record)
+        .map(|record| (record.vm.clone(), Membership::new(record)))
+        .collect();
+    // Each knows the first one, as if from a table.
+    for member in members.values_mut() {
+        member.handle(0, Event::Records(vec![record(0)]), &mut Vec::new());
+    }
+    run(&mut members, 0, 30_000);
+    println!("all run:");
+    print_owners(&members);
+
+    members.remove("vm-2");
+    run(&mut members, 30_000, 60_000);
+    println!("vm-2 was stopped:");
+    print_owners(&members);
+}
+
+fn record(number: u16) -> MemberRecord {
+    MemberRecord {
+        vm: format!("vm-{number}").into(),
+        data_centre: "nave-a".into(),
+        caller_address: ([127, 0, 0, 1], 8_000 + number).into(),
+        control_address: ([127, 0, 0, 1], 9_000 + number).into(),
+        incarnation: 1,
+        generation: 0,
+        state: MemberState::Alive,
+    }
+}
+
+/// Lets every member do what is due, again and again.
+fn run(members: &mut BTreeMap<Name, Membership>, from_ms: u64, to_ms: u64) {
+    const STEP_MS: usize = 50;
+    for now_ms in (from_ms..to_ms).step_by(STEP_MS) {
+        let names: Vec<Name> = members.keys().cloned().collect();
+        for name in names {
+            let mut effects = Vec::new();
+            if let Some(member) = members.get_mut(&name)
+                && member.next_deadline_ms() <= now_ms
+            {
+                member.handle(now_ms, Event::Deadline, &mut effects);
+            }
+            carry_out(members, now_ms, &name, effects);
+        }
+    }
+}
+
+/// Carries out what a member wants done, and what follows from it.
+fn carry_out(
+    members: &mut BTreeMap<Name, Membership>,
+    now_ms: u64,
+    name: &Name,
+    effects: Vec<Effect>,
+) {
+    for effect in effects {
+        let event = match effect {
+            Effect::Probe { probe, to } => exchange(members, now_ms, name, probe, &to.vm),
+            Effect::Synchronise {
+                with,
+                digests,
+                first_bucket,
+            } => members.get(&with.vm).map(|with| {
+                let limit = usize::from(MEMBERS);
+                Event::Records(with.differing(&digests, first_bucket, limit))
+            }),
+            // Nobody else reaches one that was stopped, and there is no table.
+            _ => None,
+        };
+        let mut next = Vec::new();
+        if let (Some(member), Some(event)) = (members.get_mut(name), event) {
+            member.handle(now_ms, event, &mut next);
+        }
+        carry_out(members, now_ms, name, next);
+    }
+}
+
+/// Sends one probe and brings back the answer.
+fn exchange(
+    members: &mut BTreeMap<Name, Membership>,
+    now_ms: u64,
+    from: &Name,
+    probe: u64,
+    to: &Name,
+) -> Option<Event> {
+    let request = members.get_mut(from)?.request(now_ms, to);
+    let Some(target) = members.get_mut(to) else {
+        return Some(Event::Unanswered { probe });
+    };
+    let mut effects = Vec::new();
+    target.handle(now_ms, Event::Received(request), &mut effects);
+    let gossip = target.answer(now_ms, from);
+    Some(Event::Answered { probe, gossip })
+}
+
+fn print_owners(members: &BTreeMap<Name, Membership>) {
+    let Some(member) = members.values().next() else {
+        return;
+    };
+    let alive: Vec<Name> = member.alive().map(|record| record.vm.clone()).collect();
+    println!(
+        "  {} of {} members take work",
+        alive.len(),
+        member.expected()
+    );
+    for key in KEYS {
+        println!("  {key}: {}", rendezvous::choose(&alive, key, 2).join(", "));
+    }
+}
--- a/src/core/endpoint/subset.rs
+++ b/src/core/endpoint/subset.rs
@@ -1,7 +1,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Usage;
-use crate::core::{Name, config::EndpointSettings, rendezvous};
+use crate::core::{
+    Name,
+    config::EndpointSettings,
+    guard::{self, Guard},
+    rendezvous,
+};
 
 /// Up to this many endpoints of a service, every daemon uses all of them.
 pub const USE_ALL: usize = 40;
@@ -61,6 +66,11 @@
         .map(|name| (name.clone(), Usage::Unused))
         .collect();
     let spares = if has_near { SPARES } else { SUBSET };
+    let spares = if guard::is_on(Guard::SpareEndpoints) {
+        spares
+    } else {
+        0
+    };
     for name in rendezvous::choose(&far, &placement.me, spares) {
         usages.insert(name, Usage::Spare);
     }
@@ -75,6 +85,11 @@
     if near.len() <= USE_ALL || placement.daemons.len() <= 1 {
         return near.iter().cloned().collect();
     }
+    if !guard::is_on(Guard::EqualSubsets) {
+        // Each daemon draws endpoints of its own: some get many daemons, some none.
+        let drawn = rendezvous::choose(near, &placement.me, SUBSET);
+        return drawn.into_iter().collect();
+    }
     let daemons_each = (SUBSET * placement.daemons.len()).div_ceil(near.len());
     near.iter()
         .filter(|endpoint| {
--- a/src/core/endpoint/table.rs
+++ b/src/core/endpoint/table.rs
@@ -21,7 +21,7 @@
 const MIN_POLL_MS: u64 = 500;
 /// How much less often an idle endpoint is polled.
 const IDLE_FACTOR: u64 = 2;
-const SPARE_POLL_MS: u64 = 20_000;
+const SPARE_POLL_MS: u64 = 10_000;
 const WATCHED_POLL_MS: u64 = 30_000;
 /// How often an endpoint is polled that has other weights than it is to have.
 const BEHIND_POLL_MS: u64 = 1_000;
--- a/src/core/guard.rs
+++ b/src/core/guard.rs
@@ -80,6 +80,10 @@
     DrainWaitsForRequests,
     /// A suspicion can be refuted before a member is held dead.
     Suspicion,
+    /// Endpoints of other data centres are kept in reserve.
+    SpareEndpoints,
+    /// Every endpoint is used by equally many daemons.
+    EqualSubsets,
     /// Members that cannot be reached are not forgotten.
     KeepUnreachable,
     /// Members are reachable only while their data centre was heard of lately.
--- a/src/core/membership/membership.rs
+++ b/src/core/membership/membership.rs
@@ -1,18 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use rand::{
-    Rng,
-    seq::{IteratorRandom, SliceRandom},
-};
-
 use super::{
-    BUCKETS, Digests, Effect, Event,
-    digest::{bucket, digests, summary},
-    member::Member,
-    notices::{NOTICE_MS, Notices},
-    queue::Queue,
-    reach::Reach,
-    ring::neighbours,
+    Effect, Event, member::Member, notices::Notices, queue::Queue, reach::Reach, ring::neighbours,
 };
 use crate::{
     core::{
@@ -23,28 +12,16 @@
     wire::peers::{Gossip, MemberRecord, MemberState},
 };
 
-/// The most records in one message.
-pub const MAX_RECORDS: usize = 24;
-
 const PERIOD_MS: u64 = 1_000;
 const PROBE_TIMEOUT_MS: u64 = 500;
 const INDIRECT_TIMEOUT_MS: u64 = 1_000;
 const INDIRECT_PROBES: usize = 3;
-const SUSPICION_MS: u64 = 4_000;
-/// How much longer a suspicion waits while many members are suspected at once.
-const MASS_FACTOR: u64 = 3;
-const MAX_NOTICES: usize = 24;
 const UNREACHABLE_EVERY: u64 = 5;
-const FORGET_MS: u64 = 600_000;
 /// How long a member is unreachable before the platform's list may end it.
 const LIST_TRUST_MS: u64 = 30_000;
-const SETTLED_MS: u64 = 3_000;
-const SYNCHRONISE_MS: u64 = 2_000;
 const ALONE_MS: u64 = 5_000;
 const MIN_READ_TABLE_MS: u64 = 1_000;
 const MAX_READ_TABLE_MS: u64 = 16_000;
-const MAX_ADDRESSES: usize = 16;
-const MIN_FAR_ADDRESSES: usize = 4;
 
 #[derive(Clone, Debug)]
 struct Probe {
@@ -85,22 +62,25 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Membership {
-    me: Name,
-    members: BTreeMap<Name, Member>,
-    news: Queue,
-    notices: Notices,
-    reach: Reach,
+    pub(super) me: Name,
+    pub(super) members: BTreeMap<Name, Member>,
+    pub(super) news: Queue,
+    pub(super) notices: Notices,
+    pub(super) reach: Reach,
     probes: BTreeMap<u64, Probe>,
     last_probe: u64,
+    next_neighbour: usize,
     turn: u64,
     turn_at_ms: u64,
-    changed_ms: u64,
-    synchronise_at_ms: u64,
-    first_bucket: usize,
+    pub(super) changed_ms: u64,
+    pub(super) synchronise_at_ms: u64,
+    pub(super) first_bucket: usize,
     answered_ms: u64,
     read_table_at_ms: u64,
     read_table_wait_ms: u64,
     announce_at_ms: u64,
+    /// Whether there is news that is not to wait for the next probes.
+    pub(super) is_urgent: bool,
 }
 
 impl Membership {
@@ -118,6 +98,7 @@
             reach: Reach::default(),
             probes: BTreeMap::new(),
             last_probe: 0,
+            next_neighbour: 0,
             turn: 0,
             turn_at_ms: 0,
             changed_ms: 0,
@@ -127,6 +108,7 @@
             read_table_at_ms: 0,
             read_table_wait_ms: MIN_READ_TABLE_MS,
             announce_at_ms: 0,
+            is_urgent: false,
         }
     }
 
@@ -142,7 +124,10 @@
             }
             Event::Records(records) => self.merge(now_ms, records),
             Event::Listed { vms, leaving } => self.on_list(now_ms, &vms, &leaving, effects),
-            Event::Changed => self.on_changed(now_ms, effects),
+            Event::Changed => self.is_urgent = true,
+        }
+        if self.is_urgent {
+            self.tell_neighbours(now_ms, effects);
         }
     }
 
@@ -157,157 +142,6 @@
         probes.chain(suspicions).fold(self.turn_at_ms, u64::min)
     }
 
-    /// Returns the message for a member: what is new, and what is held of it.
-    ///
-    /// A member that is suspected has to hear of it to refute it.
-    pub fn request(&mut self, now_ms: u64, to: &str) -> Gossip {
-        let max_sends = self.max_sends();
-        let mut names = self.news.take(MAX_RECORDS, max_sends);
-        let is_doubted = self.members.get(to).is_some_and(|member| {
-            matches!(
-                member.record.state,
-                MemberState::Suspect | MemberState::Gone
-            )
-        });
-        if is_doubted && !names.iter().any(|name| &**name == to) {
-            names.push(to.into());
-        }
-        let records = names
-            .iter()
-            .filter_map(|name| Some(self.members.get(name)?.record.clone()));
-        Gossip {
-            from: self.me.clone(),
-            config_number: 0,
-            records: records.collect(),
-            crashes: Vec::new(),
-            digest: summary(&self.digests()),
-            heard: Vec::new(),
-            leaving: self.notices.take(now_ms, MAX_NOTICES, max_sends),
-        }
-    }
-
-    /// Returns the answer to a member's message.
-    pub fn answer(&mut self, now_ms: u64, to: &str) -> Gossip {
-        Gossip {
-            heard: self.reach.ages(now_ms),
-            ..self.request(now_ms, to)
-        }
-    }
-
-    /// Returns up to `limit` records of buckets that differ from a member's.
-    #[must_use]
-    pub fn differing(
-        &self,
-        request: &[u64],
-        first_bucket: usize,
-        limit: usize,
-    ) -> Vec<MemberRecord> {
-        let own = self.digests();
-        let order = (0..BUCKETS).map(|step| (first_bucket % BUCKETS + step) % BUCKETS);
-        let differing = order.filter(|index| request.get(*index) != Some(&own[*index]));
-        differing
-            .flat_map(|index| {
-                self.records()
-                    .filter(move |record| bucket(&record.vm) == index)
-            })
-            .take(limit)
-            .cloned()
-            .collect()
-    }
-
-    /// Announces that this member shuts down.
-    pub fn leave(&mut self) {
-        self.update_me(|me| me.state = MemberState::Leaving);
-    }
-
-    /// Returns this member's own record.
-    ///
-    /// # Panics
-    ///
-    /// Never: the own record is always known.
-    #[must_use]
-    pub fn me(&self) -> &MemberRecord {
-        &self.members[&self.me].record
-    }
-
-    /// Returns every record known, in the order of names.
-    pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.members.values().map(|member| &member.record)
-    }
-
-    /// Returns the members that take work.
-    pub fn alive(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.members
-            .values()
-            .filter(|member| member.takes_work())
-            .map(|member| &member.record)
-    }
-
-    /// Returns whether a member does not answer any more.
-    #[must_use]
-    pub fn is_unreachable(&self, vm: &str) -> bool {
-        self.members
-            .get(vm)
-            .is_some_and(|member| member.unreachable_since_ms.is_some())
-    }
-
-    /// Returns how many members there are, with this one: all that are not
-    /// gone for good, whether or not they can be reached.
-    #[must_use]
-    pub fn expected(&self) -> usize {
-        self.members
-            .values()
-            .filter(|member| member.is_expected())
-            .count()
-    }
-
-    /// Returns how many members, with this one, were lately heard of, directly
-    /// or through others.
-    ///
-    /// A member counts while it is not unreachable and its data centre was
-    /// heard of within [`super::REACHABLE_MS`].
-    #[must_use]
-    pub fn reachable(&self, now_ms: u64) -> usize {
-        let is_heard = |member: &Member| {
-            !guard::is_on(Guard::ReachEvidence)
-                || member.record.vm == self.me
-                || self.reach.is_reachable(now_ms, &member.record.data_centre)
-        };
-        self.members
-            .values()
-            .filter(|member| member.is_answering() && is_heard(member))
-            .count()
-    }
-
-    /// Returns the VMs that the platform is about to take away.
-    #[must_use]
-    pub fn listed_leaving(&self) -> BTreeSet<Name> {
-        self.notices.leaving()
-    }
-
-    /// Draws the members to which a caller is sent: a bounded number of those
-    /// that take work, those of the data centre `near` first.
-    ///
-    /// Each caller gets a draw of its own, so that callers spread.
-    pub fn draw_addresses<R>(&self, near: &str, rng: &mut R) -> Vec<&MemberRecord>
-    where
-        R: Rng,
-    {
-        let is_near = |record: &&MemberRecord| &*record.data_centre == near;
-        let near_count = MAX_ADDRESSES - MIN_FAR_ADDRESSES;
-        let mut drawn = self
-            .alive()
-            .filter(is_near)
-            .choose_multiple(rng, near_count);
-        drawn.shuffle(rng);
-        let far_count = MAX_ADDRESSES - drawn.len();
-        let far = self.alive().filter(|record| !is_near(record));
-        let mut far = far.choose_multiple(rng, far_count);
-        far.shuffle(rng);
-        drawn.extend(far);
-        drawn
-    }
-
     fn on_deadline(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
         self.forgive_own_pause(now_ms);
         let due: Vec<u64> = self
@@ -331,6 +165,7 @@
         self.members
             .retain(|_, member| member.forget_at_ms.is_none_or(|at_ms| now_ms < at_ms));
         self.probe_next(now_ms, effects);
+        self.probe_unreachable(now_ms, effects);
         self.read_table_if_alone(now_ms, effects);
     }
 
@@ -350,28 +185,37 @@
 
     fn probe_next(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
         let neighbours = self.neighbours();
-        let turn = usize::try_from(self.turn).unwrap_or_default();
+        self.next_neighbour += 1;
         if !neighbours.is_empty() {
-            let target = neighbours[turn % neighbours.len()].clone();
+            let target = neighbours[self.next_neighbour % neighbours.len()].clone();
             self.probe(now_ms, &target, effects);
         }
-        // Unreachable members are tried now and then: that is how a cut heals.
-        if self.turn.is_multiple_of(UNREACHABLE_EVERY) || neighbours.is_empty() {
-            let turn = self.turn.to_string();
-            let unreachable = self
-                .members
-                .values()
-                .filter(|member| member.is_expected() && member.unreachable_since_ms.is_some());
-            let drawn = unreachable
-                .map(|member| member.record.vm.clone())
-                .max_by_key(|vm| rendezvous::weight(vm, &format!("{}{turn}", self.me)));
-            if let Some(target) = drawn {
-                self.probe(now_ms, &target, effects);
-            }
+    }
+
+    /// Tries an unreachable member now and then: that is how a cut heals.
+    fn probe_unreachable(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        if !self.turn.is_multiple_of(UNREACHABLE_EVERY) && !self.is_alone() {
+            return;
+        }
+        let key = format!("{}/{}", self.me, self.turn);
+        let unreachable = self
+            .members
+            .values()
+            .filter(|member| member.is_expected() && member.unreachable_since_ms.is_some());
+        let drawn = unreachable
+            .map(|member| member.record.vm.clone())
+            .max_by_key(|vm| rendezvous::weight(vm, &key));
+        if let Some(target) = drawn {
+            self.probe(now_ms, &target, effects);
         }
     }
 
-    fn neighbours(&self) -> Vec<Name> {
+    fn is_alone(&self) -> bool {
+        let answering = self.members.values().filter(|member| member.is_answering());
+        answering.count() <= 1
+    }
+
+    pub(super) fn neighbours(&self) -> Vec<Name> {
         let answering: Vec<Name> = self
             .members
             .values()
@@ -404,7 +248,10 @@
         if let Some(probe) = self.probes.remove(&probe) {
             self.answered_ms = now_ms;
             self.read_table_wait_ms = MIN_READ_TABLE_MS;
-            if let Some(member) = self.members.get(&gossip.from) {
+            if let Some(member) = self.members.get_mut(&gossip.from) {
+                if member.record.state == MemberState::Leaving {
+                    member.suspicion_deadline_ms = None;
+                }
                 let data_centre = member.record.data_centre.clone();
                 self.reach
                     .on_answer(probe.sent_ms, &data_centre, &gossip.heard);
@@ -413,33 +260,6 @@
         self.absorb(now_ms, gossip, effects);
     }
 
-    fn absorb(&mut self, now_ms: u64, gossip: Gossip, effects: &mut Vec<Effect>) {
-        let mut is_leaving_new = false;
-        for notice in &gossip.leaving {
-            is_leaving_new |= self.notices.add(now_ms, &notice.vm, notice.remaining_ms);
-        }
-        if is_leaving_new {
-            effects.push(Effect::LeavingChanged);
-        }
-        self.merge(now_ms, gossip.records);
-        let digests = self.digests();
-        let is_settled = now_ms >= self.changed_ms + SETTLED_MS;
-        let is_due = now_ms >= self.synchronise_at_ms && (is_settled || self.members.len() == 1);
-        if gossip.digest == summary(&digests) || !is_due || !guard::is_on(Guard::AntiEntropy) {
-            return;
-        }
-        let Some(with) = self.members.get(&gossip.from) else {
-            return;
-        };
-        effects.push(Effect::Synchronise {
-            with: with.record.clone(),
-            digests,
-            first_bucket: self.first_bucket,
-        });
-        self.first_bucket = (self.first_bucket + 1) % BUCKETS;
-        self.synchronise_at_ms = now_ms + SYNCHRONISE_MS;
-    }
-
     fn on_unanswered(&mut self, now_ms: u64, number: u64, effects: &mut Vec<Effect>) {
         let Some(mut probe) = self.probes.remove(&number) else {
             return;
@@ -454,6 +274,9 @@
             self.suspect(now_ms, &probe.target);
             return;
         }
+        // Another neighbour is asked at once: in a cut, news would else come
+        // only as often as probes happen to go to this side.
+        self.probe_next(now_ms, effects);
         probe.is_indirect = true;
         probe.deadline_ms = now_ms + INDIRECT_TIMEOUT_MS;
         let through = self.neighbours();
@@ -468,50 +291,6 @@
         self.probes.insert(number, probe);
     }
 
-    fn suspect(&mut self, now_ms: u64, target: &Name) {
-        let Some(member) = self.members.get(target) else {
-            return;
-        };
-        let mut record = member.record.clone();
-        record.state = match record.state {
-            // It said that it leaves, so it has left.
-            MemberState::Leaving => MemberState::Gone,
-            _ => MemberState::Suspect,
-        };
-        self.merge(now_ms, [record]);
-        if !guard::is_on(Guard::Suspicion) {
-            self.end_suspicion(now_ms, target);
-        }
-    }
-
-    fn end_suspicions(&mut self, now_ms: u64) {
-        let due: Vec<Name> = self
-            .members
-            .iter()
-            .filter(|(_, member)| {
-                member
-                    .suspicion_deadline_ms
-                    .is_some_and(|deadline_ms| deadline_ms <= now_ms)
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in due {
-            self.end_suspicion(now_ms, &name);
-        }
-    }
-
-    fn end_suspicion(&mut self, now_ms: u64, name: &Name) {
-        let Some(member) = self.members.get_mut(name) else {
-            return;
-        };
-        member.suspicion_deadline_ms = None;
-        member.unreachable_since_ms = Some(now_ms);
-        if !guard::is_on(Guard::KeepUnreachable) {
-            member.record.state = MemberState::Gone;
-            member.forget_at_ms = Some(now_ms + FORGET_MS);
-        }
-    }
-
     fn on_list(
         &mut self,
         now_ms: u64,
@@ -521,9 +300,10 @@
     ) {
         let mut is_leaving_new = false;
         for vm in leaving {
-            is_leaving_new |= self.notices.add(now_ms, vm, NOTICE_MS);
+            is_leaving_new |= self.notices.on_listed(now_ms, vm);
         }
         if is_leaving_new {
+            self.is_urgent = true;
             effects.push(Effect::LeavingChanged);
         }
         // A list without this VM is not a list of the daemons' VMs.
@@ -552,10 +332,11 @@
     }
 
     /// Tells all neighbours at once, at most once a period.
-    fn on_changed(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+    fn tell_neighbours(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
         if now_ms < self.announce_at_ms {
             return;
         }
+        self.is_urgent = false;
         self.announce_at_ms = now_ms + PERIOD_MS;
         for target in self.neighbours() {
             self.probe(now_ms, &target, effects);
@@ -570,91 +351,4 @@
             effects.push(Effect::ReadTable);
         }
     }
-
-    fn merge<I>(&mut self, now_ms: u64, records: I)
-    where
-        I: IntoIterator<Item = MemberRecord>,
-    {
-        for record in records {
-            if record.vm == self.me {
-                self.refute(now_ms, &record);
-            } else {
-                self.merge_other(now_ms, record);
-            }
-        }
-    }
-
-    fn refute(&mut self, now_ms: u64, told: &MemberRecord) {
-        let me = self.me();
-        let is_doubted = matches!(told.state, MemberState::Suspect | MemberState::Gone);
-        if told.incarnation == me.incarnation && told.generation >= me.generation && is_doubted {
-            let generation = told.generation + 1;
-            self.update_me(|me| me.generation = generation);
-            self.changed_ms = now_ms;
-        }
-    }
-
-    fn update_me<F>(&mut self, update: F)
-    where
-        F: FnOnce(&mut MemberRecord),
-    {
-        if let Some(me) = self.members.get_mut(&self.me) {
-            update(&mut me.record);
-            self.news.push(self.me.clone());
-        }
-    }
-
-    fn merge_other(&mut self, now_ms: u64, record: MemberRecord) {
-        let known = self.members.get(&record.vm);
-        if known.is_some_and(|known| rank(&record) <= rank(&known.record)) {
-            return;
-        }
-        if known.is_none() && record.state == MemberState::Gone {
-            return;
-        }
-        let suspicion_ms = self.suspicion_ms();
-        let name = record.vm.clone();
-        let state = record.state;
-        let mut member = Member::new(record);
-        match state {
-            MemberState::Suspect => member.suspicion_deadline_ms = Some(now_ms + suspicion_ms),
-            MemberState::Gone => member.forget_at_ms = Some(now_ms + FORGET_MS),
-            MemberState::Alive | MemberState::Leaving => {}
-        }
-        self.members.insert(name.clone(), member);
-        self.news.push(name);
-        self.changed_ms = now_ms;
-    }
-
-    /// A quarter of all members suspected at once is rather a cut, or a flood
-    /// of old suspicions after it: refutations then need longer to arrive.
-    fn suspicion_ms(&self) -> u64 {
-        let suspected = self
-            .members
-            .values()
-            .filter(|member| member.suspicion_deadline_ms.is_some())
-            .count();
-        if suspected * 4 > self.members.len().max(12) {
-            SUSPICION_MS * MASS_FACTOR
-        } else {
-            SUSPICION_MS
-        }
-    }
-
-    fn digests(&self) -> Digests {
-        digests(self.records())
-    }
-
-    fn max_sends(&self) -> u32 {
-        const FACTOR: u32 = 3;
-        FACTOR * (self.members.len() + 1).next_power_of_two().ilog2()
-    }
-}
-
-fn rank(record: &MemberRecord) -> (u64, u64, MemberState) {
-    if guard::is_on(Guard::Incarnation) {
-        (record.incarnation, record.generation, record.state)
-    } else {
-        (0, 0, record.state)
-    }
 }
--- a/src/core/membership/mod.rs
+++ b/src/core/membership/mod.rs
@@ -30,13 +30,16 @@
 mod notices;
 mod queue;
 mod reach;
+mod records;
 mod ring;
+mod view;
 
 pub use self::{
     digest::{BUCKETS, Digests},
     event::{Effect, Event},
-    membership::{MAX_RECORDS, Membership},
+    membership::Membership,
     notices::NOTICE_MS,
     reach::REACHABLE_MS,
     ring::neighbours,
+    view::MAX_RECORDS,
 };
--- a/src/core/membership/notices.rs
+++ b/src/core/membership/notices.rs
@@ -5,6 +5,11 @@
 
 /// How long a VM is held to be leaving after the platform's list said so.
 pub const NOTICE_MS: u64 = 60_000;
+/// By how much the list has to extend a notice for it to be told again.
+const LISTED_GAIN_MS: u64 = NOTICE_MS / 2;
+/// The same for what a member told. It is less: else one whose own deadline is
+/// a little later than the teller's would turn the extension down.
+const TOLD_GAIN_MS: u64 = NOTICE_MS / 4;
 
 /// VMs that the platform lists as leaving, told from member to member.
 ///
@@ -17,16 +22,27 @@
 }
 
 impl Notices {
-    /// Takes a notice; returns whether the VM was not known to be leaving.
-    pub(super) fn add(&mut self, now_ms: u64, vm: &Name, remaining_ms: u64) -> bool {
-        let deadline_ms = now_ms + remaining_ms.min(NOTICE_MS);
+    /// Takes what the platform's list says; returns whether that is new.
+    pub(super) fn on_listed(&mut self, now_ms: u64, vm: &Name) -> bool {
+        self.extend(now_ms, vm, NOTICE_MS, LISTED_GAIN_MS)
+    }
+
+    /// Takes what a member told; returns whether that is new.
+    pub(super) fn on_told(&mut self, now_ms: u64, notice: &LeavingNotice) -> bool {
+        let remaining_ms = notice.remaining_ms.min(NOTICE_MS);
+        self.extend(now_ms, &notice.vm, remaining_ms, TOLD_GAIN_MS)
+    }
+
+    fn extend(&mut self, now_ms: u64, vm: &Name, remaining_ms: u64, gain_ms: u64) -> bool {
+        let deadline_ms = now_ms + remaining_ms;
         let known_ms = self.deadlines_ms.get(vm).copied().unwrap_or_default();
-        if deadline_ms < known_ms.max(now_ms) + NOTICE_MS / 2 && known_ms > now_ms {
+        let is_known = known_ms > now_ms;
+        if is_known && deadline_ms < known_ms + gain_ms {
             return false;
         }
         self.deadlines_ms.insert(vm.clone(), deadline_ms);
         self.queue.push(vm.clone());
-        known_ms <= now_ms
+        !is_known
     }
 
     /// Drops the notices that have lapsed; returns whether there were any.
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -135,6 +135,7 @@
         if let Some(traffic) = &self.traffic {
             traffic.on_request_sent(address, &request);
         }
+        let path = request.uri().path().to_owned();
         let exchange = async {
             let response = self.send(address, request).await?;
             let status = response.status();
@@ -146,7 +147,7 @@
                 .map_err(|_| HttpError::Broken(address))?
                 .to_bytes();
             if let Some(traffic) = &self.traffic {
-                traffic.on_answer_received(head_len + body.len());
+                traffic.on_answer_received(&path, head_len + body.len());
             }
             if status.is_success() {
                 Ok(body)
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -5,6 +5,7 @@
 };
 use strum::IntoEnumIterator;
 
+use super::traffic::RoleBytes;
 use crate::{core::retry::RetryReason, error::ErrorKind};
 
 type Labels = Vec<(&'static str, &'static str)>;
@@ -31,6 +32,7 @@
     pub(crate) platform_writes: Counter,
     pub(crate) control_messages: Counter,
     pub(crate) control_bytes: Counter,
+    pub(crate) control_role_bytes: RoleBytes,
     pub(crate) orders: Counter,
     pub(crate) endpoint_crashes: Counter,
     pub(crate) abandoned: Counter,
@@ -60,6 +62,7 @@
             platform_writes: Counter::default(),
             control_messages: Counter::default(),
             control_bytes: Counter::default(),
+            control_role_bytes: RoleBytes::default(),
             orders: Counter::default(),
             endpoint_crashes: Counter::default(),
             abandoned: Counter::default(),
@@ -85,6 +88,11 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("refusals", "Refusals by kind", self.refusals.clone());
+        registry.register(
+            "control_role_bytes",
+            "HTTP bytes sent and received for control, by what they are for",
+            self.control_role_bytes.clone(),
+        );
         registry.register("retries", "Retries by reason", self.retries.clone());
         registry.register(
             "config_number",
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -11,7 +11,10 @@
     state::{Daemon, lock},
 };
 use crate::{
-    core::{Name, endpoint::Endpoint},
+    core::{
+        Name,
+        endpoint::{Endpoint, Usage},
+    },
     error::{ErrorKind, Refusal},
     wire::{
         operators::{EndpointStatus, LeaseStatus, Patch, Status, VmStatus},
@@ -59,13 +62,18 @@
 #[handler]
 pub(crate) fn status(daemon: Data<&Arc<Daemon>>) -> Response {
     let config_number = daemon.config.borrow().number;
-    let vms = lock(&daemon.membership)
+    let members = lock(&daemon.membership).clone();
+    let vms = members
         .records()
-        .map(|record| vm_status(&daemon, record, config_number))
+        .map(|record| {
+            let is_unreachable = members.is_unreachable(&record.vm);
+            vm_status(&daemon, record, is_unreachable, config_number)
+        })
         .collect();
     let now_ms = now_ms();
     let endpoints = lock(&daemon.endpoints)
         .iter()
+        .filter(|(_, endpoint)| endpoint.usage != Usage::Unused)
         .map(|(service, endpoint)| endpoint_status(service, endpoint, now_ms))
         .collect();
     let trainers = lock(&daemon.trainers);
@@ -89,11 +97,21 @@
     })
 }
 
-fn vm_status(daemon: &Daemon, record: &MemberRecord, config_number: u64) -> VmStatus {
+fn vm_status(
+    daemon: &Daemon,
+    record: &MemberRecord,
+    is_unreachable: bool,
+    config_number: u64,
+) -> VmStatus {
+    let state = if is_unreachable {
+        "unreachable"
+    } else {
+        record.state.into()
+    };
     VmStatus {
         vm: record.vm.clone(),
         data_centre: record.data_centre.clone(),
-        state: <&str>::from(record.state).into(),
+        state: state.into(),
         config_number: if record.vm == daemon.me.vm {
             config_number
         } else {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -25,6 +25,8 @@
 };
 
 const GOSSIP: &str = "/peer/gossip";
+const PROBE: &str = "/peer/probe";
+const SYNCHRONISE: &str = "/peer/synchronise";
 const PROBE_TIMEOUT_MS: u64 = 500;
 const CONFIG_TIMEOUT_MS: u64 = 1_000;
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
@@ -70,7 +72,7 @@
             let request = ProbeRequest {
                 target: target.control_address,
             };
-            let reached = post(&daemon, &through, "/peer/probe", &request).await;
+            let reached = post(&daemon, &through, PROBE, &request).await;
             if reached == Some(true) {
                 handle(&daemon, Event::Confirmed { probe });
             }
@@ -118,7 +120,7 @@
         digests: digests.to_vec(),
         first_bucket,
     };
-    if let Some(records) = post(daemon, with, "/peer/synchronise", &request).await {
+    if let Some(records) = post(daemon, with, SYNCHRONISE, &request).await {
         handle(daemon, Event::Records(records));
     }
 }
@@ -149,13 +151,13 @@
         let daemon = daemon.clone();
         tokio::spawn(async move { fetch_newer_config(&daemon, &sender, config_number).await });
     }
-    write(&daemon, &with_number(&daemon, answer))
+    write(&daemon, GOSSIP, &with_number(&daemon, answer))
 }
 
 /// `POST /peer/probe`: probes a member for another one.
 #[handler]
 pub(crate) async fn answer_probe(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
-    let request: ProbeRequest = match read(&daemon, "/peer/probe", body).await {
+    let request: ProbeRequest = match read(&daemon, PROBE, body).await {
         Ok(request) => request,
         Err(refused) => return refused,
     };
@@ -164,13 +166,13 @@
         .control
         .post_rmp(request.target, GOSSIP, &gossip, PROBE_TIMEOUT_MS)
         .await;
-    write(&daemon, &answer.is_ok())
+    write(&daemon, PROBE, &answer.is_ok())
 }
 
 /// `POST /peer/synchronise`: answers with the records of buckets that differ.
 #[handler]
 pub(crate) async fn answer_synchronise(daemon: Data<&Arc<Daemon>>, body: Body) -> Response {
-    let request: SynchroniseRequest = match read(&daemon, "/peer/synchronise", body).await {
+    let request: SynchroniseRequest = match read(&daemon, SYNCHRONISE, body).await {
         Ok(request) => request,
         Err(refused) => return refused,
     };
@@ -179,7 +181,7 @@
         request.first_bucket,
         MAX_SYNCHRONISED,
     );
-    write(&daemon, &records)
+    write(&daemon, SYNCHRONISE, &records)
 }
 
 async fn read<T>(daemon: &Daemon, path: &str, body: Body) -> Result<T, Response>
@@ -195,12 +197,12 @@
     })
 }
 
-fn write<T>(daemon: &Daemon, answer: &T) -> Response
+fn write<T>(daemon: &Daemon, path: &str, answer: &T) -> Response
 where
     T: Serialize,
 {
     let answer = rmp_serde::to_vec(answer).unwrap_or_default();
-    daemon.traffic.on_answer_sent(answer.len());
+    daemon.traffic.on_answer_sent(path, answer.len());
     Response::builder()
         .content_type("application/msgpack")
         .body(answer)
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -82,6 +82,7 @@
         let traffic = Traffic::new(
             metrics.control_messages.clone(),
             metrics.control_bytes.clone(),
+            metrics.control_role_bytes.clone(),
         );
         let control = HttpClient::new_counted(traffic.clone());
         let platform = Platform::new(control.clone(), &settings.platform_addresses);
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -6,7 +6,8 @@
     HeaderMap, Request, Response,
     body::{Body, Incoming},
 };
-use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::{counter::Counter, family::Family};
+use strum::{EnumIter, IntoEnumIterator, IntoStaticStr};
 
 const LINE_END: usize = "\r\n".len();
 const SEPARATOR: usize = ": ".len();
@@ -22,6 +23,42 @@
     host: 127.0.0.1:40000\r\ncontent-length: \r\n\r\n"
     .len();
 
+/// What an exchange is for.
+#[derive(Clone, Copy, Debug, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Role {
+    Membership,
+    EndpointWatch,
+    Configuration,
+    Table,
+    List,
+    Object,
+    Other,
+}
+
+impl Role {
+    fn of(path: &str) -> Self {
+        const PREFIXES: [(&str, Role); 6] = [
+            ("/peer/config", Role::Configuration),
+            ("/peer/", Role::Membership),
+            ("/load", Role::EndpointWatch),
+            ("/operator/", Role::Configuration),
+            ("/table/", Role::Table),
+            ("/objects/", Role::Object),
+        ];
+        if path == "/vms" {
+            return Self::List;
+        }
+        PREFIXES
+            .iter()
+            .find(|(prefix, _)| path.starts_with(prefix))
+            .map_or(Self::Other, |(_, role)| *role)
+    }
+}
+
+/// Bytes by role.
+pub(crate) type RoleBytes = Family<Vec<(&'static str, &'static str)>, Counter>;
+
 /// Counts messages and bytes of HTTP, heads included, both ways.
 ///
 /// What TCP and IP add is not counted: this process does not see it.
@@ -29,11 +66,21 @@
 pub(crate) struct Traffic {
     messages: Counter,
     bytes: Counter,
+    role_bytes: RoleBytes,
 }
 
 impl Traffic {
-    pub(crate) const fn new(messages: Counter, bytes: Counter) -> Self {
-        Self { messages, bytes }
+    pub(crate) fn new(messages: Counter, bytes: Counter, role_bytes: RoleBytes) -> Self {
+        for role in Role::iter() {
+            role_bytes
+                .get_or_create(&vec![("role", role.into())])
+                .inc_by(0);
+        }
+        Self {
+            messages,
+            bytes,
+            role_bytes,
+        }
     }
 
     pub(crate) fn on_request_sent(&self, address: SocketAddr, request: &Request<Full<Bytes>>) {
@@ -48,24 +95,31 @@
             CONTENT_LENGTH + digits(body_len)
         };
         let head_len = line_len + host_len + length_len + headers_len(request.headers()) + LINE_END;
-        self.count(head_len + body_len);
+        self.count(request.uri().path(), head_len + body_len);
     }
 
-    pub(crate) fn on_answer_received(&self, len: usize) {
-        self.count(len);
+    pub(crate) fn on_answer_received(&self, path: &str, len: usize) {
+        self.count(path, len);
     }
 
     pub(crate) fn on_request_received(&self, path: &str, body_len: usize) {
-        self.count(PEER_REQUEST_HEAD + path.len() + digits(body_len) + body_len);
+        self.count(
+            path,
+            PEER_REQUEST_HEAD + path.len() + digits(body_len) + body_len,
+        );
     }
 
-    pub(crate) fn on_answer_sent(&self, body_len: usize) {
-        self.count(PEER_ANSWER_HEAD + digits(body_len) + body_len);
+    pub(crate) fn on_answer_sent(&self, path: &str, body_len: usize) {
+        self.count(path, PEER_ANSWER_HEAD + digits(body_len) + body_len);
     }
 
-    fn count(&self, len: usize) {
+    fn count(&self, path: &str, len: usize) {
+        let role: &str = Role::of(path).into();
         self.messages.inc();
         self.bytes.inc_by(len as u64);
+        self.role_bytes
+            .get_or_create(&vec![("role", role)])
+            .inc_by(len as u64);
     }
 }
 
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -1,7 +1,9 @@
 //! The fakes that stories are played with, one file a part of the core.
 
 mod drain;
+mod endpoints;
 mod leases;
+mod membership;
 mod quarantine;
 mod requests;
 mod samples;
@@ -14,6 +16,8 @@
     match world {
         "drain" => drain::play(body, seed),
         "leases" => leases::play(body, seed),
+        "endpoints" => endpoints::play(body, seed),
+        "membership" => membership::play(body, seed),
         "quarantine" => quarantine::play(body, seed),
         "requests" => requests::play(body, seed),
         "tickets" => tickets::play(body, seed),
