--- a/crates/standins/src/bench_control/run.rs
+++ b/crates/standins/src/bench_control/run.rs
@@ -21,7 +21,8 @@
     world::{World, WorldSize},
 };
 
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(200);
+const MS_PER_S: f64 = 1_000.0;
 const KILLED_ENDPOINT: &str = "sampler-0";
 const LEAVING_ENDPOINT: &str = "sampler-1";
 
@@ -204,27 +205,14 @@
         let waits = others.iter().map(|daemon| {
             let control = daemon.control_address;
             let victim_vm = &victim_vm;
-            async move {
-                let leaving = this.until_status(started, control, |status| {
-                    has_no(status, LEAVING_ENDPOINT, &["serving", "down"])
-                });
-                let killed = this.until_status(started, control, |status| {
-                    has_no(status, KILLED_ENDPOINT, &["serving"])
-                });
-                let daemon = this.until_status(started, control, |status| {
-                    let vms = status.vms.iter();
-                    !vms.filter(|vm| &*vm.vm == victim_vm.as_str())
-                        .any(|vm| matches!(&*vm.state, "alive" | "suspect"))
-                });
-                tokio::join!(leaving, killed, daemon)
-            }
+            async move { this.watch_failures(started, control, victim_vm).await }
         });
         let known = join_all(waits).await;
-        let most = |pick: fn(&(f64, f64, f64)) -> f64| known.iter().map(pick).fold(0.0, f64::max);
+        let most = |index: usize| known.iter().map(|known| known[index]).fold(0.0, f64::max);
         let times = [
-            ("leaving_endpoint_known_ms", most(|known| known.0)),
-            ("killed_endpoint_known_ms", most(|known| known.1)),
-            ("killed_daemon_known_ms", most(|known| known.2)),
+            ("leaving_endpoint_known_ms", most(0)),
+            ("killed_endpoint_known_ms", most(1)),
+            ("killed_daemon_known_ms", most(2)),
         ];
         for (name, known_ms) in times {
             self.note_time(name, known_ms);
@@ -239,20 +227,34 @@
         }
     }
 
-    async fn until_status<F>(
+    /// Returns when a daemon knew of the leaving endpoint, of the killed one
+    /// and of the killed daemon, in milliseconds; infinity where it never did.
+    async fn watch_failures(
         &self,
         started: Instant,
         control: std::net::SocketAddr,
-        is_known: F,
-    ) -> f64
-    where
-        F: Fn(&Status) -> bool,
-    {
-        self.until(started, async || {
-            let status = observe::status(&self.http, control).await;
-            status.is_some_and(|status| is_known(&status))
-        })
-        .await
+        victim: &str,
+    ) -> [f64; 3] {
+        let mut known_ms = [f64::INFINITY; 3];
+        let is_over = |known_ms: &[f64; 3]| known_ms.iter().all(|ms| ms.is_finite());
+        let patience = Duration::from_millis(self.settings.patience_ms);
+        while !is_over(&known_ms) && started.elapsed() < patience {
+            if let Some(status) = observe::status(&self.http, control).await {
+                let now_ms = started.elapsed().as_secs_f64() * MS_PER_S;
+                let mut vms = status.vms.iter().filter(|vm| &*vm.vm == victim);
+                let is_known = [
+                    has_no(&status, LEAVING_ENDPOINT, &["serving", "down"]),
+                    has_no(&status, KILLED_ENDPOINT, &["serving"]),
+                    !vms.any(|vm| matches!(&*vm.state, "alive" | "suspect")),
+                ];
+                for (known_ms, _) in known_ms.iter_mut().zip(is_known).filter(|(_, is)| *is) {
+                    *known_ms = now_ms.min(*known_ms);
+                }
+            }
+            // Looking costs the daemons time as well.
+            tokio::time::sleep(LOOK).await;
+        }
+        known_ms
     }
 
     /// Returns after how many milliseconds `is_known`, or infinity if it never is.
@@ -260,7 +262,6 @@
     where
         F: AsyncFnMut() -> bool,
     {
-        const MS_PER_S: f64 = 1_000.0;
         let patience = Duration::from_millis(self.settings.patience_ms);
         while started.elapsed() < patience {
             if is_known().await {
--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -81,7 +81,10 @@
 where
     F: Future<Output = Result<(), String>>,
 {
+    // A daemon is one of many on small VMs, and each worker keeps memory.
+    const WORKER_THREADS: usize = 2;
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
         .enable_all()
         .build();
     let result = runtime
--- a/src/core/endpoint/table.rs
+++ b/src/core/endpoint/table.rs
@@ -25,6 +25,8 @@
 const WATCHED_POLL_MS: u64 = 30_000;
 /// How often an endpoint is polled that has other weights than it is to have.
 const BEHIND_POLL_MS: u64 = 1_000;
+/// How many such polls a daemon sends a second at most, in the mean.
+const BEHIND_POLLS_PER_S: u64 = 400;
 const RECHECK_MS: u64 = 200;
 
 /// An endpoint that is to be polled.
@@ -141,6 +143,7 @@
         let mut due = Vec::new();
         for (service, pool) in self.services.iter_mut().filter(|(_, pool)| pool.is_model) {
             let (is_held, target) = (pool.is_held, pool.weights_version);
+            let behind_ms = behind_poll_ms(pool);
             for endpoint in pool.endpoints.values_mut() {
                 let usage = endpoint.usage.max(if is_held {
                     Usage::Watched
@@ -152,7 +155,7 @@
                 }
                 let is_behind = is_held && endpoint.load.weights_version != target;
                 let wait_ms = if is_behind {
-                    BEHIND_POLL_MS
+                    behind_ms
                 } else {
                     poll_wait_ms(usage, endpoint, pace_ms)
                 };
@@ -246,6 +249,16 @@
     })
 }
 
+/// Returns the time between two polls of an endpoint with other weights than
+/// it is to have, so that all of them keep to the bound.
+fn behind_poll_ms(pool: &Pool) -> u64 {
+    let endpoints = pool.endpoints.values();
+    let behind = endpoints
+        .filter(|endpoint| endpoint.load.weights_version != pool.weights_version)
+        .count();
+    (behind as u64 * 1_000 / BEHIND_POLLS_PER_S).max(BEHIND_POLL_MS)
+}
+
 fn poll_wait_ms(usage: Usage, endpoint: &Endpoint, pace_ms: u64) -> u64 {
     match usage {
         Usage::Used if endpoint.is_idle() && !endpoint.is_unanswered => IDLE_FACTOR * pace_ms,
--- a/src/core/membership/membership.rs
+++ b/src/core/membership/membership.rs
@@ -122,7 +122,7 @@
             Event::Confirmed { probe } => {
                 self.probes.remove(&probe);
             }
-            Event::Records(records) => self.merge(now_ms, records),
+            Event::Records(records) => self.learn(now_ms, records),
             Event::Listed { vms, leaving } => self.on_list(now_ms, &vms, &leaving, effects),
             Event::Changed => self.is_urgent = true,
         }
--- a/src/core/membership/records.rs
+++ b/src/core/membership/records.rs
@@ -100,6 +100,19 @@
         }
     }
 
+    /// Takes records from the table or from anti-entropy, and does not pass
+    /// them on: others have them from there too. A member that starts would
+    /// else tell all it read, and so would all that start with it.
+    pub(super) fn learn(&mut self, now_ms: u64, records: Vec<MemberRecord>) {
+        let news = self.news.clone();
+        self.merge(now_ms, records);
+        self.news = news;
+        if self.is_urgent {
+            // The own refutation is news all the same.
+            self.news.push(self.me.clone());
+        }
+    }
+
     pub(super) fn merge<I>(&mut self, now_ms: u64, records: I)
     where
         I: IntoIterator<Item = MemberRecord>,
