--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! the kernel chooses.
 
 pub mod bench_agreement;
+pub mod bench_control;
 pub mod bench_ledger;
 pub mod bench_path;
 pub mod bench_policy;
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -2,7 +2,9 @@
 
 mod config;
 mod drain;
+mod endpoints;
 mod leases;
+mod membership;
 mod quarantine;
 mod requests;
 mod samples;
@@ -17,6 +19,8 @@
         "config" => config::play(body, seed),
         "drain" => drain::play(body, seed),
         "leases" => leases::play(body, seed),
+        "endpoints" => endpoints::play(body, seed),
+        "membership" => membership::play(body, seed),
         "quarantine" => quarantine::play(body, seed),
         "requests" => requests::play(body, seed),
         "tickets" => tickets::play(body, seed),
