Prove bounds under overload by stories in virtual time

It now shrinks in proportion, and the average follows in 30 s. Waiting requests whose deadline comes first are found by priority, not by going through all.

--- a/src/core/admission/adaptive.rs
+++ b/src/core/admission/adaptive.rs
@@ -2,13 +2,19 @@
 
 /// The weight of the newest latency in the short average.
 const SHORT_WEIGHT: f64 = 0.1;
-/// The weight in the long average, while all is well and while it is not.
-const LONG_WEIGHT: f64 = 0.01;
-const LONG_WEIGHT_CONGESTED: f64 = 0.001;
+/// In which time the long average follows the latency while all is well. By
+/// time and not by count: a busy service would follow an overload at once.
+const FOLLOW_MS: f64 = 30_000.0;
+/// The same while it is not. It follows at all so that a service that has
+/// become slower for good is not held to its old latency for ever.
+const CONGESTED_FOLLOW_MS: f64 = 300_000.0;
+/// The most that one latency counts in the long average.
+const MAX_WEIGHT: f64 = 0.1;
 /// How far the short average may be above the long one.
 const TOLERANCE: f64 = 2.0;
-/// What is left of the limit after one decrease.
-const DECREASE: f64 = 0.9;
+/// What is left of the limit after one decrease: at least and at most.
+const LEAST_LEFT: f64 = 0.5;
+const MOST_LEFT: f64 = 0.9;
 
 /// A limit that grows by steps and shrinks by shares, as latency tells it to.
 ///
@@ -36,10 +42,12 @@
     decrease_at_ms: u64,
 }
 
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 #[derive(Clone, Copy, Debug)]
 struct Averages {
     short_ms: f64,
     long_ms: f64,
+    noted_at_ms: u64,
 }
 
 impl AdaptiveLimit {
@@ -79,10 +87,11 @@
 
     /// Notes how long a request took while `running` ran, or that it failed.
     pub fn on_latency(&mut self, now_ms: u64, latency_ms: u64, running: u32, has_failed: bool) {
-        let is_congested = has_failed || self.is_slow(latency_ms);
-        if is_congested {
+        let slowness = self.slowness(now_ms, latency_ms);
+        if has_failed || slowness > TOLERANCE {
             if now_ms >= self.decrease_at_ms {
-                self.limit = (self.limit * DECREASE).max(self.least);
+                let left = (TOLERANCE / slowness).clamp(LEAST_LEFT, MOST_LEFT);
+                self.limit = (self.limit * left).max(self.least);
                 // What runs now was started under the old limit.
                 self.decrease_at_ms = now_ms + latency_ms;
             }
@@ -91,22 +100,27 @@
         }
     }
 
-    fn is_slow(&mut self, latency_ms: u64) -> bool {
+    /// Returns how many times its usual latency the service has now.
+    fn slowness(&mut self, now_ms: u64, latency_ms: u64) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
-        let newest_ms = latency_ms as f64;
-        let Some(averages) = &mut self.averages else {
-            let (short_ms, long_ms) = (newest_ms, newest_ms);
-            self.averages = Some(Averages { short_ms, long_ms });
-            return false;
-        };
+        let newest_ms = latency_ms.max(1) as f64;
+        let averages = self.averages.get_or_insert(Averages {
+            short_ms: newest_ms,
+            long_ms: newest_ms,
+            noted_at_ms: now_ms,
+        });
         averages.short_ms += SHORT_WEIGHT * (newest_ms - averages.short_ms);
-        let is_slow = averages.short_ms > TOLERANCE * averages.long_ms;
-        let weight = if is_slow {
-            LONG_WEIGHT_CONGESTED
+        let slowness = averages.short_ms / averages.long_ms;
+        let follow_ms = if slowness > TOLERANCE {
+            CONGESTED_FOLLOW_MS
         } else {
-            LONG_WEIGHT
+            FOLLOW_MS
         };
+        #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
+        let elapsed_ms = now_ms.saturating_sub(averages.noted_at_ms) as f64;
+        let weight = (elapsed_ms / follow_ms).min(MAX_WEIGHT);
+        averages.noted_at_ms = now_ms;
         averages.long_ms += weight * (newest_ms - averages.long_ms);
-        is_slow
+        slowness
     }
 }
--- a/src/core/admission/limit.rs
+++ b/src/core/admission/limit.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString, IntoStaticStr};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 /// How urgent a request is. The order is that of urgency.
 #[derive(
@@ -9,6 +9,7 @@
     Default,
     Deserialize,
     Display,
+    EnumIter,
     EnumString,
     Eq,
     IntoStaticStr,
--- a/src/core/admission/queue.rs
+++ b/src/core/admission/queue.rs
@@ -1,6 +1,7 @@
 use std::{cmp::Reverse, collections::BTreeSet};
 
 use rand::Rng;
+use strum::IntoEnumIterator;
 
 use super::{AdaptiveLimit, Priority};
 use crate::{
@@ -167,8 +168,8 @@
     {
         if guard::is_on(Guard::DeadlineAdmission) {
             let due_ms = now_ms + self.request_ms();
-            let late = self.waiting.iter().find(|key| key.deadline_ms < due_ms);
-            if let Some(key) = late.copied() {
+            let late = self.firsts().find(|key| key.deadline_ms < due_ms);
+            if let Some(key) = late {
                 self.waiting.remove(&key);
                 return Some(Next::Refuse(key.number, self.refusal(now_ms, rng)));
             }
@@ -184,7 +185,7 @@
     /// Returns when the next waiting request can no longer meet its deadline.
     #[must_use]
     pub fn next_deadline_ms(&self) -> Option<u64> {
-        let first = self.waiting.iter().map(|key| key.deadline_ms).min()?;
+        let first = self.firsts().map(|key| key.deadline_ms).min()?;
         Some(first.saturating_sub(self.request_ms()) + 1)
     }
 
@@ -195,6 +196,20 @@
         self.waiting.len() < len
     }
 
+    /// Returns the first to come due of each priority.
+    fn firsts(&self) -> impl Iterator<Item = Key> {
+        Priority::iter().filter_map(|priority| {
+            let urgency = Reverse(priority);
+            let from = Key {
+                urgency,
+                deadline_ms: 0,
+                number: 0,
+            };
+            let first = self.waiting.range(from..).next();
+            first.filter(|key| key.urgency == urgency).copied()
+        })
+    }
+
     fn request_ms(&self) -> u64 {
         #[expect(
             clippy::cast_possible_truncation,
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -2,8 +2,10 @@
 
 mod drain;
 mod leases;
+mod overload;
 mod quarantine;
 mod requests;
+mod routing;
 mod tickets;
 
 use serde_json::Value;
@@ -13,8 +15,10 @@
     match world {
         "drain" => drain::play(body, seed),
         "leases" => leases::play(body, seed),
+        "overload" => overload::play(body, seed),
         "quarantine" => quarantine::play(body, seed),
         "requests" => requests::play(body, seed),
+        "routing" => routing::play(body, seed),
         "tickets" => tickets::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
