Take nothing of the retry budget for what was never sent

A refused connection is no load on an endpoint; the tries of one request stay limited. Ruled out: longer pauses, since at one call a second probes alone would take the budget.

--- a/crates/standins/src/bench_policy/work.rs
+++ b/crates/standins/src/bench_policy/work.rs
@@ -455,7 +455,8 @@
         let daemon = &mut self.daemons[work.daemon];
         let may_repeat = work.is_idempotent() || !work.was_sent;
         let has_tries = work.tries < MAX_ATTEMPTS;
-        let has_budget = !self.policy.has_budget || daemon.budgets[work.service].try_spend();
+        let is_free = !self.policy.has_budget || !failure.was_sent;
+        let has_budget = is_free || daemon.budgets[work.service].try_spend();
         if may_repeat && has_tries && has_budget {
             let reason = failure.reason.into();
             *self.measures.retries.entry(reason).or_default() += 1;
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -17,6 +17,7 @@
     core::{
         Name,
         config::EndpointSettings,
+        request::AttemptFailure,
         retry::{Budget, RetryReason, backoff_ms},
         routing,
         straggler::{Progress, is_straggler},
@@ -145,12 +146,14 @@
 }
 
 /// Asks the service's retry budget for one retry.
-pub(crate) fn try_spend_retry(daemon: &Daemon, service: &str, reason: RetryReason) -> bool {
-    // Moving a straggler ends one attempt for another and adds no load.
-    let is_move = reason == RetryReason::Straggler;
-    let may_retry = is_move || with_budget(daemon, service, Budget::try_spend);
+pub(crate) fn try_spend_retry(daemon: &Daemon, service: &str, failure: AttemptFailure) -> bool {
+    // Moving a straggler ends one attempt for another and adds no load, and
+    // neither does what never reached an endpoint: where a third of them is
+    // gone, a budget for these would refuse what the others have room for.
+    let is_free = failure.reason == RetryReason::Straggler || !failure.was_sent;
+    let may_retry = is_free || with_budget(daemon, service, Budget::try_spend);
     if may_retry {
-        daemon.metrics.on_retry(reason);
+        daemon.metrics.on_retry(failure.reason);
     }
     may_retry
 }
--- a/src/daemon/endpoints.rs
+++ b/src/daemon/endpoints.rs
@@ -278,7 +278,7 @@
     cancel(daemon, &run.settings, &id);
     // Kept for the case that the answer has to go on at the same endpoint.
     *last = Some(run.end());
-    let may_retry = dispatch::try_spend_retry(daemon, service, failure.reason);
+    let may_retry = dispatch::try_spend_retry(daemon, service, failure);
     Event::Failed {
         attempt: id,
         failure,
@@ -431,7 +431,7 @@
         };
         run.fail(failure).await;
         drop(run);
-        let may_retry = dispatch::try_spend_retry(daemon, service, failure.reason);
+        let may_retry = dispatch::try_spend_retry(daemon, service, failure);
         match machine.on_failed(failure, may_retry) {
             CallEffect::Choose { avoid: next } => avoid = next,
             CallEffect::Refuse(refusal) => return Err(refusal),
