--- a/crates/standins/src/bench_policy/trainer.rs
+++ b/crates/standins/src/bench_policy/trainer.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use bytes::Bytes;
 use chicoryreach::{
     core::{
         admission::{Priority, sample_room},
@@ -12,7 +13,7 @@
         retry::RetryReason,
         routing,
         run_ahead::{last_step, min_weights_version},
-        sample::{Ledger, Loaded},
+        sample::{Ledger, Loaded, Taken, Uncommitted},
         straggler::{Progress, is_straggler},
     },
     wire::{
@@ -38,6 +39,8 @@
 pub(super) struct TrainerSim {
     pub(super) daemon: usize,
     ledger: Ledger,
+    /// The payloads that the fake object store holds.
+    objects: BTreeMap<Arc<str>, Bytes>,
     row_version: u64,
     /// The step that it trains next.
     step: u64,
@@ -58,7 +61,9 @@
         let mut trainer = Self {
             // Trainers do not stand where the fault hits.
             daemon: (1 + index * workload.data_centres) % workload.daemons,
-            ledger: Ledger::new(format!("trainer-{index}").into(), 1, Loaded::default()),
+            ledger: Ledger::try_new(format!("trainer-{index}").into(), 1, Loaded::default())
+                .expect("no other holder has written"),
+            objects: BTreeMap::new(),
             row_version: 0,
             step: 1,
             version: 1,
@@ -99,6 +104,13 @@
                 return;
             }
             self.row_version += 1;
+            if let Some(payload) = &plan.payload {
+                self.objects
+                    .insert(payload.object.clone(), payload.bytes.clone());
+            }
+            for object in self.ledger.take_spent_objects() {
+                self.objects.remove(&object);
+            }
             self.ledger.on_committed(plan, self.row_version);
         }
     }
@@ -144,13 +156,19 @@
                 limit: LIMIT,
             };
             let fetched = trainer.ledger.fetch(fetch).expect("the cursor is valid");
+            let is_missing = fetched.missing.is_some();
+            if let Some(missing) = fetched.missing {
+                let content = trainer.objects.get(&missing.object);
+                trainer.ledger.on_object(&missing, content);
+            }
             for sample in fetched.samples {
+                let sample: Sample = serde_json::from_slice(&sample).expect("a sample is JSON");
                 let oldest = sample.weights.iter().map(|span| span.weights_version).min();
                 let step = trainer.taken.entry(sample.slot.step).or_default();
                 let known = step.insert(sample.slot, oldest.unwrap_or_default());
                 self.measures.doubled += u64::from(known.is_some());
             }
-            if fetched.next_cursor == trainer.cursor {
+            if fetched.next_cursor == trainer.cursor && !is_missing {
                 break;
             }
             trainer.cursor = fetched.next_cursor;
@@ -292,9 +310,14 @@
             }],
             seed: 0,
         };
-        if !trainer.ledger.on_sample(sample) {
+        let sample = Uncommitted::try_new(&sample).expect("a sample can be encoded");
+        let taken = trainer.ledger.on_sample(sample);
+        if taken != Taken::Buffered {
             self.measures.wasted_tokens += u64::from(work.units);
         }
+        if taken == Taken::Stale {
+            self.after(REOPEN_MS, Event::Reopen(index, slot));
+        }
     }
 
     fn look_for_stragglers(&mut self, index: usize) {
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,6 +10,7 @@
 
 use bpaf::Bpaf;
 use standins::{
+    bench_ledger::{self, BenchSettings},
     bench_policy::{self, Fault, Selection, WorkloadName},
     drive::{self, DriveSettings, Driven},
     engine::EngineSettings,
@@ -91,6 +92,24 @@
         #[bpaf(argument("SECONDS"), fallback(60))]
         seconds: u64,
     },
+    /// Measures one trainer's ledger over one step; prints one line of JSON.
+    #[bpaf(command("bench-ledger"))]
+    BenchLedger {
+        /// Groups of the step.
+        #[bpaf(argument("N"), fallback(1_024))]
+        groups: u32,
+        /// Samples in a group.
+        #[bpaf(argument("N"), fallback(8))]
+        samples_per_group: u32,
+        /// Tokens in a sample.
+        #[bpaf(argument("N"), fallback(1_500))]
+        tokens: u32,
+        /// Samples that come in between two commits.
+        #[bpaf(argument("N"), fallback(15))]
+        samples_per_commit: u32,
+        /// Uses the platform stand-in over loopback.
+        loopback: bool,
+    },
     /// Compares the decisions with plain baselines, in virtual time.
     #[bpaf(command("bench-policy"))]
     BenchPolicy {
@@ -152,14 +171,7 @@
                 services,
                 data_centres,
             };
-            let world = World::try_start(size, EngineSettings::default())
-                .await
-                .map_err(|error| error.to_string())?;
-            world
-                .write_files(size, &dir)
-                .map_err(|error| error.to_string())?;
-            tokio::time::sleep(Duration::from_secs(seconds)).await;
-            Ok(())
+            run_world(size, &dir, seconds).await
         }
         Command::Proofs => {
             println!("{}", proofs::table(Path::new("tests/scenarios"))?);
@@ -200,10 +212,26 @@
                 samples_per_group: samples,
                 timeout_ms: seconds * 1_000,
             };
-            let prepared = drive::prepare(&settings).await?;
-            // Tells the demo's script that a fault may be played now.
-            fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
-            report(&drive::drive(&settings, &prepared).await?)
+            run_drive(settings, &dir).await
+        }
+        Command::BenchLedger {
+            groups,
+            samples_per_group,
+            tokens,
+            samples_per_commit,
+            loopback,
+        } => {
+            let settings = BenchSettings {
+                groups,
+                samples_per_group,
+                tokens,
+                samples_per_commit,
+                is_loopback: loopback,
+            };
+            let report = bench_ledger::run(settings).await?;
+            let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
+            println!("{line}");
+            Ok(())
         }
         Command::BenchPolicy {
             workload,
@@ -225,6 +253,23 @@
     }
 }
 
+async fn run_world(size: WorldSize, dir: &Path, seconds: u64) -> Result<(), String> {
+    let world = World::try_start(size, EngineSettings::default()).await;
+    let world = world.map_err(|error| error.to_string())?;
+    world
+        .write_files(size, dir)
+        .map_err(|error| error.to_string())?;
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    Ok(())
+}
+
+async fn run_drive(settings: DriveSettings, dir: &Path) -> Result<(), String> {
+    let prepared = drive::prepare(&settings).await?;
+    // Tells the demo's script that a fault may be played now.
+    fs::write(dir.join("driving"), "").map_err(|error| error.to_string())?;
+    report(&drive::drive(&settings, &prepared).await?)
+}
+
 fn platform(dir: &Path) -> Result<SocketAddr, String> {
     read(dir, "platform")?
         .parse()
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -6,6 +6,7 @@
 mod quarantine;
 mod requests;
 mod routing;
+mod samples;
 mod tickets;
 
 use serde_json::Value;
@@ -20,6 +21,7 @@
         "requests" => requests::play(body, seed),
         "routing" => routing::play(body, seed),
         "tickets" => tickets::play(body, seed),
+        "samples" => samples::play(body, seed),
         other => panic!("there is no world '{other}'"),
     }
 }
