--- a/crates/standins/src/bench_policy/trainer.rs
+++ b/crates/standins/src/bench_policy/trainer.rs
@@ -76,6 +76,8 @@
             duplicated: BTreeSet::new(),
             durations_ms: Vec::new(),
         };
+        // The ledger is claimed before it takes steps.
+        trainer.commit(true);
         (1..=OPEN_STEPS).for_each(|step| trainer.open(step, workload));
         trainer
     }
