--- a/crates/standins/src/drive.rs
+++ b/crates/standins/src/drive.rs
@@ -29,6 +29,8 @@
 const PROMPTS: &str = include_str!("../data/prompts.json");
 const CALLS: &str = include_str!("../data/calls.json");
 const TIMEOUT_MS: u64 = 5_000;
+/// Longer than samplers take to swap their weights, as it is in earnest.
+const TRAIN_MS: u64 = 1_500;
 const REQUEST_TIMEOUT_MS: u64 = 10_000;
 
 /// What to drive.
@@ -207,7 +209,7 @@
         max_tokens: 64,
         staleness_bound: 1,
         steps: settings.steps,
-        train_ms: 300,
+        train_ms: TRAIN_MS,
         deadline,
     };
     let mut trainer = Trainer::new(trainer, addresses, control);
--- a/src/daemon/sample_task.rs
+++ b/src/daemon/sample_task.rs
@@ -1,6 +1,6 @@
 //! Generates samples for the slots that a ledger wants filled.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::Arc;
 
 use super::{
     clock::{now_ms, sleep_until},
@@ -31,11 +31,9 @@
     step: OpenStep,
     route: Route,
 ) {
-    task.generating.fetch_add(1, Ordering::Relaxed);
     let (task, daemon) = (task.clone(), daemon.clone());
     tokio::spawn(async move {
         let sample = generate(&task, &daemon, slot, &step, route).await;
-        task.generating.fetch_sub(1, Ordering::Relaxed);
         let sample = sample.and_then(|sample| Uncommitted::try_new(&sample));
         on_generated(&task, &daemon, slot, sample).await;
     });
