--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -234,10 +234,7 @@
             label,
         } => bench_path(PathSettings::try_read(&dir, daemons, label)?).await,
         Command::BenchAgreement => bench_agreement::print(),
-        Command::Proofs => {
-            println!("{}", proofs::table(Path::new("tests/scenarios"))?);
-            Ok(())
-        }
+        Command::Proofs => print_proofs(),
         command @ (Command::BenchControl { .. } | Command::BenchControlReport { .. }) => {
             run_bench_control(command).await
         }
@@ -314,6 +311,11 @@
     }
 }
 
+fn print_proofs() -> Result<(), String> {
+    println!("{}", proofs::table(Path::new("tests/scenarios"))?);
+    Ok(())
+}
+
 async fn run_world(size: WorldSize, dir: &Path, seconds: u64) -> Result<(), String> {
     let world = World::try_start(size, EngineSettings::default()).await;
     let world = world.map_err(|error| error.to_string())?;
--- a/src/daemon/config_peers.rs
+++ b/src/daemon/config_peers.rs
@@ -58,6 +58,7 @@
     }
     answer(
         &daemon,
+        ANNOUNCE,
         &Announced {
             in_force: in_force.into_iter().collect(),
         },
@@ -78,7 +79,7 @@
     match read::<Since>(&daemon, SINCE, body).await {
         Ok(since) => {
             let update = lock(&daemon.replica).since(since.number);
-            answer(&daemon, &update)
+            answer(&daemon, SINCE, &update)
         }
         Err(refusal) => refuse(&daemon, &refusal),
     }
@@ -101,7 +102,7 @@
         })
         .collect();
     let number = config::number(&daemon);
-    answer(&daemon, &Vouches { number, vouches })
+    answer(&daemon, VOUCHES, &Vouches { number, vouches })
 }
 
 /// Tells the freshness which members are expected, once that is known.
@@ -301,12 +302,12 @@
         .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))
 }
 
-fn answer<T>(daemon: &Daemon, body: &T) -> Response
+fn answer<T>(daemon: &Daemon, path: &str, body: &T) -> Response
 where
     T: Serialize,
 {
     let body = rmp_serde::to_vec(body).unwrap_or_default();
-    daemon.traffic.on_answer_sent(body.len());
+    daemon.traffic.on_answer_sent(path, body.len());
     Response::builder()
         .content_type("application/msgpack")
         .body(body)
--- a/src/daemon/crash.rs
+++ b/src/daemon/crash.rs
@@ -246,7 +246,7 @@
         CrashNews::Cleared(clearance) => lock(&daemon.quarantine).on_clearance(clearance),
     }
     let answer = rmp_serde::to_vec(&()).unwrap_or_default();
-    daemon.traffic.on_answer_sent(answer.len());
+    daemon.traffic.on_answer_sent(NEWS_PATH, answer.len());
     Response::builder()
         .content_type("application/msgpack")
         .body(answer)
--- a/src/daemon/settle.rs
+++ b/src/daemon/settle.rs
@@ -332,7 +332,7 @@
         settled = settle_once(&daemon, &question, &ticket);
     }
     let answer = rmp_serde::to_vec(&answer(settled)).unwrap_or_default();
-    daemon.traffic.on_answer_sent(answer.len());
+    daemon.traffic.on_answer_sent(SETTLE_PATH, answer.len());
     Response::builder()
         .content_type("application/msgpack")
         .body(answer)
--- a/src/daemon/trainer_task.rs
+++ b/src/daemon/trainer_task.rs
@@ -15,7 +15,6 @@
 
 use super::{
     clock::{now_ms, sleep_until},
-    dispatch::Route,
     lease_keeper::LeaseKeeper,
     ledger_io::{self, Commit},
     sample_task,
@@ -24,9 +23,6 @@
 use crate::{
     core::{
         Name,
-        admission::sample_room,
-        routing,
-        run_ahead::{last_step, min_weights_version},
         sample::{CommitPlan, Ledger, Pace, Taken, Uncommitted},
     },
     error::{ErrorKind, Refusal},
@@ -40,8 +36,6 @@
 const LEAVING_COMMIT_MS: u64 = 100;
 /// How many bytes of samples are kept while no ledger is held.
 const MAX_KEPT_BYTES: usize = 64 * 1024 * 1024;
-/// A trainer that has not asked for samples for this long does not wait for them.
-const WAITING_MS: u64 = 1_000;
 
 /// What has been committed, for those who wait for it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -63,28 +57,28 @@
     pub(crate) lease: LeaseKeeper,
     pub(super) wake_lease: Notify,
     is_leaving: AtomicBool,
-    state: Mutex<State>,
+    pub(super) state: Mutex<State>,
     /// Whether the step in hand has no slot left to start.
-    is_tail: Arc<AtomicBool>,
-    fetched: Mutex<Fetched>,
+    pub(super) is_tail: Arc<AtomicBool>,
+    pub(super) fetched: Mutex<Fetched>,
 }
 
 /// What the trainer has fetched, and when.
 #[derive(Clone, Copy, Debug, Default)]
-struct Fetched {
-    cursor: u64,
-    at_ms: u64,
+pub(super) struct Fetched {
+    pub(super) cursor: u64,
+    pub(super) at_ms: u64,
 }
 
 #[derive(Debug, Default)]
-struct State {
-    ledger: Option<Ledger>,
+pub(super) struct State {
+    pub(super) ledger: Option<Ledger>,
     unsettled: Option<CommitPlan>,
     /// Samples that no ledger has taken, for the next one of this VM.
     kept: Vec<Uncommitted>,
     /// The slots for which a sample is being generated, whichever ledger took
     /// them: the next ledger of this VM must not take them again.
-    generating: BTreeSet<Slot>,
+    pub(super) generating: BTreeSet<Slot>,
     pace: Pace,
     /// When the platform is tried again, if it failed when last tried.
     retry_at_ms: Option<u64>,
@@ -244,7 +238,7 @@
             return self.on_failure(daemon);
         }
         if !self.is_leaving() {
-            self.start_wanted(daemon);
+            sample_task::start_wanted(self, daemon);
         }
         self.commit_due(daemon).await
     }
@@ -293,49 +287,6 @@
         Ok(())
     }
 
-    fn start_wanted(self: &Arc<Self>, daemon: &Arc<Daemon>) {
-        let Some(service) = self.service(daemon) else {
-            return;
-        };
-        let Fetched { cursor, at_ms } = *lock(&self.fetched);
-        let is_training = now_ms() > at_ms + WAITING_MS;
-        let mut state = lock(&self.state);
-        let generating = state.generating.len();
-        let Some(ledger) = &mut state.ledger else {
-            return;
-        };
-        let Some(next) = ledger.next_step(cursor) else {
-            return;
-        };
-        let is_waited_for = !is_training && ledger.has_wanted_until(next);
-        let newest = daemon
-            .service(&service)
-            .map_or(0, |service| service.weights_version);
-        let min_weights_version = min_weights_version(newest, is_waited_for);
-        let last_step = if is_waited_for {
-            next
-        } else {
-            last_step(next, is_training, 0)
-        };
-        let room = room(daemon, &service, min_weights_version, generating);
-        let slots = ledger.take_wanted_until(last_step, room as usize);
-        let is_tail = !ledger.has_wanted_until(next);
-        self.is_tail.store(is_tail, Ordering::Relaxed);
-        let steps: Vec<_> = slots
-            .into_iter()
-            .filter_map(|slot| Some((slot, ledger.step(slot.step)?.clone())))
-            .collect();
-        for (slot, step) in steps {
-            let route = Route {
-                affinity: Some(format!("{}/{}/{}", self.trainer, slot.step, slot.group).into()),
-                min_weights_version,
-                is_tail: Some(self.is_tail.clone()),
-            };
-            state.generating.insert(slot);
-            sample_task::start(self, daemon, slot, step, route);
-        }
-    }
-
     pub(super) fn service(&self, daemon: &Daemon) -> Option<Name> {
         let config = daemon.config.borrow();
         let trainer = config.document.trainers.get(&self.trainer)?;
@@ -468,17 +419,6 @@
     }
 }
 
-/// Returns how many samples may be started now.
-fn room(daemon: &Daemon, service: &str, min_weights_version: u64, generating: usize) -> u32 {
-    let generating = u32::try_from(generating).unwrap_or(u32::MAX);
-    let most = daemon.settings.limits.max_generating;
-    let trainers = daemon.trainers_of(service);
-    let table = lock(&daemon.endpoints);
-    let free = routing::free_slots(&table, now_ms(), service, min_weights_version);
-    let share = sample_room(free, trainers);
-    share.min(most.saturating_sub(generating))
-}
-
 /// Has every ledger of this VM handed over, because the VM leaves.
 pub(crate) fn hand_over_all(daemon: &Daemon) {
     for task in lock(&daemon.trainers).values() {
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -5,8 +5,10 @@
 mod endpoints;
 mod leases;
 mod membership;
+mod overload;
 mod quarantine;
 mod requests;
+mod routing;
 mod samples;
 mod tickets;
 mod weights;
@@ -21,8 +23,10 @@
         "leases" => leases::play(body, seed),
         "endpoints" => endpoints::play(body, seed),
         "membership" => membership::play(body, seed),
+        "overload" => overload::play(body, seed),
         "quarantine" => quarantine::play(body, seed),
         "requests" => requests::play(body, seed),
+        "routing" => routing::play(body, seed),
         "tickets" => tickets::play(body, seed),
         "samples" => samples::play(body, seed),
         "weights" => weights::play(body, seed),
