--- a/crates/standins/src/bench_policy/world.rs
+++ b/crates/standins/src/bench_policy/world.rs
@@ -427,7 +427,9 @@
             max_in_flight_per_endpoint: MAX_IN_FLIGHT,
             ..Service::default()
         };
-        document.services.insert(Arc::from(load.name), service);
+        document
+            .services
+            .insert(Arc::from(load.name), Arc::new(service));
     }
     document
 }
--- a/src/core/config/document.rs
+++ b/src/core/config/document.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use serde::{Deserialize, Serialize};
@@ -13,7 +14,7 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Document {
     /// The services, by name.
-    pub services: BTreeMap<Name, Service>,
+    pub services: BTreeMap<Name, Arc<Service>>,
     /// The trainers, by name.
     pub trainers: BTreeMap<Name, Trainer>,
     /// VMs that are to shut down gracefully.
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -140,7 +140,7 @@
     }
 
     /// Returns a service of the configuration in force.
-    pub(crate) fn service(&self, name: &str) -> Result<Service, Refusal> {
+    pub(crate) fn service(&self, name: &str) -> Result<Arc<Service>, Refusal> {
         let config = self.config.borrow();
         config.document.services.get(name).cloned().ok_or_else(|| {
             Refusal::new(
--- a/tests/worlds/endpoints.rs
+++ b/tests/worlds/endpoints.rs
@@ -97,7 +97,7 @@
         ..Service::default()
     };
     Document {
-        services: BTreeMap::from([("demand-lm".into(), service)]),
+        services: BTreeMap::from([("demand-lm".into(), service.into())]),
         ..Document::default()
     }
 }
--- a/tests/worlds/routing.rs
+++ b/tests/worlds/routing.rs
@@ -204,7 +204,7 @@
         ..Service::default()
     };
     Document {
-        services: [(SERVICE.into(), service)].into(),
+        services: [(SERVICE.into(), service.into())].into(),
         ..Document::default()
     }
 }
