--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -28,6 +28,16 @@
         #[bpaf(argument("LEVEL"), fallback("info".to_owned()), display_fallback)]
         log_level: String,
     },
+    /// Runs one VM on a platform that keeps what must last.
+    #[bpaf(command)]
+    Serve {
+        /// The settings, as JSON.
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+        /// What is logged, for instance info or debug.
+        #[bpaf(argument("LEVEL"), fallback("info".to_owned()), display_fallback)]
+        log_level: String,
+    },
     /// Checks a settings file and says every fault.
     #[bpaf(command)]
     Check {
--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -7,8 +7,8 @@
     operate,
 };
 use crate::{
-    daemon,
-    settings::{Settings, check},
+    daemon, server,
+    settings::{Settings, check, check_vm},
 };
 
 const EXIT_INVALID: u8 = 2;
@@ -25,6 +25,10 @@
             log_format,
             log_level,
         } => start_daemon(&settings, log_format, &log_level),
+        Command::Serve {
+            settings,
+            log_level,
+        } => serve(&settings, &log_level),
         Command::Check { file } => match read_settings(&file) {
             Ok(_) => {
                 println!("{}: valid", file.display());
@@ -77,6 +81,59 @@
     })
 }
 
+/// How many log lines may wait to be written; more are dropped and counted.
+const LOG_LINES: usize = 4_096;
+
+fn serve(path: &Path, level: &str) -> ExitCode {
+    let read = || {
+        let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
+        check_vm(&text).map_err(|fault| fault.to_string())
+    };
+    let settings = match read() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            return ExitCode::from(EXIT_INVALID);
+        }
+    };
+    let filter = match EnvFilter::builder().parse(level) {
+        Ok(filter) => filter,
+        Err(error) => {
+            eprintln!("--log-level: {error}");
+            return ExitCode::from(EXIT_INVALID);
+        }
+    };
+    // Whoever reads the log slowly holds nobody up.
+    let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(LOG_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .init();
+    // One thread: a VM has less than one core.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result = runtime
+        .map_err(|error| error.to_string())
+        .and_then(|runtime| {
+            let result = runtime.block_on(server::run(settings, read));
+            result.map_err(|error| error.to_string())
+        });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn with_runtime<F>(future: F) -> ExitCode
 where
     F: Future<Output = Result<(), String>>,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! are public so that other programs can embed them.
 
 pub mod admission;
+pub mod batch;
 pub mod config;
 mod digest;
 pub mod endpoint;
@@ -12,14 +13,17 @@
 pub mod lease;
 pub mod membership;
 mod name;
+pub mod pool;
 pub mod quarantine;
 pub mod rendezvous;
 pub mod request;
 pub mod retry;
+pub mod routes;
 pub mod routing;
 pub mod run_ahead;
 pub mod sample;
 pub mod straggler;
+pub mod tenure;
 pub mod weights;
 
 pub use self::name::Name;
--- /dev/null
+++ b/src/core/pool/choose.rs
@@ -0,0 +1,105 @@
+use std::collections::BTreeSet;
+
+use rand::Rng;
+
+use super::{EndpointStage, Pool, PoolEndpoint};
+use crate::core::Name;
+
+/// Among how many drawn endpoints the cheapest is chosen: enough to find an
+/// idle one, too few for all VMs to choose the same one.
+const DRAWN: usize = 6;
+/// What work in another data centre costs, in shares of an endpoint's slots.
+const FAR_COST: f64 = 0.08;
+/// What an endpoint costs that loads weights, in shares of its slots.
+const LOADING_COST: f64 = 1.0;
+/// How much a difference of pace is trusted at the most: one slow answer may
+/// be a long request.
+const MAX_PACE_FACTOR: f64 = 8.0;
+
+/// What a request needs of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The data centre of this VM.
+    pub data_centre: &'a str,
+    /// Endpoints that failed this request before.
+    pub avoid: &'a BTreeSet<Name>,
+    /// The model and the oldest weights version that will do.
+    pub weights: Option<(&'a str, u64)>,
+    /// How many requests an endpoint may have, in shares of its slots.
+    pub max_occupancy: f64,
+}
+
+impl Pool {
+    /// Chooses the endpoint that is expected to answer first.
+    ///
+    /// Endpoints that failed lately are chosen only where no other is left.
+    pub fn choose<R>(&self, now_ms: u64, wanted: &Wanted<'_>, rng: &mut R) -> Option<Name>
+    where
+        R: Rng,
+    {
+        let usable: Vec<&PoolEndpoint> = self
+            .of_service(wanted.service)
+            .filter(|endpoint| is_usable(endpoint, now_ms, wanted))
+            .collect();
+        let is_calm = |endpoint: &&&PoolEndpoint| endpoint.penalty_until_ms <= now_ms;
+        let calm: Vec<&PoolEndpoint> = usable.iter().filter(is_calm).copied().collect();
+        let from = if calm.is_empty() { usable } else { calm };
+        let typical_ms = typical_pace_ms(&from);
+        let cost = |endpoint: &PoolEndpoint| cost(endpoint, now_ms, wanted, typical_ms);
+        let drawn = rand::seq::index::sample(rng, from.len(), from.len().min(DRAWN));
+        let cheapest = drawn
+            .iter()
+            .map(|index| from[index])
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        Some(cheapest.record.id.clone())
+    }
+
+    /// Returns whether any endpoint of a service takes work.
+    #[must_use]
+    pub fn has_service(&self, service: &str) -> bool {
+        self.of_service(service)
+            .any(|endpoint| endpoint.record.stage == EndpointStage::Ready)
+    }
+}
+
+fn is_usable(endpoint: &PoolEndpoint, now_ms: u64, wanted: &Wanted<'_>) -> bool {
+    let has_weights = wanted
+        .weights
+        .is_none_or(|(model, least)| endpoint.weights_version(model) >= least);
+    endpoint.record.stage == EndpointStage::Ready
+        && has_weights
+        && occupancy(endpoint, now_ms) < wanted.max_occupancy
+        && !wanted.avoid.contains(&endpoint.record.id)
+}
+
+fn occupancy(endpoint: &PoolEndpoint, now_ms: u64) -> f64 {
+    f64::from(endpoint.load.total(now_ms)) / f64::from(endpoint.record.slots.max(1))
+}
+
+/// How long half of the endpoints take for a unit of work.
+fn typical_pace_ms(endpoints: &[&PoolEndpoint]) -> Option<f64> {
+    let mut known: Vec<f64> = endpoints.iter().filter_map(|e| e.pace_ms).collect();
+    known.sort_by(f64::total_cmp);
+    known.get(known.len() / 2).copied()
+}
+
+fn cost(
+    endpoint: &PoolEndpoint,
+    now_ms: u64,
+    wanted: &Wanted<'_>,
+    typical_ms: Option<f64>,
+) -> f64 {
+    let is_far = &*endpoint.record.data_centre != wanted.data_centre;
+    let is_loading = endpoint.loading_until_ms > now_ms;
+    let factor = match (endpoint.pace_ms, typical_ms) {
+        (Some(pace), Some(typical)) if typical > 0.0 => {
+            (pace / typical).clamp(1.0 / MAX_PACE_FACTOR, MAX_PACE_FACTOR)
+        }
+        _ => 1.0,
+    };
+    let far = if is_far { FAR_COST } else { 0.0 };
+    let loading = if is_loading { LOADING_COST } else { 0.0 };
+    factor * (1.0 + occupancy(endpoint, now_ms)) + far + loading
+}
--- /dev/null
+++ b/src/core/pool/mod.rs
@@ -0,0 +1,13 @@
+//! The endpoints that a VM may use, and which of them takes a request.
+
+mod choose;
+mod endpoint;
+mod load;
+mod pool;
+
+pub use self::{
+    choose::Wanted,
+    endpoint::{EndpointRecord, EndpointStage, PoolEndpoint},
+    load::{Load, LoadReport},
+    pool::Pool,
+};
--- /dev/null
+++ b/src/core/routes/mod.rs
@@ -0,0 +1,9 @@
+//! Which service answers a request, and what may be done with it.
+
+mod route;
+mod table;
+
+pub use self::{
+    route::{Repeat, Route, WeightedService},
+    table::{CallerLimits, PoolSettings, RouteTable},
+};
--- /dev/null
+++ b/src/core/routes/table.rs
@@ -0,0 +1,102 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::Route;
+use crate::core::Name;
+
+/// What the configuration says of the endpoints of one service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PoolSettings {
+    /// The models that its endpoints serve; empty for a plain service.
+    pub models: Vec<Name>,
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// The largest request head, in bytes.
+    pub max_head_bytes: usize,
+    /// The largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// How long a caller may take to send a head, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// How long a connection may stay idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// The routes of one version of the configuration.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::routes::RouteTable;
+///
+/// let table = RouteTable::default();
+/// assert!(table.find("slips.example", "/a/b").is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    /// Longest prefix first.
+    routes: BTreeMap<Name, Vec<Arc<Route>>>,
+    pools: BTreeMap<Name, PoolSettings>,
+    limits: Option<CallerLimits>,
+}
+
+impl RouteTable {
+    /// Creates the table of one configuration version.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        pools: BTreeMap<Name, PoolSettings>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut by_host: BTreeMap<Name, Vec<Arc<Route>>> = BTreeMap::new();
+        for route in routes {
+            let host = route.host.clone();
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self {
+            version,
+            routes: by_host,
+            pools,
+            limits: Some(limits),
+        }
+    }
+
+    /// Returns the configuration version; 0 where none is known.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns the route of this name.
+    #[must_use]
+    pub fn named(&self, name: &str) -> Option<&Arc<Route>> {
+        let mut all = self.routes.values().flatten();
+        all.find(|route| &*route.name == name)
+    }
+
+    /// Returns the services that serve a model.
+    pub fn services_of_model(&self, model: &str) -> impl Iterator<Item = &Name> {
+        let serves = move |pool: &PoolSettings| pool.models.iter().any(|name| &**name == model);
+        let pools = self.pools.iter();
+        pools.filter_map(move |(name, pool)| serves(pool).then_some(name))
+    }
+
+    /// Returns what callers may send; none where no configuration is known.
+    #[must_use]
+    pub const fn limits(&self) -> Option<CallerLimits> {
+        self.limits
+    }
+}
--- a/src/core/weights/mod.rs
+++ b/src/core/weights/mod.rs
@@ -1,5 +1,9 @@
 //! Bringing new weights onto every sampler of a service.
 
+mod moves;
 mod rollout;
 
-pub use self::rollout::{LONGEST_ORDER_MS, ORDER_TIMEOUT_MS, Rollout, Sampler, WAVE_PERCENT};
+pub use self::{
+    moves::{Move, Sent, moves},
+    rollout::{LONGEST_ORDER_MS, ORDER_TIMEOUT_MS, Rollout, Sampler, WAVE_PERCENT},
+};
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -33,6 +33,7 @@
 mod trainers;
 mod watch;
 
+pub(crate) use self::clock::{sleep_until, unix_ms};
 pub use self::{
     clock::now_ms,
     http::{HttpClient, HttpError},
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,5 +22,7 @@
 pub mod core;
 pub mod daemon;
 pub mod error;
+mod platform;
+pub mod server;
 pub mod settings;
 pub mod wire;
--- /dev/null
+++ b/src/platform/batches.rs
@@ -0,0 +1,206 @@
+//! Batches as trainers hand them in and read them.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use serde::{Deserialize, Serialize};
+
+use super::callers::CallerHead;
+use crate::core::{
+    Name,
+    batch::{BatchSpec, ListedSample, SampleSpec, ScoreCall},
+};
+
+const BATCHES_PATH: &str = "/v1/lots/";
+const BODIES_PATH: &str = "/v1/items/";
+const WAIT_MS: &str = "x-wait-ms";
+const TOKEN_COUNTS: &str = "x-token-counts";
+const LENGTH_HINT: &str = "x-length-hint";
+
+/// A call about a batch that was handed in before.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum BatchCall {
+    /// Reads the samples listed from a position on.
+    Read {
+        batch: Name,
+        from: usize,
+        wait_ms: u64,
+    },
+    /// Reads the body of one of its samples.
+    Body { batch: Name, sample: Name },
+    /// Ends it.
+    End { batch: Name },
+}
+
+/// Reads a call about a batch; none where it is another call.
+pub(crate) fn batch_call(method: &Method, uri: &Uri, headers: &HeaderMap) -> Option<BatchCall> {
+    let parameter = |wanted: &str| {
+        let query = uri.query().unwrap_or_default();
+        let mut pairs = form_urlencoded::parse(query.as_bytes());
+        let found = pairs.find(|(name, _)| name == wanted);
+        found.map(|(_, value)| value.into_owned())
+    };
+    if let Some(sample_of) = uri.path().strip_prefix(BODIES_PATH) {
+        let sample = parameter("id").unwrap_or_default();
+        return (method == Method::GET).then(|| BatchCall::Body {
+            batch: sample_of.into(),
+            sample: sample.into(),
+        });
+    }
+    let batch: Name = uri.path().strip_prefix(BATCHES_PATH)?.into();
+    match *method {
+        Method::GET => {
+            let wait = headers.get(WAIT_MS).and_then(|value| value.to_str().ok());
+            Some(BatchCall::Read {
+                batch,
+                from: parameter("after").and_then(|text| text.parse().ok()).unwrap_or(0),
+                wait_ms: wait.and_then(|text| text.parse().ok()).unwrap_or(0),
+            })
+        }
+        Method::DELETE => Some(BatchCall::End { batch }),
+        _ => None,
+    }
+}
+
+#[derive(Deserialize)]
+struct WireBatch {
+    #[serde(default)]
+    step: u64,
+    #[serde(default)]
+    model: Name,
+    #[serde(default)]
+    min_version: u64,
+    #[serde(default)]
+    target_groups: usize,
+    requests: Vec<WireSample>,
+}
+
+#[derive(Deserialize)]
+struct WireSample {
+    id: Name,
+    path: Name,
+    #[serde(default)]
+    headers: std::collections::BTreeMap<Name, Name>,
+    #[serde(default)]
+    body: String,
+    #[serde(default)]
+    tokens: u64,
+    #[serde(default)]
+    group: Name,
+    scorer: Option<WireScorer>,
+}
+
+#[derive(Deserialize)]
+struct WireScorer {
+    id: Name,
+    host: Name,
+    path: Name,
+    #[serde(default)]
+    body: String,
+}
+
+/// Reads a batch as it is handed in.
+pub(crate) fn decode_batch(head: &CallerHead, body: &[u8]) -> Result<BatchSpec, String> {
+    let id = head.request_id.clone().ok_or("the batch has no id")?;
+    let wire: WireBatch = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    if wire.requests.is_empty() {
+        return Err("the batch has no samples".to_owned());
+    }
+    let samples: Result<Vec<SampleSpec>, String> =
+        wire.requests.into_iter().map(sample).collect();
+    Ok(BatchSpec {
+        id,
+        host: head.host.clone(),
+        path: head.path.clone(),
+        step: wire.step,
+        model: wire.model,
+        min_weights_version: wire.min_version,
+        target_groups: wire.target_groups,
+        samples: samples?,
+    })
+}
+
+fn sample(wire: WireSample) -> Result<SampleSpec, String> {
+    let header = |wanted: &str| {
+        let mut headers = wire.headers.iter();
+        let found = headers.find(|(name, _)| name.eq_ignore_ascii_case(wanted));
+        found.map(|(_, value)| value.clone())
+    };
+    // The trainer's own estimate is better than the most that is allowed.
+    let hint = header(LENGTH_HINT).and_then(|text| text.trim().parse().ok());
+    let most = header(TOKEN_COUNTS)
+        .and_then(|text| text.rsplit(',').next()?.trim().parse().ok())
+        .unwrap_or(wire.tokens);
+    let score = wire.scorer.map(|scorer| {
+        Ok::<_, String>(ScoreCall {
+            id: scorer.id,
+            host: scorer.host,
+            path: scorer.path,
+            body: bytes(&scorer.body)?,
+        })
+    });
+    Ok(SampleSpec {
+        id: wire.id,
+        path: wire.path,
+        body: bytes(&wire.body)?,
+        group: wire.group,
+        length_hint: hint.unwrap_or(most),
+        score: score.transpose()?,
+        headers: wire.headers.into_iter().collect(),
+    })
+}
+
+fn bytes(text: &str) -> Result<Bytes, String> {
+    let decoded = STANDARD.decode(text).map_err(|error| error.to_string())?;
+    Ok(decoded.into())
+}
+
+#[derive(Serialize)]
+struct WireResults<'a> {
+    total: usize,
+    next: usize,
+    results: Vec<WireResult<'a>>,
+}
+
+#[derive(Serialize)]
+struct WireResult<'a> {
+    id: &'a str,
+    state: &'static str,
+    text: &'a str,
+    versions: &'a [u64],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    score: Option<&'a str>,
+}
+
+/// Writes the samples listed from position `from` on, up to `max_bytes`.
+pub(crate) fn encode_results(
+    total: usize,
+    from: usize,
+    listed: &[ListedSample],
+    max_bytes: usize,
+) -> Vec<u8> {
+    let mut bytes = 0;
+    let fits = |sample: &&ListedSample| {
+        let is_first = bytes == 0;
+        // Names, quotes and escapes beside the text.
+        bytes += sample.text.len() + sample.text.len() / 8 + 300;
+        is_first || bytes <= max_bytes
+    };
+    let results: Vec<WireResult<'_>> = listed
+        .iter()
+        .take_while(fits)
+        .map(|sample| WireResult {
+            id: &sample.id,
+            state: sample.state.into(),
+            text: &sample.text,
+            versions: &sample.weights_versions,
+            score: sample.score.as_deref(),
+        })
+        .collect();
+    let answer = WireResults {
+        total,
+        next: from + results.len(),
+        results,
+    };
+    serde_json::to_vec(&answer).unwrap_or_default()
+}
--- /dev/null
+++ b/src/platform/callers.rs
@@ -0,0 +1,112 @@
+//! What callers and the platform's checks send, and what they are answered.
+
+use std::net::SocketAddr;
+
+use hyper::{HeaderMap, Method, Uri, header, http::request::Parts};
+use serde::Serialize;
+
+use crate::core::Name;
+
+const REQUEST_ID: &str = "x-request-id";
+const DEADLINE_MS: &str = "x-deadline-ms";
+const READY_PATH: &str = "/v1/ready";
+const RESOLVE_PATH: &str = "/v1/resolve";
+
+/// Headers that concern one connection, or that the system sets itself.
+const OWN_HEADERS: [&str; 12] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "host",
+    "x-expect-instance",
+    "x-deadline-ms",
+    "x-request-priority",
+];
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerHead {
+    pub(crate) method: Method,
+    pub(crate) host: Name,
+    /// Without the query.
+    pub(crate) path: Name,
+    /// With the query.
+    pub(crate) target: Name,
+    pub(crate) request_id: Option<Name>,
+    /// How long the caller waits, in milliseconds.
+    pub(crate) patience_ms: Option<u64>,
+}
+
+/// Reads the head of a caller's request.
+pub(crate) fn caller_head(parts: &Parts) -> CallerHead {
+    let text = |name: &str| {
+        let value = parts.headers.get(name)?;
+        value.to_str().ok().map(str::trim)
+    };
+    let host = text(header::HOST.as_str()).or_else(|| parts.uri.host());
+    let host = host.unwrap_or_default();
+    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+    CallerHead {
+        method: parts.method.clone(),
+        host: host.split(':').next().unwrap_or_default().into(),
+        path: parts.uri.path().into(),
+        target: target.into(),
+        request_id: text(REQUEST_ID).map(Into::into),
+        patience_ms: text(DEADLINE_MS).and_then(|text| text.parse().ok()),
+    }
+}
+
+/// Returns the headers that pass from one side to the other.
+pub(crate) fn forwardable_headers(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<&str> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(',').map(str::trim))
+        .collect();
+    let is_own = |name: &str| {
+        OWN_HEADERS.contains(&name) || named.iter().any(|own| own.eq_ignore_ascii_case(name))
+    };
+    let passed = headers.iter().filter(|(name, _)| !is_own(name.as_str()));
+    passed
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Returns whether this is the platform's question whether a VM takes work.
+pub(crate) fn is_readiness_check(method: &Method, path: &str) -> bool {
+    method == Method::GET && path == READY_PATH
+}
+
+/// Returns whether this is a caller's question where to connect.
+pub(crate) fn is_address_query(method: &Method, path: &str) -> bool {
+    method == Method::GET && path == RESOLVE_PATH
+}
+
+/// Reads the caller's data centre from its question where to connect.
+pub(crate) fn resolve_query(uri: &Uri) -> Option<Name> {
+    let query = uri.query()?;
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    let (_, data_centre) = pairs.find(|(name, _)| name == "zone")?;
+    Some(data_centre.as_ref().into())
+}
+
+#[derive(Serialize)]
+struct WireAddresses<'a> {
+    addrs: &'a [SocketAddr],
+    ttl_s: u64,
+}
+
+/// Writes the answer to a caller's question where to connect.
+pub(crate) fn addresses_body(addresses: &[SocketAddr], keep_s: u64) -> Vec<u8> {
+    let answer = WireAddresses {
+        addrs: addresses,
+        ttl_s: keep_s,
+    };
+    serde_json::to_vec(&answer).unwrap_or_default()
+}
--- /dev/null
+++ b/src/platform/documents.rs
@@ -0,0 +1,223 @@
+//! What the operator and the samplers write into the store.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::core::{
+    Name,
+    pool::{EndpointRecord, EndpointStage},
+    routes::{CallerLimits, PoolSettings, Repeat, Route, RouteTable, WeightedService},
+};
+
+/// The operator's table: the configuration, and the weights versions named.
+pub(crate) const OPERATOR_TABLE: &str = "op";
+/// The samplers' table.
+pub(crate) const SAMPLER_TABLE: &str = "servers";
+/// The row of the configuration.
+pub(crate) const CONFIG_KEY: &str = "config";
+
+const WEIGHTS_PREFIX: &str = "version/";
+const DEFAULT_TIMEOUT_MS: u64 = 10_000;
+const DEFAULT_ATTEMPTS: u32 = 2;
+
+#[derive(Deserialize)]
+struct WireConfig {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+struct WireRoute {
+    name: Name,
+    host: Name,
+    prefix: Name,
+    kind: String,
+    timeout_ms: Option<u64>,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    service: Option<Name>,
+    /// Several services with weights, in place of one.
+    #[serde(default)]
+    backends: Vec<WireSplit>,
+    attempts: Option<u32>,
+    #[serde(default)]
+    resumable: bool,
+    #[serde(default)]
+    queue_ttl_s: f64,
+    #[serde(default)]
+    run_target_ms: f64,
+    #[serde(default)]
+    single_version: bool,
+}
+
+#[derive(Deserialize)]
+struct WireSplit {
+    service: Name,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: Name,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    #[serde(default)]
+    models: Vec<WireModelName>,
+}
+
+#[derive(Deserialize)]
+struct WireModelName {
+    name: Name,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    header_bytes: usize,
+    body_bytes: usize,
+    header_ms: u64,
+    idle_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct WireSampler {
+    service: Name,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: Name,
+    #[serde(default)]
+    slots: u32,
+    state: String,
+    #[serde(default)]
+    models: Vec<WireModel>,
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Deserialize)]
+struct WireModel {
+    name: Name,
+    #[serde(default)]
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct WireNamed {
+    version: u64,
+}
+
+/// Reads a configuration.
+pub(crate) fn decode_config(bytes: &[u8]) -> Result<RouteTable, String> {
+    let config: WireConfig =
+        serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    let routes: Result<Vec<Route>, String> = config.routes.into_iter().map(route).collect();
+    let pools = config.services.into_iter().map(|service| {
+        let models = service.engine.map(|engine| engine.models).unwrap_or_default();
+        let models = models.into_iter().map(|model| model.name).collect();
+        (service.name, PoolSettings { models })
+    });
+    let limits = CallerLimits {
+        max_head_bytes: config.limits.header_bytes,
+        max_body_bytes: config.limits.body_bytes,
+        head_timeout_ms: config.limits.header_ms,
+        idle_timeout_ms: config.limits.idle_ms,
+    };
+    Ok(RouteTable::new(
+        config.version,
+        routes?,
+        pools.collect(),
+        limits,
+    ))
+}
+
+fn route(wire: WireRoute) -> Result<Route, String> {
+    let repeat = match (wire.kind.as_str(), wire.resumable) {
+        ("safe", _) => Repeat::Idempotent,
+        ("unsafe", _) => Repeat::AtMostOnce,
+        ("stream", true) => Repeat::ResumableStream,
+        ("stream", false) => Repeat::Stream,
+        ("batch" | "rollout", _) => Repeat::Batch,
+        (other, _) => return Err(format!("route {}: unknown kind {other}", wire.name)),
+    };
+    let mut services: Vec<WeightedService> = wire
+        .backends
+        .into_iter()
+        .map(|split| WeightedService {
+            service: split.service,
+            weight: split.weight,
+        })
+        .collect();
+    if let Some(service) = wire.service.filter(|_| services.is_empty()) {
+        services.push(WeightedService { service, weight: 1 });
+    }
+    Ok(Route {
+        name: wire.name,
+        host: wire.host,
+        prefix: wire.prefix,
+        repeat,
+        timeout_ms: wire.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
+        target_ms: whole_ms(wire.target_latency_ms),
+        priority: wire.priority,
+        max_attempts: wire.attempts.unwrap_or(DEFAULT_ATTEMPTS).max(1),
+        services,
+        queue_limit_ms: whole_ms(wire.queue_ttl_s * 1_000.0),
+        batch_target_ms: whole_ms(wire.run_target_ms),
+        is_single_version: wire.single_version,
+    })
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float converted to an integer saturates"
+)]
+fn whole_ms(ms: f64) -> u64 {
+    ms.round() as u64
+}
+
+/// Reads what a sampler says of itself; its id is the key of its row.
+pub(crate) fn decode_endpoint(id: &Name, bytes: &[u8]) -> Result<EndpointRecord, String> {
+    let wire: WireSampler = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    let stage = match wire.state.as_str() {
+        "ready" => EndpointStage::Ready,
+        "draining" => EndpointStage::Leaving,
+        other => return Err(format!("unknown state {other}")),
+    };
+    let weights = wire.models.into_iter();
+    let weights = weights.map(|model| (model.name, model.version));
+    Ok(EndpointRecord {
+        id: id.clone(),
+        born_unix_ms: wire.born,
+        service: wire.service,
+        address: wire.address,
+        data_centre: wire.zone,
+        slots: wire.slots,
+        stage,
+        weights: weights.collect::<BTreeMap<_, _>>(),
+        orders_accepted: wire.seq,
+    })
+}
+
+/// Returns the model whose named version a row of the operator's table holds.
+pub(crate) fn weights_model(key: &str) -> Option<Name> {
+    key.strip_prefix(WEIGHTS_PREFIX).map(Into::into)
+}
+
+/// Reads the weights version that a trainer named.
+pub(crate) fn decode_weights(bytes: &[u8]) -> Result<u64, String> {
+    let value: Value = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    let named: WireNamed = serde_json::from_value(value).map_err(|error| error.to_string())?;
+    Ok(named.version)
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,474 @@
+//! The client of the platform's store: rows, conditional writes, objects.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use form_urlencoded::Serializer;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, header};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    core::{Name, tenure::PlatformClock},
+    daemon::now_ms,
+    server::{ExchangeError, Upstream, WholeReply, lock},
+};
+
+/// How long a call may take, in milliseconds: answers usually take 4 ms, and
+/// slow ones up to half a second.
+const CALL_TIMEOUT_MS: u64 = 1_200;
+/// How much longer than its wait a waiting call may take, in milliseconds.
+const WATCH_SLACK_MS: u64 = 500;
+/// The most rows that are read with one call.
+const PAGE_ROWS: usize = 500;
+
+quick_error! {
+    /// Why a call to the store brought nothing.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum StoreError {
+        /// It was refused or never arrived; nothing was done.
+        NotDone(message: String) {
+            display("not done: {message}")
+        }
+        /// It may have been done.
+        Unknown(message: String) {
+            display("outcome unknown: {message}")
+        }
+    }
+}
+
+/// A row that a transaction depends on, and the version that it must have.
+#[derive(Clone, Debug)]
+pub(crate) struct Condition {
+    pub(crate) table: &'static str,
+    pub(crate) key: Name,
+    pub(crate) row_version: u64,
+}
+
+/// One atomic change of rows that share a part.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tx {
+    pub(crate) part: Name,
+    pub(crate) conditions: Vec<Condition>,
+    pub(crate) set: Vec<(&'static str, Name, Vec<u8>)>,
+    pub(crate) delete: Vec<(&'static str, Name)>,
+}
+
+/// What came of a transaction.
+#[derive(Clone, Debug)]
+pub(crate) enum TxOutcome {
+    /// All of it was done, at this version.
+    Committed(u64),
+    /// A condition did not hold; these are the rows as they stand.
+    Conflict(Vec<Value>),
+}
+
+/// One row.
+#[derive(Clone, Debug)]
+pub(crate) struct Value {
+    pub(crate) part: Name,
+    pub(crate) key: Name,
+    /// None where the row was deleted or cannot be read.
+    pub(crate) bytes: Option<Vec<u8>>,
+    pub(crate) row_version: u64,
+}
+
+/// Rows as they stood at one moment.
+#[derive(Clone, Debug)]
+pub(crate) struct Rows {
+    pub(crate) rows: Vec<Value>,
+    pub(crate) version: u64,
+}
+
+/// What a watch of a table brought.
+#[derive(Clone, Debug)]
+pub(crate) enum Watch {
+    /// These rows have changed.
+    Changed(Rows),
+    /// The changes since are no longer known: the table has to be read again.
+    HistoryLost,
+}
+
+#[derive(Deserialize)]
+struct WireRow {
+    #[serde(default)]
+    part: Name,
+    key: Name,
+    value: Option<String>,
+    #[serde(default)]
+    row_version: u64,
+    #[serde(default)]
+    tombstone: bool,
+}
+
+#[derive(Deserialize)]
+struct WireRows {
+    #[serde(default)]
+    rows: Vec<WireRow>,
+    #[serde(default)]
+    has_more: bool,
+    /// The newest version of the store, not of a row.
+    row_version: u64,
+    now_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct WireTxAnswer {
+    #[serde(default)]
+    rows: Vec<WireRow>,
+    #[serde(default)]
+    row_version: u64,
+    now_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct WireTx {
+    /// Rows with the version that each must have.
+    expect_rev: Vec<WireCondition>,
+    set_keys: Vec<WireSet>,
+    remove: Vec<WireKey>,
+}
+
+#[derive(Serialize)]
+struct WireCondition {
+    table: &'static str,
+    part: Name,
+    key: Name,
+    row_version: u64,
+}
+
+#[derive(Serialize)]
+struct WireSet {
+    table: &'static str,
+    part: Name,
+    key: Name,
+    value: String,
+}
+
+#[derive(Serialize)]
+struct WireKey {
+    table: &'static str,
+    part: Name,
+    key: Name,
+}
+
+/// The one client of the platform's store.
+#[derive(Debug)]
+pub(crate) struct Store {
+    address: SocketAddr,
+    http: Arc<Upstream>,
+    clock: Mutex<PlatformClock>,
+    is_answering: AtomicBool,
+}
+
+impl Store {
+    pub(crate) fn new(address: SocketAddr, http: Arc<Upstream>) -> Self {
+        Self {
+            address,
+            http,
+            clock: Mutex::default(),
+            is_answering: AtomicBool::new(true),
+        }
+    }
+
+    /// Returns the least and the most that the store's clock can show now.
+    pub(crate) fn clock_ms(&self) -> Option<(u64, u64)> {
+        let (clock, now_ms) = (lock(&self.clock), now_ms());
+        Some((clock.earliest_ms(now_ms)?, clock.latest_ms(now_ms)?))
+    }
+
+    /// Returns whether the last call was answered.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.is_answering.load(Ordering::Relaxed)
+    }
+
+    /// Applies a transaction.
+    pub(crate) async fn transact(&self, tx: &Tx) -> Result<TxOutcome, StoreError> {
+        let body = serde_json::to_vec(&wire_tx(tx))
+            .map_err(|error| StoreError::NotDone(error.to_string()))?;
+        let sent_ms = now_ms();
+        let reply = self
+            .call(Method::POST, "/v1/rows-tx", body.into(), &[], CALL_TIMEOUT_MS)
+            .await?;
+        let is_committed = reply.status == StatusCode::OK;
+        if !is_committed && reply.status != StatusCode::PRECONDITION_FAILED {
+            return Err(refused(&reply));
+        }
+        let answer: WireTxAnswer = decode(&reply.body)?;
+        if let Some(platform_ms) = answer.now_ms {
+            lock(&self.clock).on_answer(sent_ms, now_ms(), platform_ms);
+        }
+        Ok(if is_committed {
+            TxOutcome::Committed(answer.row_version)
+        } else {
+            TxOutcome::Conflict(answer.rows.into_iter().map(value).collect())
+        })
+    }
+
+    /// Reads the rows of a part from a key on, before another, `limit` at most.
+    pub(crate) async fn read(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+        limit: usize,
+    ) -> Result<Rows, StoreError> {
+        let mut rows = Vec::new();
+        let mut from = from.to_owned();
+        loop {
+            let page = (limit - rows.len()).min(PAGE_ROWS);
+            let page = page.to_string();
+            let mut pairs = vec![("table", table), ("part", part), ("from", &from)];
+            pairs.extend(to.map(|to| ("to", to)));
+            pairs.push(("limit", &page));
+            let path = format!("/v1/rows-get?{}", query(&pairs));
+            let answer = self.read_rows(&path, CALL_TIMEOUT_MS).await?;
+            rows.extend(answer.rows.into_iter().map(value));
+            if !answer.has_more || rows.len() >= limit {
+                let version = answer.row_version;
+                return Ok(Rows { rows, version });
+            }
+            let last: &Value = rows
+                .last()
+                .ok_or_else(|| StoreError::NotDone("an empty page".to_owned()))?;
+            // The first key after the last one.
+            from = format!("{}\0", last.key);
+        }
+    }
+
+    /// Reads a whole table, part by part.
+    pub(crate) async fn read_table(&self, table: &str) -> Result<Rows, StoreError> {
+        #[derive(Deserialize)]
+        struct Parts {
+            parts: Vec<Name>,
+            #[serde(default)]
+            has_more: bool,
+        }
+        // The version before the first page: what changes meanwhile is seen
+        // again by the watch.
+        let version = self.read(table, "", "", None, 1).await?.version;
+        let (mut rows, mut after) = (Vec::new(), None::<Name>);
+        loop {
+            let mut pairs = vec![("table", table)];
+            pairs.extend(after.as_deref().map(|after| ("after", after)));
+            let path = format!("/v1/rows-parts?{}", query(&pairs));
+            let reply = self
+                .call(Method::GET, &path, Bytes::new(), &[], CALL_TIMEOUT_MS)
+                .await?;
+            if reply.status != StatusCode::OK {
+                return Err(refused(&reply));
+            }
+            let page: Parts = decode(&reply.body)?;
+            for part in &page.parts {
+                let read = self.read(table, part, "", None, usize::MAX).await?;
+                rows.extend(read.rows);
+            }
+            match page.parts.last() {
+                Some(last) if page.has_more => after = Some(last.clone()),
+                _ => return Ok(Rows { rows, version }),
+            }
+        }
+    }
+
+    /// Waits for changes of a table after a version.
+    pub(crate) async fn watch(
+        &self,
+        table: &str,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<Watch, StoreError> {
+        let path = format!("/v1/rows-feed?table={table}&after={after}&wait_ms={wait_ms}");
+        let reply = self
+            .call(Method::GET, &path, Bytes::new(), &[], wait_ms + WATCH_SLACK_MS)
+            .await?;
+        match reply.status {
+            StatusCode::OK => {
+                let answer: WireRows = decode(&reply.body)?;
+                Ok(Watch::Changed(Rows {
+                    version: answer.row_version,
+                    rows: answer.rows.into_iter().map(value).collect(),
+                }))
+            }
+            StatusCode::GONE => Ok(Watch::HistoryLost),
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    /// Writes an object; true if it is new, false if there was one already.
+    pub(crate) async fn put_object(&self, name: &str, bytes: Bytes) -> Result<bool, StoreError> {
+        let path = format!("/v1/blob-put/{name}");
+        let only_new = [(header::IF_NONE_MATCH.as_str(), "*")];
+        let reply = self
+            .call(Method::PUT, &path, bytes, &only_new, CALL_TIMEOUT_MS)
+            .await?;
+        match reply.status {
+            StatusCode::OK => Ok(true),
+            StatusCode::PRECONDITION_FAILED => Ok(false),
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    /// Reads an object; none if there is no such object.
+    pub(crate) async fn get_object(&self, name: &str) -> Result<Option<Bytes>, StoreError> {
+        let path = format!("/v1/blob-get/{name}");
+        let reply = self
+            .call(Method::GET, &path, Bytes::new(), &[], CALL_TIMEOUT_MS)
+            .await?;
+        match reply.status {
+            StatusCode::OK => Ok(Some(reply.body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    /// Deletes an object.
+    pub(crate) async fn delete_object(&self, name: &str) -> Result<(), StoreError> {
+        let path = format!("/v1/blob-drop/{name}");
+        let reply = self
+            .call(Method::DELETE, &path, Bytes::new(), &[], CALL_TIMEOUT_MS)
+            .await?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    async fn read_rows(&self, path: &str, timeout_ms: u64) -> Result<WireRows, StoreError> {
+        let sent_ms = now_ms();
+        let reply = self
+            .call(Method::GET, path, Bytes::new(), &[], timeout_ms)
+            .await?;
+        if reply.status != StatusCode::OK {
+            return Err(refused(&reply));
+        }
+        let answer: WireRows = decode(&reply.body)?;
+        lock(&self.clock).on_answer(sent_ms, now_ms(), answer.now_ms);
+        Ok(answer)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        headers: &[(&str, &str)],
+        timeout_ms: u64,
+    ) -> Result<WholeReply, StoreError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_string());
+        for (name, text) in headers {
+            request = request.header(*name, *text);
+        }
+        if !body.is_empty() {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|error| StoreError::NotDone(error.to_string()))?;
+        let deadline_ms = now_ms() + timeout_ms;
+        let result = self
+            .http
+            .exchange_whole(self.address, request, deadline_ms)
+            .await;
+        let is_answering = result.as_ref().is_ok_and(|reply| !is_unavailable(reply.status));
+        self.is_answering.store(is_answering, Ordering::Relaxed);
+        result.map_err(|error| {
+            // The other kept connections may be silent as well.
+            self.http.forget(self.address);
+            match error {
+                ExchangeError::NotSent(message) => StoreError::NotDone(message),
+                ExchangeError::Broken(message) => StoreError::Unknown(message),
+            }
+        })
+    }
+}
+
+fn query(pairs: &[(&str, &str)]) -> String {
+    let mut query = Serializer::new(String::new());
+    query.extend_pairs(pairs);
+    query.finish()
+}
+
+fn is_unavailable(status: StatusCode) -> bool {
+    status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+}
+
+fn refused(reply: &WholeReply) -> StoreError {
+    let text = String::from_utf8_lossy(&reply.body);
+    let message = format!("{}: {}", reply.status, text.chars().take(200).collect::<String>());
+    if reply.status.is_server_error() && !is_unavailable(reply.status) {
+        StoreError::Unknown(message)
+    } else {
+        StoreError::NotDone(message)
+    }
+}
+
+fn decode<'a, T>(body: &'a [u8]) -> Result<T, StoreError>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(body).map_err(|error| StoreError::Unknown(error.to_string()))
+}
+
+fn value(row: WireRow) -> Value {
+    let bytes = row.value.filter(|_| !row.tombstone);
+    let bytes = bytes.and_then(|text| match STANDARD.decode(&text) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            tracing::warn!(key = %row.key, %error, "row ignored: its value is not base64");
+            None
+        }
+    });
+    Value {
+        part: row.part,
+        key: row.key,
+        bytes,
+        row_version: if row.tombstone { 0 } else { row.row_version },
+    }
+}
+
+fn wire_tx(tx: &Tx) -> WireTx {
+    let part = &tx.part;
+    WireTx {
+        expect_rev: tx
+            .conditions
+            .iter()
+            .map(|condition| WireCondition {
+                table: condition.table,
+                part: part.clone(),
+                key: condition.key.clone(),
+                row_version: condition.row_version,
+            })
+            .collect(),
+        set_keys: tx
+            .set
+            .iter()
+            .map(|(table, key, bytes)| WireSet {
+                table,
+                part: part.clone(),
+                key: key.clone(),
+                value: STANDARD.encode(bytes),
+            })
+            .collect(),
+        remove: tx
+            .delete
+            .iter()
+            .map(|(table, key)| WireKey {
+                table,
+                part: part.clone(),
+                key: key.clone(),
+            })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/src/server/accept.rs
@@ -0,0 +1,128 @@
+//! Taking a batch from its trainer.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use hyper::{Response, StatusCode};
+
+use super::{
+    claims::{BATCH_TABLE, HEAD_KEY},
+    front::Call,
+    refuse::{Body, empty},
+    state::{Server, lock},
+};
+use crate::{
+    core::{
+        Name,
+        batch::{BatchHead, share_count},
+        routes::Route,
+    },
+    daemon::now_ms,
+    error::{ErrorKind, Refusal},
+    platform::{Condition, StoreError, Tx, TxOutcome, decode_batch},
+};
+
+/// How long a write whose outcome is not known is tried again, in
+/// milliseconds: the trainer waits somewhat longer.
+const SETTLE_MS: u64 = 2_500;
+const BETWEEN_TRIES_MS: u64 = 100;
+
+/// Tells the objects of one start of a VM apart.
+static OBJECTS: AtomicU64 = AtomicU64::new(0);
+
+/// Accepts a batch: whatever the answer promises is in the store by then.
+pub(crate) async fn answer(
+    server: &Arc<Server>,
+    route: &Route,
+    call: &Call,
+) -> Result<Response<Body>, Refusal> {
+    let spec = decode_batch(&call.head, &call.body)
+        .map_err(|error| Refusal::new(ErrorKind::BadRequest, error))?;
+    if lock(&server.batches).get(&spec.id).is_some_and(|known| known.head.is_some()) {
+        tracing::info!(batch = %spec.id, "batch handed in again");
+        return Ok(empty(StatusCode::ACCEPTED));
+    }
+    if server.is_draining() {
+        return Err(Refusal::new(ErrorKind::Draining, "this VM is shutting down"));
+    }
+    let unavailable =
+        |error: &StoreError| Refusal::new(ErrorKind::PlatformUnavailable, error.to_string());
+    let number = OBJECTS.fetch_add(1, Ordering::Relaxed);
+    let vm = &server.settings.vm;
+    let object: Name = format!("batch-{}-{vm}-{}-{number}", spec.id, server.incarnation).into();
+    let bytes = rmp_serde::to_vec_named(&spec)
+        .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
+    let put = server.store.put_object(&object, bytes.into()).await;
+    put.map_err(|error| unavailable(&error))?;
+    let Some((platform_ms, _)) = server.store.clock_ms() else {
+        let message = "the store's clock is not known";
+        return Err(Refusal::new(ErrorKind::PlatformUnavailable, message));
+    };
+    let head = BatchHead {
+        object,
+        accepted_platform_ms: platform_ms,
+        sample_count: spec.samples.len(),
+        share_count: share_count(spec.samples.len()),
+        host: spec.host.clone(),
+        path: spec.path.clone(),
+    };
+    write_head(server, &spec.id, &head, call.started_ms + SETTLE_MS).await?;
+    server.metrics.batches_accepted.inc();
+    tracing::info!(batch = %spec.id, route = %route.name, step = spec.step, model = %spec.model,
+        min_version = spec.min_weights_version, samples = spec.samples.len(),
+        groups_wanted = spec.target_groups, took_ms = now_ms() - call.started_ms,
+        "batch accepted");
+    let mut batches = lock(&server.batches);
+    let known = batches.known.entry(spec.id.clone()).or_default();
+    known.head.get_or_insert(head);
+    known.spec = Some(Arc::new(spec));
+    drop(batches);
+    server.batches_changed.notify_one();
+    Ok(empty(StatusCode::ACCEPTED))
+}
+
+/// Writes the head unless there is one.
+///
+/// The same write is tried again until its outcome is known: whichever of
+/// them takes effect, the batch is accepted once.
+async fn write_head(
+    server: &Server,
+    id: &Name,
+    head: &BatchHead,
+    until_ms: u64,
+) -> Result<(), Refusal> {
+    let bytes = rmp_serde::to_vec_named(head)
+        .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
+    let tx = Tx {
+        part: id.clone(),
+        conditions: vec![Condition {
+            table: BATCH_TABLE,
+            key: HEAD_KEY.into(),
+            row_version: 0,
+        }],
+        set: vec![(BATCH_TABLE, HEAD_KEY.into(), bytes)],
+        delete: Vec::new(),
+    };
+    let mut is_unknown = false;
+    loop {
+        let error = match server.store.transact(&tx).await {
+            Ok(TxOutcome::Committed(_) | TxOutcome::Conflict(_)) => return Ok(()),
+            Err(error) => error,
+        };
+        is_unknown |= matches!(error, StoreError::Unknown(_));
+        tracing::warn!(batch = %id, %error, is_unknown, "batch not written");
+        if !is_unknown {
+            let message = error.to_string();
+            return Err(Refusal::new(ErrorKind::PlatformUnavailable, message));
+        }
+        if now_ms() > until_ms {
+            return Err(Refusal::new(ErrorKind::OutcomeUnknown, error.to_string()));
+        }
+        tokio::time::sleep(Duration::from_millis(BETWEEN_TRIES_MS)).await;
+    }
+}
--- /dev/null
+++ b/src/server/claims.rs
@@ -0,0 +1,314 @@
+//! Batches that are open, and which VM runs which share of them.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::task::AbortHandle;
+
+use super::{
+    follow::{Layout, Update, follow},
+    share,
+    state::{Server, lock},
+};
+use crate::{
+    core::{
+        Name,
+        batch::{BatchHead, BatchSpec},
+        rendezvous,
+    },
+    daemon::now_ms,
+    platform::{Condition, StoreError, Tx, TxOutcome, Value},
+};
+
+/// The table of batches, one part a batch.
+pub(crate) const BATCH_TABLE: &str = "batches";
+/// The row of what was accepted.
+pub(crate) const HEAD_KEY: &str = "head";
+/// The row that says that the trainer has ended the batch.
+pub(crate) const END_KEY: &str = "end";
+const OWNER_PREFIX: &str = "owner/";
+
+/// How often shares without an owner are looked for, in milliseconds.
+const LOOK_MS: u64 = 100;
+/// How much later each next VM in the order claims a share, in milliseconds:
+/// longer than it takes to hear of another's claim.
+const RANK_DELAY_MS: u64 = 150;
+/// How long after its time is over a batch is still run, in milliseconds.
+const AFTER_LIMIT_MS: u64 = 2_000;
+/// How long a batch is kept in memory and in the store, in milliseconds.
+const KEEP_MS: u64 = 150_000;
+
+/// Which start of which VM runs a share.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct OwnerRow {
+    /// None after the share was given back.
+    pub(crate) vm: Option<Name>,
+    pub(crate) incarnation: u64,
+    /// Every sample of the share is listed.
+    pub(crate) is_done: bool,
+}
+
+/// One batch as this VM knows it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnownBatch {
+    pub(crate) head: Option<BatchHead>,
+    pub(crate) is_ended: bool,
+    owners: BTreeMap<u32, (OwnerRow, u64)>,
+    /// Since when each share has had no owner.
+    unowned_since_ms: BTreeMap<u32, u64>,
+    pub(crate) spec: Option<Arc<BatchSpec>>,
+    running: BTreeMap<u32, AbortHandle>,
+}
+
+/// The batches that this VM knows.
+#[derive(Debug, Default)]
+pub(crate) struct Batches {
+    pub(crate) known: BTreeMap<Name, KnownBatch>,
+}
+
+/// A share that this VM may claim now.
+struct Claim {
+    batch: Name,
+    share: u32,
+    row_version: u64,
+}
+
+/// Follows the batches for as long as the process runs.
+pub(crate) async fn follow_batches(server: Arc<Server>) {
+    let on_update = |server: &Arc<Server>, update: Update| {
+        if let Update::All(rows) | Update::Changed(rows) = update {
+            let mut batches = lock(&server.batches);
+            for row in &rows {
+                batches.on_row(row);
+            }
+            drop(batches);
+            server.batches_changed.notify_one();
+        }
+    };
+    follow(server, BATCH_TABLE, Layout::ManyParts, on_update).await;
+}
+
+impl Batches {
+    /// Notes a row; an older version of one changes nothing.
+    fn on_row(&mut self, row: &Value) {
+        let Some(bytes) = &row.bytes else {
+            if &*row.key == HEAD_KEY {
+                self.known.remove(&row.part);
+            }
+            return;
+        };
+        let batch = self.known.entry(row.part.clone()).or_default();
+        match &*row.key {
+            HEAD_KEY => match rmp_serde::from_slice(bytes) {
+                Ok(head) => batch.head = Some(head),
+                Err(error) => tracing::error!(batch = %row.part, %error, "head cannot be read"),
+            },
+            END_KEY => batch.end(&row.part),
+            key => {
+                let share = key.strip_prefix(OWNER_PREFIX).and_then(|text| text.parse().ok());
+                match (share, rmp_serde::from_slice(bytes)) {
+                    (Some(share), Ok(owner)) => batch.on_owner(share, owner, row.row_version),
+                    _ => tracing::error!(batch = %row.part, key, "row cannot be read"),
+                }
+            }
+        }
+    }
+
+    pub(crate) fn get(&self, batch: &str) -> Option<&KnownBatch> {
+        self.known.get(batch)
+    }
+}
+
+impl KnownBatch {
+    /// Stops whatever runs for the batch here.
+    pub(crate) fn end(&mut self, id: &Name) {
+        if !self.is_ended {
+            tracing::info!(batch = %id, running = self.running.len(), "batch ended");
+        }
+        self.is_ended = true;
+        for (_, task) in std::mem::take(&mut self.running) {
+            task.abort();
+        }
+    }
+
+    fn on_owner(&mut self, share: u32, owner: OwnerRow, row_version: u64) {
+        let is_newer = self
+            .owners
+            .get(&share)
+            .is_none_or(|(_, known)| *known < row_version);
+        if is_newer {
+            self.owners.insert(share, (owner, row_version));
+        }
+    }
+}
+
+/// Claims shares that nobody runs, for as long as the process runs.
+pub(crate) async fn claim(server: Arc<Server>) {
+    loop {
+        let changed = server.batches_changed.notified();
+        let look = tokio::time::timeout(Duration::from_millis(LOOK_MS), changed);
+        // Whichever comes first, the shares are looked at.
+        let _ = look.await;
+        if server.is_draining() || !server.is_ready() {
+            continue;
+        }
+        for claim in due_claims(&server) {
+            take(&server, claim).await;
+        }
+    }
+}
+
+fn due_claims(server: &Server) -> Vec<Claim> {
+    let now_ms = now_ms();
+    let Some((platform_ms, _)) = server.store.clock_ms() else {
+        return Vec::new();
+    };
+    let routes = server.routes();
+    let members = lock(&server.members);
+    let live: Vec<Name> = members.live().map(|(vm, _)| vm.clone()).collect();
+    let mut batches = lock(&server.batches);
+    batches.known.retain(|_, batch| {
+        let head = batch.head.as_ref();
+        head.is_none_or(|head| platform_ms < head.accepted_platform_ms + KEEP_MS)
+    });
+    let mut claims = Vec::new();
+    for (id, batch) in &mut batches.known {
+        let Some(head) = batch.head.clone().filter(|_| !batch.is_ended) else {
+            continue;
+        };
+        let limit_ms = routes
+            .find(&head.host, &head.path)
+            .map_or(0, |route| route.queue_limit_ms);
+        if platform_ms > head.accepted_platform_ms + limit_ms + AFTER_LIMIT_MS {
+            continue;
+        }
+        for share in 0..head.share_count {
+            let owner = batch.owners.get(&share);
+            let row_version = owner.map_or(0, |(_, version)| *version);
+            let is_owned = owner.is_some_and(|(owner, _)| {
+                owner.is_done
+                    || owner.vm.as_ref().is_some_and(|vm| {
+                        let is_running = batch.running.contains_key(&share);
+                        let is_mine = server.is_me(vm, owner.incarnation);
+                        (is_mine && is_running)
+                            || (!is_mine && members.is_live(vm, owner.incarnation))
+                    })
+            });
+            if is_owned || batch.running.contains_key(&share) {
+                batch.unowned_since_ms.remove(&share);
+                continue;
+            }
+            let since_ms = *batch.unowned_since_ms.entry(share).or_insert(now_ms);
+            let key = format!("{id}/{share}");
+            let order = rendezvous::choose(&live, &key, live.len());
+            let rank = order.iter().position(|vm| *vm == server.settings.vm);
+            let rank = u64::try_from(rank.unwrap_or(live.len())).unwrap_or(u64::MAX);
+            if now_ms >= since_ms + rank * RANK_DELAY_MS {
+                claims.push(Claim {
+                    batch: id.clone(),
+                    share,
+                    row_version,
+                });
+            }
+        }
+    }
+    claims
+}
+
+async fn take(server: &Arc<Server>, claim: Claim) {
+    let owner = OwnerRow {
+        vm: Some(server.settings.vm.clone()),
+        incarnation: server.incarnation,
+        is_done: false,
+    };
+    let written = write_owner(server, &claim.batch, claim.share, claim.row_version, &owner).await;
+    let row_version = match written {
+        Ok(TxOutcome::Committed(row_version)) => row_version,
+        Ok(TxOutcome::Conflict(rows)) => {
+            let mut batches = lock(&server.batches);
+            for row in &rows {
+                batches.on_row(row);
+            }
+            return;
+        }
+        Err(error) => {
+            tracing::debug!(batch = %claim.batch, share = claim.share, %error, "share not claimed");
+            return;
+        }
+    };
+    server.metrics.shares_claimed.inc();
+    tracing::info!(batch = %claim.batch, share = claim.share, before = claim.row_version,
+        "share claimed");
+    let mut batches = lock(&server.batches);
+    let Some(batch) = batches.known.get_mut(&claim.batch) else {
+        return;
+    };
+    batch.on_owner(claim.share, owner, row_version);
+    if batch.is_ended {
+        return;
+    }
+    let task = tokio::spawn(share::run(server.clone(), claim.batch.clone(), claim.share));
+    batch.running.insert(claim.share, task.abort_handle());
+}
+
+async fn write_owner(
+    server: &Server,
+    batch: &Name,
+    share: u32,
+    row_version: u64,
+    owner: &OwnerRow,
+) -> Result<TxOutcome, StoreError> {
+    let key: Name = format!("{OWNER_PREFIX}{share:03}").into();
+    let bytes = rmp_serde::to_vec_named(owner)
+        .map_err(|error| StoreError::NotDone(error.to_string()))?;
+    let tx = Tx {
+        part: batch.clone(),
+        conditions: vec![Condition {
+            table: BATCH_TABLE,
+            key: key.clone(),
+            row_version,
+        }],
+        set: vec![(BATCH_TABLE, key, bytes)],
+        delete: Vec::new(),
+    };
+    server.store.transact(&tx).await
+}
+
+/// Notes that a share needs no VM any more, or gives it back.
+pub(crate) async fn release(server: &Server, batch: &Name, share: u32, is_done: bool) {
+    let row_version = {
+        let mut batches = lock(&server.batches);
+        let known = batches.known.get_mut(batch);
+        let Some(known) = known else { return };
+        if let Some(task) = known.running.remove(&share)
+            && !is_done
+        {
+            task.abort();
+        }
+        known.owners.get(&share).map_or(0, |(_, version)| *version)
+    };
+    let owner = OwnerRow {
+        vm: None,
+        incarnation: server.incarnation,
+        is_done,
+    };
+    match write_owner(server, batch, share, row_version, &owner).await {
+        Ok(_) => tracing::info!(%batch, share, is_done, "share released"),
+        Err(error) => tracing::warn!(%batch, share, is_done, %error, "share not released"),
+    }
+}
+
+/// Gives all shares back that this VM runs.
+pub(crate) async fn release_all(server: &Server) {
+    let mine: Vec<(Name, u32)> = {
+        let batches = lock(&server.batches);
+        let running = batches.known.iter().flat_map(|(id, batch)| {
+            let shares = batch.running.keys();
+            shares.map(move |share| (id.clone(), *share))
+        });
+        running.collect()
+    };
+    for (batch, share) in mine {
+        release(server, &batch, share, false).await;
+    }
+}
--- /dev/null
+++ b/src/server/metrics.rs
@@ -0,0 +1,122 @@
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use strum::IntoEnumIterator;
+
+use crate::{core::retry::RetryReason, error::ErrorKind};
+
+type Labels = Vec<(&'static str, &'static str)>;
+
+/// The first bound of latency histograms, in seconds; each next is twice it.
+const FIRST_BUCKET_S: f64 = 0.005;
+const BUCKETS: u16 = 12;
+
+/// The counters and histograms of one VM.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    refusals: Family<Labels, Counter>,
+    retries: Family<Labels, Counter>,
+    pub(crate) requests: Counter,
+    pub(crate) batches_accepted: Counter,
+    pub(crate) samples_listed: Counter,
+    pub(crate) samples_dead: Counter,
+    pub(crate) shares_claimed: Counter,
+    pub(crate) orders: Counter,
+    pub(crate) config_version: Gauge,
+    pub(crate) request_seconds: Histogram,
+    pub(crate) sample_seconds: Histogram,
+    pub(crate) score_seconds: Histogram,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let latency =
+            || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("chicoryreach"),
+            refusals: Family::default(),
+            retries: Family::default(),
+            requests: Counter::default(),
+            batches_accepted: Counter::default(),
+            samples_listed: Counter::default(),
+            samples_dead: Counter::default(),
+            shares_claimed: Counter::default(),
+            orders: Counter::default(),
+            config_version: Gauge::default(),
+            request_seconds: latency(),
+            sample_seconds: latency(),
+            score_seconds: latency(),
+        };
+        metrics.register();
+        for kind in ErrorKind::iter() {
+            let refusals = &metrics.refusals;
+            refusals.get_or_create(&vec![("kind", kind.into())]).inc_by(0);
+        }
+        for reason in RetryReason::iter() {
+            let retries = &metrics.retries;
+            retries.get_or_create(&vec![("reason", reason.into())]).inc_by(0);
+        }
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("refusals", "Refusals by kind", self.refusals.clone());
+        registry.register("retries", "Retries by reason", self.retries.clone());
+        let counters = [
+            ("requests", "Requests of callers", &self.requests),
+            ("batches_accepted", "Batches accepted", &self.batches_accepted),
+            ("samples_listed", "Samples listed", &self.samples_listed),
+            ("samples_dead", "Samples listed as given up", &self.samples_dead),
+            ("shares_claimed", "Shares of batches claimed", &self.shares_claimed),
+            ("orders", "Orders sent to endpoints", &self.orders),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        registry.register(
+            "config_version",
+            "The configuration version in force",
+            self.config_version.clone(),
+        );
+        let histograms = [
+            ("request_seconds", "Latency of requests", &self.request_seconds),
+            ("sample_seconds", "From the start of a sample to its text", &self.sample_seconds),
+            ("score_seconds", "From a sample's text to its score", &self.score_seconds),
+        ];
+        for (name, help, histogram) in histograms {
+            registry.register(name, help, histogram.clone());
+        }
+    }
+
+    pub(crate) fn on_refusal(&self, kind: ErrorKind) {
+        let refusals = &self.refusals;
+        refusals.get_or_create(&vec![("kind", kind.into())]).inc();
+    }
+
+    pub(crate) fn on_retry(&self, reason: RetryReason) {
+        let retries = &self.retries;
+        retries.get_or_create(&vec![("reason", reason.into())]).inc();
+    }
+
+    pub(crate) fn to_text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Converts a span between two times of the local clock for a histogram.
+#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
+pub(crate) fn seconds(from_ms: u64, to_ms: u64) -> f64 {
+    to_ms.saturating_sub(from_ms) as f64 / 1_000.0
+}
--- /dev/null
+++ b/src/server/mod.rs
@@ -0,0 +1,32 @@
+//! What does, on a platform that keeps what must last: the process of one VM.
+//!
+//! [`run`] starts it. What is kept in the platform's store is followed by
+//! [`follow`]; callers' requests take the way `front`, `forward`; batches the
+//! way `accept`, `claims`, `share`, `sample`, `listing`; weights the way
+//! `orders`.
+
+mod accept;
+mod claims;
+mod directory;
+mod fleet;
+mod follow;
+mod forward;
+mod front;
+mod listing;
+mod members;
+mod metrics;
+mod orders;
+mod read_batch;
+mod refuse;
+mod run;
+mod sample;
+mod score;
+mod share;
+mod state;
+mod upstream;
+
+pub use self::run::run;
+pub(crate) use self::{
+    state::lock,
+    upstream::{ExchangeError, Upstream, WholeReply},
+};
--- /dev/null
+++ b/src/server/orders.rs
@@ -0,0 +1,194 @@
+//! Moving endpoints to the weights version that was named.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    members::{TENURE_KEY, VM_TABLE},
+    state::{Server, lock},
+};
+use crate::{
+    core::{
+        Name,
+        tenure::Claim,
+        weights::{Move, Sent, moves},
+    },
+    daemon::now_ms,
+    platform::{Condition, Order, OrderOutcome, Tx, TxOutcome, order_outcome, order_request},
+};
+
+/// How often it is looked at who orders and what is to be ordered, in
+/// milliseconds.
+const LOOK_MS: u64 = 50;
+/// How long an order may go without an answer, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 1_000;
+/// How long an order counts as being carried out, in milliseconds: loading
+/// weights takes about a second, and the list of endpoints lags.
+const CARRIED_OUT_MS: u64 = 2_500;
+/// How long after a refused order another one is sent, in milliseconds.
+const AFTER_REFUSAL_MS: u64 = 400;
+
+/// Takes and keeps the tenure, and orders while it is held.
+pub(crate) async fn order(server: Arc<Server>) {
+    let mut sent: BTreeMap<Name, Sent> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        if server.is_draining() {
+            step_down(&server).await;
+            return;
+        }
+        if !server.is_ready() {
+            continue;
+        }
+        keep_tenure(&server).await;
+        let now_ms = now_ms();
+        if fence(&server).is_none() {
+            sent.clear();
+            continue;
+        }
+        sent.retain(|_, order| order.until_ms > now_ms);
+        let due = {
+            let named = lock(&server.named_weights);
+            let pool = lock(&server.pool);
+            sent.retain(|id, order| !is_carried_out(&pool, id, order));
+            moves(&pool, &named, &sent, now_ms)
+        };
+        for entry in due {
+            let outcome = Sent {
+                version: entry.version,
+                until_ms: now_ms + CARRIED_OUT_MS,
+            };
+            sent.insert(entry.endpoint.clone(), outcome);
+            let (server, entry) = (server.clone(), entry.clone());
+            tokio::spawn(async move { send(&server, &entry).await });
+        }
+    }
+}
+
+fn is_carried_out(pool: &crate::core::pool::Pool, id: &str, order: &Sent) -> bool {
+    pool.get(id).is_none_or(|endpoint| {
+        let weights = &endpoint.record.weights;
+        weights.values().any(|version| *version == order.version)
+            && endpoint.loading_until_ms == 0
+    })
+}
+
+fn fence(server: &Server) -> Option<u64> {
+    let (_, latest_ms) = server.store.clock_ms()?;
+    lock(&server.tenure).fence(latest_ms)
+}
+
+async fn keep_tenure(server: &Server) {
+    let Some((earliest_ms, _)) = server.store.clock_ms() else {
+        return;
+    };
+    let claim = lock(&server.tenure).claim(now_ms(), earliest_ms);
+    if let Some(claim) = claim {
+        let had_fence = fence(server).is_some();
+        let fence = claim.row.fence;
+        if write(server, claim).await && !had_fence {
+            tracing::info!(fence, "orders endpoints from now on");
+        }
+    }
+}
+
+async fn write(server: &Server, claim: Claim) -> bool {
+    let bytes = match rmp_serde::to_vec_named(&claim.row) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            tracing::error!(%error, "row of orders cannot be written");
+            return false;
+        }
+    };
+    let tx = Tx {
+        conditions: vec![Condition {
+            table: VM_TABLE,
+            key: TENURE_KEY.into(),
+            row_version: claim.row_version,
+        }],
+        set: vec![(VM_TABLE, TENURE_KEY.into(), bytes)],
+        ..Tx::default()
+    };
+    match server.store.transact(&tx).await {
+        Ok(TxOutcome::Committed(row_version)) => {
+            lock(&server.tenure).on_written(claim.row, row_version);
+            true
+        }
+        // The next reading of the VMs' rows tells who holds it.
+        Ok(TxOutcome::Conflict(_)) => false,
+        Err(error) => {
+            tracing::warn!(%error, "row of orders not written");
+            false
+        }
+    }
+}
+
+async fn step_down(server: &Server) {
+    let Some((_, latest_ms)) = server.store.clock_ms() else {
+        return;
+    };
+    let claim = lock(&server.tenure).step_down(latest_ms);
+    if let Some(claim) = claim
+        && write(server, claim).await
+    {
+        tracing::info!("orders endpoints no longer");
+    }
+}
+
+async fn send(server: &Arc<Server>, entry: &Move) {
+    let known = lock(&server.pool)
+        .get(&entry.endpoint)
+        .map(|known| (known.record.address, known.record.orders_accepted));
+    // Checked as late as possible: nobody else may have the tenure by now.
+    let (Some((address, orders_accepted)), Some(fence)) = (known, fence(server)) else {
+        return;
+    };
+    let host = address.to_string();
+    let order = Order {
+        endpoint: &entry.endpoint,
+        host: &host,
+        model: &entry.model,
+        version: entry.version,
+        holder: &server.settings.vm,
+        fence,
+        orders_accepted,
+    };
+    let request = match order_request(&order) {
+        Ok(request) => request,
+        Err(error) => {
+            tracing::error!(%error, "order cannot be written");
+            return;
+        }
+    };
+    server.metrics.orders.inc();
+    let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
+    let reply = server.http.exchange_whole(address, request, deadline_ms).await;
+    let (endpoint, version) = (&entry.endpoint, entry.version);
+    match reply {
+        Ok(reply) => {
+            let outcome = order_outcome(reply.status);
+            tracing::info!(%endpoint, version, fence, orders_accepted, ?outcome, "ordered");
+            note(server, entry, outcome);
+        }
+        Err(error) => {
+            tracing::warn!(%endpoint, version, fence, orders_accepted, %error, "order unanswered");
+        }
+    }
+}
+
+fn note(server: &Server, entry: &Move, outcome: OrderOutcome) {
+    let mut pool = lock(&server.pool);
+    let Some(known) = pool.get_mut(&entry.endpoint) else {
+        return;
+    };
+    match outcome {
+        OrderOutcome::Started => {
+            known.record.orders_accepted += 1;
+        }
+        OrderOutcome::Holds => {
+            known.record.weights.insert(entry.model.clone(), entry.version);
+        }
+        OrderOutcome::Conflict | OrderOutcome::Refused => {
+            known.loading_until_ms = now_ms() + AFTER_REFUSAL_MS;
+        }
+    }
+}
--- /dev/null
+++ b/src/server/refuse.rs
@@ -0,0 +1,73 @@
+//! Answers of the system's own.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use hyper::{Response, StatusCode, header};
+
+use super::{state::Server, upstream::ExchangeError};
+use crate::{
+    daemon::now_ms,
+    error::{Refusal, Retry},
+};
+
+/// The body of an answer.
+pub(crate) type Body = BoxBody<Bytes, ExchangeError>;
+
+/// When a refused caller may come back where no time was named, in
+/// milliseconds: a place becomes free within a few tens of milliseconds.
+const RETRY_AFTER_MS: u64 = 100;
+
+/// Returns a whole body.
+pub(crate) fn whole<B>(bytes: B) -> Body
+where
+    B: Into<Bytes>,
+{
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+}
+
+/// Returns an empty answer.
+pub(crate) fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns an answer with JSON.
+pub(crate) fn json(bytes: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(whole(bytes));
+    let value = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
+
+/// Turns a refusal into an answer, and counts it.
+pub(crate) fn refuse(server: &Server, id: &str, refusal: &Refusal) -> Response<Body> {
+    let detail = refusal.detail();
+    let answer = refusal.answer();
+    server.metrics.on_refusal(detail.kind);
+    tracing::info!(id, kind = %detail.kind, status = answer.status, not_run = answer.not_run,
+        reason = %detail.message, "refused");
+    let text = format!("{}: {}\n", detail.kind, detail.message);
+    let mut response = Response::new(whole(text));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let wait_ms = match answer.retry {
+        Retry::Never => None,
+        Retry::Elsewhere => Some(0),
+        Retry::Later => Some(
+            detail
+                .retry_at_ms
+                .map_or(RETRY_AFTER_MS, |at_ms| at_ms.saturating_sub(now_ms())),
+        ),
+    };
+    if let Some(wait_ms) = wait_ms {
+        let seconds = format!("{}.{:03}", wait_ms / 1_000, wait_ms % 1_000);
+        if let Ok(value) = seconds.parse() {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    if let Ok(value) = id.parse() {
+        response.headers_mut().insert("x-request-id", value);
+    }
+    response
+}
--- /dev/null
+++ b/src/server/run.rs
@@ -0,0 +1,118 @@
+use std::{io, sync::Arc, time::Duration};
+
+use tokio::{
+    net::TcpListener,
+    signal::unix::{Signal, SignalKind, signal},
+};
+
+use super::{
+    claims, fleet,
+    front::{Door, serve},
+    members, orders,
+    state::Server,
+};
+use crate::{
+    daemon::{now_ms, sleep_until, unix_ms},
+    settings::VmSettings,
+};
+
+/// How long before it is killed the process ends by itself, in milliseconds.
+const BEFORE_KILL_MS: u64 = 1_200;
+/// How long before its end the process closes connections, in milliseconds:
+/// by then callers have asked again which VMs to use.
+const CLOSING_MS: u64 = 1_500;
+/// How often idle connections are looked through, in milliseconds.
+const EXPIRE_MS: u64 = 500;
+
+/// Runs one VM until it is told to stop.
+///
+/// `reload` reads the settings again on SIGHUP.
+///
+/// # Errors
+///
+/// Those of binding the addresses and of listening for signals.
+pub async fn run<R>(settings: VmSettings, reload: R) -> io::Result<()>
+where
+    R: Fn() -> Result<VmSettings, String> + Send,
+{
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let doors = [
+        (settings.caller_address, Door::Callers),
+        (settings.readiness_address, Door::Readiness),
+        (settings.directory_address, Door::Directory),
+        (settings.metrics_address, Door::Metrics),
+    ];
+    let mut listeners = Vec::new();
+    for (address, door) in doors {
+        listeners.push((TcpListener::bind(address).await?, door));
+    }
+    let server = Arc::new(Server::new(settings, unix_ms()));
+    tracing::info!(vm = %server.settings.vm, data_centre = %server.settings.data_centre,
+        incarnation = server.incarnation, "start");
+    for (listener, door) in listeners {
+        tokio::spawn(serve(server.clone(), listener, door));
+    }
+    tokio::spawn(fleet::follow_operator(server.clone()));
+    tokio::spawn(fleet::follow_endpoints(server.clone()));
+    tokio::spawn(claims::follow_batches(server.clone()));
+    tokio::spawn(claims::claim(server.clone()));
+    tokio::spawn(members::beat(server.clone()));
+    tokio::spawn(orders::order(server.clone()));
+    tokio::spawn(expire(server.clone()));
+    wait(&server, &mut terminate, &mut interrupt, &mut hangup, reload).await;
+    leave(&server).await;
+    Ok(())
+}
+
+/// Waits for the signal to stop.
+async fn wait<R>(
+    server: &Server,
+    terminate: &mut Signal,
+    interrupt: &mut Signal,
+    hangup: &mut Signal,
+    reload: R,
+) where
+    R: Fn() -> Result<VmSettings, String>,
+{
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => match reload() {
+                Ok(settings) if settings == server.settings => tracing::info!("reload: no change"),
+                Ok(_) => tracing::info!("reload: changed settings take effect at the next start"),
+                Err(error) => tracing::error!(error, "reload: the settings are not valid"),
+            },
+        }
+    }
+}
+
+/// Leaves in order: callers are sent elsewhere, shares are given back, and
+/// what is in progress ends.
+async fn leave(server: &Arc<Server>) {
+    let grace_ms = Duration::from_secs_f64(server.settings.stop_grace_s).as_millis();
+    let grace_ms = u64::try_from(grace_ms).unwrap_or(u64::MAX);
+    let end_ms = now_ms() + grace_ms.saturating_sub(BEFORE_KILL_MS);
+    tracing::info!(end_ms, "stop: leaving");
+    server
+        .is_draining
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    tokio::join!(members::withdraw(server), claims::release_all(server));
+    sleep_until(end_ms.saturating_sub(CLOSING_MS)).await;
+    server.close.send_replace(true);
+    sleep_until(end_ms).await;
+    tracing::info!("stop: left");
+}
+
+async fn expire(server: Arc<Server>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(EXPIRE_MS)).await;
+        server.http.expire();
+        let lapsed = super::state::lock(&server.pool).expire(now_ms());
+        for endpoint in lapsed {
+            tracing::info!(%endpoint, "endpoint gone: its entry did not come back");
+        }
+    }
+}
--- /dev/null
+++ b/src/server/score.rs
@@ -0,0 +1,145 @@
+//! Scoring a sample whose text is whole.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use hyper::{HeaderMap, Method, StatusCode};
+
+use super::{
+    forward::note_answer,
+    metrics::seconds,
+    sample::SampleJob,
+    state::lock,
+};
+use crate::{
+    core::{Name, batch::ScoreCall, pool::Wanted, retry::RetryReason, routes::Route},
+    daemon::now_ms,
+    platform::{RunHeaders, answer_head, run_request},
+};
+
+/// How many times its latency objective a call may take before it is sent
+/// again: its answer may be lost.
+const PATIENCE_FACTOR: u64 = 2;
+/// How long to wait for a place at an endpoint before looking again, in
+/// milliseconds.
+const LOOK_MS: u64 = 15;
+/// How much of its slots an endpoint may have taken by score calls: callers
+/// need some of them at once.
+const MAX_OCCUPANCY: f64 = 0.84;
+
+/// How one call ended.
+enum CallEnd {
+    Scored(Name),
+    /// The endpoint ran it and failed.
+    Failed,
+    Again(RetryReason, String),
+}
+
+/// Returns the score of a sample; none where it cannot be had.
+pub(crate) async fn score(job: &SampleJob, call: &ScoreCall) -> Option<Name> {
+    let server = &job.server;
+    let started_ms = now_ms();
+    let mut failures = 0;
+    let mut avoid = BTreeSet::new();
+    loop {
+        let route = server.routes().find(&call.host, &call.path).cloned();
+        let clock = server.store.clock_ms();
+        let is_over = clock.is_some_and(|(earliest_ms, _)| earliest_ms > job.limit_platform_ms);
+        let Some(route) = route.filter(|_| !is_over) else {
+            tracing::info!(batch = %job.batch, sample = %job.sample.id, is_over, "not scored");
+            return None;
+        };
+        let Some(endpoint) = choose(job, &route, &avoid) else {
+            avoid.clear();
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            continue;
+        };
+        match call_once(job, call, &route, &endpoint).await {
+            CallEnd::Scored(score) => {
+                let score_s = seconds(started_ms, now_ms());
+                server.metrics.score_seconds.observe(score_s);
+                return Some(score);
+            }
+            CallEnd::Failed => {
+                failures += 1;
+                tracing::info!(sample = %job.sample.id, call = %call.id, %endpoint, failures,
+                    "score call failed");
+                if failures >= route.max_attempts {
+                    return None;
+                }
+            }
+            CallEnd::Again(reason, message) => {
+                server.metrics.on_retry(reason);
+                tracing::info!(sample = %job.sample.id, call = %call.id, %endpoint, %reason,
+                    message, "score call ended early");
+                tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            }
+        }
+        avoid.insert(endpoint);
+    }
+}
+
+fn choose(job: &SampleJob, route: &Route, avoid: &BTreeSet<Name>) -> Option<Name> {
+    let server = &job.server;
+    let draw = rand::Rng::random(&mut *lock(&server.rng));
+    let wanted = Wanted {
+        service: route.service(draw)?,
+        data_centre: &server.settings.data_centre,
+        avoid,
+        weights: None,
+        max_occupancy: MAX_OCCUPANCY,
+    };
+    lock(&server.pool).choose(now_ms(), &wanted, &mut *lock(&server.rng))
+}
+
+async fn call_once(job: &SampleJob, call: &ScoreCall, route: &Route, endpoint: &Name) -> CallEnd {
+    let server = &job.server;
+    let address = lock(&server.pool).get(endpoint).map(|known| known.record.address);
+    let Some(address) = address else {
+        return CallEnd::Again(RetryReason::ConnectFailed, "no longer listed".to_owned());
+    };
+    let patience_ms = (route.target_ms * PATIENCE_FACTOR).clamp(1, route.timeout_ms);
+    let run = RunHeaders {
+        request_id: &call.id,
+        endpoint,
+        host: &call.host,
+        left_ms: patience_ms,
+        after_event: None,
+        urgency: None,
+    };
+    let request = run_request(Method::POST, &call.path, HeaderMap::new(), &run, call.body.clone());
+    let request = match request {
+        Ok(request) => request,
+        Err(message) => return CallEnd::Again(RetryReason::AnswerInvalid, message),
+    };
+    let in_flight = server.enter(endpoint);
+    let deadline_ms = now_ms() + patience_ms;
+    let reply = server.http.exchange_whole(address, request, deadline_ms).await;
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(error) => {
+            server.http.forget(address);
+            if let Some(known) = lock(&server.pool).get_mut(endpoint) {
+                known.on_failure(now_ms());
+            }
+            return CallEnd::Again(RetryReason::AnswerCut, error.to_string());
+        }
+    };
+    let head = answer_head(&call.id, reply.status, &reply.headers);
+    note_answer(server, endpoint, &head);
+    let is_own = head.is_own && !head.is_encoded && !head.is_not_run;
+    match (reply.status, head.stamp) {
+        (status, Some(stamp)) if is_own && status.is_success() => {
+            let took_s = seconds(in_flight.started_ms, now_ms());
+            let target_s = seconds(0, route.target_ms.max(1));
+            if let Some(known) = lock(&server.pool).get_mut(endpoint) {
+                known.on_success();
+                known.on_pace(took_s / target_s);
+            }
+            CallEnd::Scored(stamp)
+        }
+        (StatusCode::INTERNAL_SERVER_ERROR, Some(_)) if is_own => CallEnd::Failed,
+        (status, _) => {
+            CallEnd::Again(RetryReason::EndpointRefused, format!("answered {status}"))
+        }
+    }
+}
--- /dev/null
+++ b/src/server/share.rs
@@ -0,0 +1,106 @@
+//! Running one share of a batch.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::{sync::mpsc, task::JoinSet};
+
+use super::{
+    claims, listing, read_batch,
+    sample::{self, SampleJob},
+    state::{Server, lock},
+};
+use crate::core::{
+    Name,
+    batch::{BatchSpec, SampleSpec, run_order, share_of_group},
+};
+
+/// How long to wait after the store did not answer, in milliseconds.
+const AFTER_FAILURE_MS: u64 = 150;
+
+/// Runs every sample of a share that is not listed yet.
+pub(crate) async fn run(server: Arc<Server>, batch: Name, share: u32) {
+    let Some((spec, listed, limit_platform_ms)) = prepare(&server, &batch).await else {
+        return;
+    };
+    let samples = samples_of_share(&server, &batch, &spec, share);
+    let missing: Vec<SampleSpec> = samples
+        .into_iter()
+        .filter(|sample| !listed.contains(&sample.id))
+        .collect();
+    tracing::info!(%batch, share, samples = missing.len(), listed = listed.len(), "share starts");
+    let (finished, to_list) = mpsc::unbounded_channel();
+    // Dropped with this task, by which everything that it started ends.
+    let mut lister = JoinSet::new();
+    lister.spawn(listing::list(server.clone(), batch.clone(), to_list));
+    let mut running = JoinSet::new();
+    for place in run_order(&missing) {
+        let job = SampleJob {
+            server: server.clone(),
+            batch: batch.clone(),
+            host: spec.host.clone(),
+            path: spec.path.clone(),
+            model: spec.model.clone(),
+            min_weights_version: spec.min_weights_version,
+            limit_platform_ms,
+            sample: missing[place].clone(),
+        };
+        let endpoint = job.first_endpoint().await;
+        let finished = finished.clone();
+        running.spawn(async move {
+            let listed = sample::run(job, endpoint).await;
+            // The lister goes only after all senders have gone.
+            let _ = finished.send(listed);
+        });
+    }
+    drop(finished);
+    while running.join_next().await.is_some() {}
+    while lister.join_next().await.is_some() {}
+    claims::release(&server, &batch, share, true).await;
+}
+
+/// Reads what is to be run and what is listed already.
+async fn prepare(server: &Server, batch: &Name) -> Option<(Arc<BatchSpec>, BTreeSet<Name>, u64)> {
+    loop {
+        let head = lock(&server.batches).get(batch)?.head.clone()?;
+        match (
+            read_batch::spec(server, batch).await,
+            listing::read_names(server, batch).await,
+        ) {
+            (Ok(spec), Ok(listed)) => {
+                let routes = server.routes();
+                let limit_ms = routes
+                    .find(&spec.host, &spec.path)
+                    .map_or(0, |route| route.queue_limit_ms);
+                let limit_platform_ms = head.accepted_platform_ms + limit_ms;
+                return Some((spec, listed.into_iter().collect(), limit_platform_ms));
+            }
+            (Err(error), _) => tracing::warn!(%batch, %error, "batch not read"),
+            (_, Err(error)) => tracing::warn!(%batch, %error, "listing not read"),
+        }
+        tokio::time::sleep(Duration::from_millis(AFTER_FAILURE_MS)).await;
+    }
+}
+
+fn samples_of_share(
+    server: &Server,
+    batch: &Name,
+    spec: &BatchSpec,
+    share: u32,
+) -> Vec<SampleSpec> {
+    let head = lock(&server.batches).get(batch).and_then(|known| known.head.clone());
+    let share_count = head.map_or(1, |head| head.share_count);
+    let mut groups: BTreeMap<&Name, usize> = BTreeMap::new();
+    let mut samples = Vec::new();
+    for sample in &spec.samples {
+        let count = groups.len();
+        let place = *groups.entry(&sample.group).or_insert(count);
+        if share_of_group(place, share_count) == share {
+            samples.push(sample.clone());
+        }
+    }
+    samples
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,8 +2,10 @@
 
 mod check;
 mod settings;
+mod vm;
 
 pub use self::{
     check::{Fault, check},
     settings::{Limits, Settings},
+    vm::{VmSettings, check_vm},
 };
--- /dev/null
+++ b/src/settings/vm.rs
@@ -0,0 +1,79 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::Name;
+
+/// The settings of one VM on a platform that keeps what must last.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmSettings {
+    /// The VM's name, unique among all VMs.
+    pub vm: Name,
+    /// The VM's data centre.
+    pub data_centre: Name,
+    /// Where callers and trainers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether the VM takes work.
+    pub readiness_address: SocketAddr,
+    /// Where callers ask which VMs to use.
+    pub directory_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// Where the platform's store listens.
+    pub store_address: SocketAddr,
+    /// The share of a core that the process may use.
+    pub cpu_share: f64,
+    /// How long callers may keep an answer on which VMs to use, in seconds.
+    pub keep_addresses_s: u64,
+    /// How long after SIGTERM the process is killed, in seconds.
+    pub stop_grace_s: f64,
+    /// How long nobody may have given orders to endpoints before another VM
+    /// does, in milliseconds.
+    pub order_gap_ms: u64,
+}
+
+/// Reads the settings of a VM from JSON, and checks them.
+///
+/// # Errors
+///
+/// What is wrong, with its path.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::settings::check_vm;
+///
+/// let fault = check_vm(r#"{"vm": 3}"#).unwrap_err();
+/// assert_eq!(fault.path, "vm");
+/// ```
+pub fn check_vm(text: &str) -> Result<VmSettings, super::Fault> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let settings: VmSettings =
+        serde_path_to_error::deserialize(&mut reader).map_err(|error| super::Fault {
+            path: error.path().to_string(),
+            found: error.inner().to_string(),
+            allowed: "a value of the documented type".to_owned(),
+        })?;
+    let fault = |path: &str, found: &str, allowed: &str| super::Fault {
+        path: path.to_owned(),
+        found: found.to_owned(),
+        allowed: allowed.to_owned(),
+    };
+    if settings.vm.is_empty() {
+        return Err(fault("vm", "\"\"", "a name"));
+    }
+    let positive = [
+        ("cpu_share", settings.cpu_share),
+        ("stop_grace_s", settings.stop_grace_s),
+    ];
+    for (path, value) in positive {
+        if value.is_nan() || value <= 0.0 {
+            return Err(fault(path, &value.to_string(), "a number above 0"));
+        }
+    }
+    if settings.keep_addresses_s == 0 {
+        return Err(fault("keep_addresses_s", "0", "a whole number above 0"));
+    }
+    Ok(settings)
+}
