Order weights with the number of orders that the endpoint reports

Cause: the entry's sequence number counts heartbeats, so every order was refused. The count now comes from the endpoint's own report, once, and is kept until an order goes unanswered or is refused.

--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -35,8 +35,6 @@
     pub stage: EndpointStage,
     /// The weights version of each of its models.
     pub weights: BTreeMap<Name, u64>,
-    /// Orders that it had accepted.
-    pub orders_accepted: u64,
 }
 
 /// How much a new pace counts against the average of those before.
@@ -61,6 +59,8 @@
     pub penalty_until_ms: u64,
     /// Until when it counts although the platform no longer lists it.
     pub unlisted_until_ms: Option<u64>,
+    /// How many orders it has accepted since its start, where that is known.
+    pub orders_accepted: Option<u64>,
     failures: u32,
 }
 
@@ -73,6 +73,7 @@
             loading_until_ms: 0,
             penalty_until_ms: 0,
             unlisted_until_ms: None,
+            orders_accepted: None,
             failures: 0,
         }
     }
--- a/src/core/pool/pool.rs
+++ b/src/core/pool/pool.rs
@@ -118,6 +118,5 @@
         let before = known.weights.get(model).copied().unwrap_or(0);
         *version = before.max(*version);
     }
-    newer.orders_accepted = newer.orders_accepted.max(known.orders_accepted);
     newer
 }
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -101,8 +101,6 @@
     #[serde(default)]
     models: Vec<WireModel>,
     #[serde(default)]
-    seq: u64,
-    #[serde(default)]
     born: u64,
 }
 
@@ -206,7 +204,6 @@
         slots: wire.slots,
         stage,
         weights: weights.collect::<BTreeMap<_, _>>(),
-        orders_accepted: wire.seq,
     })
 }
 
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, StatusCode, header};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::core::{Name, pool::LoadReport};
 
@@ -175,3 +175,29 @@
         _ => OrderOutcome::Refused,
     }
 }
+
+#[derive(Deserialize)]
+struct WireReport {
+    /// The number of orders accepted; in the list of samplers the same name
+    /// stands for a count of heartbeats.
+    seq: u64,
+}
+
+/// Builds the question how many orders an endpoint has accepted.
+pub(crate) fn report_request(endpoint: &str, host: &str) -> Result<Request<Full<Bytes>>, String> {
+    Request::builder()
+        .uri("/v1/report")
+        .header(header::HOST, host)
+        .header(EXPECT_INSTANCE, endpoint)
+        .body(Full::default())
+        .map_err(|error| error.to_string())
+}
+
+/// Reads how many orders an endpoint has accepted.
+pub(crate) fn decode_report(status: StatusCode, body: &[u8]) -> Result<u64, String> {
+    if status != StatusCode::OK {
+        return Err(format!("answered {status}"));
+    }
+    let report: WireReport = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    Ok(report.seq)
+}
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -1,6 +1,6 @@
 //! Moving endpoints to the weights version that was named.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
     members::{TENURE_KEY, VM_TABLE},
@@ -13,7 +13,10 @@
         weights::{Move, Sent, moves},
     },
     daemon::now_ms,
-    platform::{Condition, Order, OrderOutcome, Tx, TxOutcome, order_outcome, order_request},
+    platform::{
+        Condition, Order, OrderOutcome, Tx, TxOutcome, decode_report, order_outcome, order_request,
+        report_request,
+    },
 };
 
 /// How often it is looked at who orders and what is to be ordered, in
@@ -24,8 +27,6 @@
 /// How long an order counts as being carried out, in milliseconds: loading
 /// weights takes about a second, and the list of endpoints lags.
 const CARRIED_OUT_MS: u64 = 2_500;
-/// How long after a refused order another one is sent, in milliseconds.
-const AFTER_REFUSAL_MS: u64 = 400;
 
 /// Takes and keeps the tenure, and orders while it is held.
 pub(crate) async fn order(server: Arc<Server>) {
@@ -66,9 +67,8 @@
 
 fn is_carried_out(pool: &crate::core::pool::Pool, id: &str, order: &Sent) -> bool {
     pool.get(id).is_none_or(|endpoint| {
-        let weights = &endpoint.record.weights;
-        weights.values().any(|version| *version == order.version)
-            && endpoint.loading_until_ms == 0
+        let mut versions = endpoint.record.weights.values();
+        versions.any(|version| *version == order.version)
     })
 }
 
@@ -137,11 +137,22 @@
 async fn send(server: &Arc<Server>, entry: &Move) {
     let known = lock(&server.pool)
         .get(&entry.endpoint)
-        .map(|known| (known.record.address, known.record.orders_accepted));
-    // Checked as late as possible: nobody else may have the tenure by now.
-    let (Some((address, orders_accepted)), Some(fence)) = (known, fence(server)) else {
+        .map(|known| (known.record.address, known.orders_accepted));
+    let Some((address, orders_accepted)) = known else {
         return;
     };
+    let orders_accepted = match orders_accepted {
+        Some(count) => count,
+        None => match read_count(server, entry, address).await {
+            Ok(count) => count,
+            Err(error) => {
+                tracing::warn!(endpoint = %entry.endpoint, error, "count of orders not read");
+                return;
+            }
+        },
+    };
+    // Checked as late as possible: nobody else may have the tenure by now.
+    let Some(fence) = fence(server) else { return };
     let host = address.to_string();
     let order = Order {
         endpoint: &entry.endpoint,
@@ -163,32 +174,44 @@
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
     let reply = server.http.exchange_whole(address, request, deadline_ms).await;
     let (endpoint, version) = (&entry.endpoint, entry.version);
-    match reply {
+    let outcome = match reply {
         Ok(reply) => {
             let outcome = order_outcome(reply.status);
             tracing::info!(%endpoint, version, fence, orders_accepted, ?outcome, "ordered");
-            note(server, entry, outcome);
+            Some(outcome)
         }
         Err(error) => {
             tracing::warn!(%endpoint, version, fence, orders_accepted, %error, "order unanswered");
+            None
         }
-    }
+    };
+    note(server, entry, outcome, orders_accepted);
 }
 
-fn note(server: &Server, entry: &Move, outcome: OrderOutcome) {
+async fn read_count(
+    server: &Arc<Server>,
+    entry: &Move,
+    address: SocketAddr,
+) -> Result<u64, String> {
+    let request = report_request(&entry.endpoint, &address.to_string())?;
+    let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
+    let reply = server.http.exchange_whole(address, request, deadline_ms).await;
+    let reply = reply.map_err(|error| error.to_string())?;
+    decode_report(reply.status, &reply.body)
+}
+
+fn note(server: &Server, entry: &Move, outcome: Option<OrderOutcome>, orders_accepted: u64) {
     let mut pool = lock(&server.pool);
     let Some(known) = pool.get_mut(&entry.endpoint) else {
         return;
     };
+    // Without an answer the order may have been accepted, or may be later.
+    known.orders_accepted = None;
     match outcome {
-        OrderOutcome::Started => {
-            known.record.orders_accepted += 1;
-        }
-        OrderOutcome::Holds => {
+        Some(OrderOutcome::Started) => known.orders_accepted = Some(orders_accepted + 1),
+        Some(OrderOutcome::Holds) => {
             known.record.weights.insert(entry.model.clone(), entry.version);
         }
-        OrderOutcome::Conflict | OrderOutcome::Refused => {
-            known.loading_until_ms = now_ms() + AFTER_REFUSAL_MS;
-        }
+        Some(OrderOutcome::Conflict | OrderOutcome::Refused) | None => {}
     }
 }
