Let endpoints load every second version, and keep a trainer's shares on the same VMs

Cause: with two models every endpoint was to load every version of both, more than two loads at a time allow; and an order counted as carried out when any model had its version. The stencil steps of emra stay late: the VM that gives orders is cut off the store in the middle of one.

--- a/src/core/batch/spec.rs
+++ b/src/core/batch/spec.rs
@@ -72,6 +72,10 @@
     pub host: Name,
     /// The path that the trainer named.
     pub path: Name,
+    /// The model.
+    pub model: Name,
+    /// The oldest weights version that may generate a token.
+    pub min_weights_version: u64,
 }
 
 /// How a sample ended.
--- a/src/core/weights/mod.rs
+++ b/src/core/weights/mod.rs
@@ -4,6 +4,6 @@
 mod rollout;
 
 pub use self::{
-    moves::{Move, Sent, moves},
+    moves::{Move, Named, Sent, moves},
     rollout::{LONGEST_ORDER_MS, ORDER_TIMEOUT_MS, Rollout, Sampler, WAVE_PERCENT},
 };
--- a/src/core/weights/moves.rs
+++ b/src/core/weights/moves.rs
@@ -1,10 +1,19 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::core::{
     Name,
     pool::{EndpointStage, Pool, PoolEndpoint},
 };
 
+/// The weights that trainers ask for of one model.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Named {
+    /// The newest version that a trainer named.
+    pub version: u64,
+    /// How many versions behind it samples may be generated.
+    pub allowed_lag: u64,
+}
+
 /// An order that moves one endpoint to the weights version that was named.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Move {
@@ -17,69 +26,130 @@
 }
 
 /// What is known of an order that was sent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sent {
+    /// The model that it names.
+    pub model: Name,
     /// The version that it names.
     pub version: u64,
     /// Until when it counts as being carried out.
     pub until_ms: u64,
 }
 
-/// How many endpoints load weights at once, of those that serve a model.
+/// How many endpoints load weights at once, of those that serve models.
 ///
 /// More would slow each other down; fewer leave trainers waiting.
 const LOADING_PERCENT: usize = 20;
 
+/// How many endpoints of a model should be able to serve the version that is
+/// named next as well, so that its trainer need not wait for loads.
+const READY_FOR_NEXT_PERCENT: usize = 50;
+
 /// Returns the orders to send now.
 ///
-/// An endpoint that is one version behind still serves the step that follows,
-/// so those that are further behind come first.
+/// An endpoint within the allowed lag serves, and stays as it is where enough
+/// others have the newest version: each endpoint then loads every second
+/// version only, and never all of them at once.
+///
+/// # Examples
+///
+/// ```
+/// use std::collections::BTreeMap;
+///
+/// use chicoryreach::core::{pool::Pool, weights::moves};
+///
+/// assert!(moves(&Pool::default(), &BTreeMap::new(), &BTreeMap::new(), 0).is_empty());
+/// ```
 #[must_use]
 pub fn moves(
     pool: &Pool,
-    named: &BTreeMap<Name, u64>,
+    named: &BTreeMap<Name, Named>,
     sent: &BTreeMap<Name, Sent>,
     now_ms: u64,
 ) -> Vec<Move> {
-    let mut moves = Vec::new();
-    for (model, version) in named {
-        let serving: Vec<&PoolEndpoint> = pool
-            .all()
-            .filter(|endpoint| endpoint.record.weights.contains_key(model))
-            .filter(|endpoint| endpoint.record.stage == EndpointStage::Ready)
-            .collect();
-        moves.extend(moves_of_model(&serving, model, *version, sent, now_ms));
+    let is_loading = |endpoint: &PoolEndpoint| {
+        sent.get(&endpoint.record.id)
+            .is_some_and(|order| order.until_ms > now_ms)
+    };
+    let serving: Vec<&PoolEndpoint> = pool
+        .all()
+        .filter(|endpoint| !endpoint.record.weights.is_empty())
+        .filter(|endpoint| endpoint.record.stage == EndpointStage::Ready)
+        .collect();
+    let loading = serving.iter().filter(|endpoint| is_loading(endpoint)).count();
+    let most = (serving.len() * LOADING_PERCENT / 100).max(1);
+    let mut wishes = Vec::new();
+    for (model, named) in named {
+        wishes.extend(wishes_of_model(&serving, model, *named, sent, now_ms));
     }
-    // An endpoint with several models takes one order at a time.
-    let mut taken = std::collections::BTreeSet::new();
-    moves.retain(|entry| taken.insert(entry.endpoint.clone()));
-    moves
+    wishes.sort_by_key(|wish| wish.rank);
+    let mut taken: BTreeSet<Name> = BTreeSet::new();
+    let free = wishes.into_iter().filter(|wish| {
+        let is_free = !is_loading(wish.endpoint);
+        // An endpoint with several models takes one order at a time.
+        is_free && taken.insert(wish.endpoint.record.id.clone())
+    });
+    free.take(most.saturating_sub(loading))
+        .map(|wish| Move {
+            endpoint: wish.endpoint.record.id.clone(),
+            model: wish.model.clone(),
+            version: wish.version,
+        })
+        .collect()
 }
 
-fn moves_of_model(
-    serving: &[&PoolEndpoint],
-    model: &Name,
+/// An endpoint that should load a version, the most urgent rank first.
+struct Wish<'a> {
+    endpoint: &'a PoolEndpoint,
+    model: &'a Name,
     version: u64,
+    /// Whether it cannot serve now and how many can; then its requests.
+    rank: (bool, usize, u32),
+}
+
+fn wishes_of_model<'a>(
+    serving: &[&'a PoolEndpoint],
+    model: &'a Name,
+    named: Named,
     sent: &BTreeMap<Name, Sent>,
     now_ms: u64,
-) -> Vec<Move> {
-    let is_loading = |endpoint: &&&PoolEndpoint| {
-        sent.get(&endpoint.record.id)
-            .is_some_and(|order| order.until_ms > now_ms)
+) -> Vec<Wish<'a>> {
+    let version_of = |endpoint: &PoolEndpoint| {
+        let order = sent.get(&endpoint.record.id);
+        let order = order.filter(|order| order.until_ms > now_ms && order.model == *model);
+        let version = endpoint.weights_version(model);
+        order.map_or(version, |order| version.max(order.version))
+    };
+    let of_model: Vec<&PoolEndpoint> = serving
+        .iter()
+        .filter(|endpoint| endpoint.record.weights.contains_key(model))
+        .copied()
+        .collect();
+    let count_from = |least: u64| {
+        let from = of_model.iter().filter(|endpoint| version_of(endpoint) >= least);
+        from.count()
     };
-    let loading = serving.iter().filter(is_loading).count();
-    let most = (serving.len() * LOADING_PERCENT).div_ceil(100).max(1);
-    let mut behind: Vec<&&PoolEndpoint> = serving
+    let least_now = named.version.saturating_sub(named.allowed_lag);
+    let usable = count_from(least_now);
+    let for_next = count_from((least_now + 1).min(named.version));
+    let wanted = (of_model.len() * READY_FOR_NEXT_PERCENT).div_ceil(100);
+    let mut behind: Vec<&PoolEndpoint> = of_model
         .iter()
-        .filter(|endpoint| endpoint.weights_version(model) < version)
-        .filter(|endpoint| !is_loading(endpoint))
+        .filter(|endpoint| version_of(endpoint) < named.version)
+        .copied()
         .collect();
-    behind.sort_by_key(|endpoint| (endpoint.weights_version(model), endpoint.load.in_flight));
-    let chosen = behind.into_iter().take(most.saturating_sub(loading));
-    let to_move = |endpoint: &&PoolEndpoint| Move {
-        endpoint: endpoint.record.id.clone(),
-        model: model.clone(),
-        version,
+    behind.sort_by_key(|endpoint| (version_of(endpoint), endpoint.load.in_flight));
+    let unusable = of_model.len() - usable;
+    let moved = unusable.max(wanted.saturating_sub(for_next));
+    let wish = |endpoint: &'a PoolEndpoint| Wish {
+        endpoint,
+        model,
+        version: named.version,
+        rank: (
+            version_of(endpoint) >= least_now,
+            usable,
+            endpoint.load.in_flight,
+        ),
     };
-    chosen.map(to_move).collect()
+    behind.into_iter().take(moved).map(wish).collect()
 }
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -70,6 +70,8 @@
         share_count: share_count(spec.samples.len()),
         host: spec.host.clone(),
         path: spec.path.clone(),
+        model: spec.model.clone(),
+        min_weights_version: spec.min_weights_version,
     };
     write_head(server, &spec.id, &head, call.started_ms + SETTLE_MS).await?;
     server.metrics.batches_accepted.inc();
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Batches {
     pub(crate) known: BTreeMap<Name, KnownBatch>,
+    /// The newest of the oldest weights versions that batches ask of a model.
+    pub(crate) min_versions: BTreeMap<Name, u64>,
 }
 
 /// A share that this VM may claim now.
@@ -99,8 +101,13 @@
         };
         let batch = self.known.entry(row.part.clone()).or_default();
         match &*row.key {
-            HEAD_KEY => match rmp_serde::from_slice(bytes) {
-                Ok(head) => batch.head = Some(head),
+            HEAD_KEY => match rmp_serde::from_slice::<BatchHead>(bytes) {
+                Ok(head) => {
+                    let least = head.min_weights_version;
+                    let newest = self.min_versions.entry(head.model.clone()).or_default();
+                    *newest = least.max(*newest);
+                    batch.head = Some(head);
+                }
                 Err(error) => tracing::error!(batch = %row.part, %error, "head cannot be read"),
             },
             END_KEY => batch.end(&row.part),
@@ -176,9 +183,10 @@
         let Some(head) = batch.head.clone().filter(|_| !batch.is_ended) else {
             continue;
         };
-        let limit_ms = routes
-            .find(&head.host, &head.path)
-            .map_or(0, |route| route.queue_limit_ms);
+        let Some(route) = routes.find(&head.host, &head.path) else {
+            continue;
+        };
+        let limit_ms = route.queue_limit_ms;
         if platform_ms > head.accepted_platform_ms + limit_ms + AFTER_LIMIT_MS {
             continue;
         }
@@ -199,7 +207,8 @@
                 continue;
             }
             let since_ms = *batch.unowned_since_ms.entry(share).or_insert(now_ms);
-            let key = format!("{id}/{share}");
+            // The same VMs for each step of a trainer: they have connections.
+            let key = format!("{}/{share}", route.name);
             let order = rendezvous::choose(&live, &key, live.len());
             let rank = order.iter().position(|vm| *vm == server.settings.vm);
             let rank = u64::try_from(rank.unwrap_or(live.len())).unwrap_or(u64::MAX);
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -171,7 +171,7 @@
     };
     server.metrics.on_retry(reason);
     let age_ms = now_ms() - call.started_ms;
-    tracing::info!(id, %endpoint, %reason, message, ran, age_ms, sent = progress.sent,
+    tracing::info!(id, %endpoint, %reason, detail = message, ran, age_ms, sent = progress.sent,
         "attempt failed");
     progress.may_have_run |= ran;
     progress.message = message;
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -10,7 +10,7 @@
     core::{
         Name,
         tenure::Claim,
-        weights::{Move, Sent, moves},
+        weights::{Move, Named, Sent, moves},
     },
     daemon::now_ms,
     platform::{
@@ -48,17 +48,18 @@
         }
         sent.retain(|_, order| order.until_ms > now_ms);
         let due = {
-            let named = lock(&server.named_weights);
+            let named = named(&server);
             let pool = lock(&server.pool);
             sent.retain(|id, order| !is_carried_out(&pool, id, order));
             moves(&pool, &named, &sent, now_ms)
         };
         for entry in due {
-            let outcome = Sent {
+            let order = Sent {
+                model: entry.model.clone(),
                 version: entry.version,
                 until_ms: now_ms + CARRIED_OUT_MS,
             };
-            sent.insert(entry.endpoint.clone(), outcome);
+            sent.insert(entry.endpoint.clone(), order);
             let (server, entry) = (server.clone(), entry.clone());
             tokio::spawn(async move { send(&server, &entry).await });
         }
@@ -67,11 +68,32 @@
 
 fn is_carried_out(pool: &crate::core::pool::Pool, id: &str, order: &Sent) -> bool {
     pool.get(id).is_none_or(|endpoint| {
-        let mut versions = endpoint.record.weights.values();
-        versions.any(|version| *version == order.version)
+        let loaded = endpoint.weights_version(&order.model);
+        loaded >= order.version
     })
 }
 
+/// How far behind the named version samples may be where no batch has said.
+const DEFAULT_LAG: u64 = 1;
+/// More than this is a trainer that has fallen behind, not what it allows.
+const MAX_LAG: u64 = 1;
+
+/// Returns what trainers ask for of each model.
+fn named(server: &Server) -> BTreeMap<Name, Named> {
+    let named = lock(&server.named_weights);
+    let batches = lock(&server.batches);
+    let of_model = |(model, version): (&Name, &u64)| {
+        let least = batches.min_versions.get(model);
+        let lag = least.map_or(DEFAULT_LAG, |least| version.saturating_sub(*least));
+        let named = Named {
+            version: *version,
+            allowed_lag: lag.min(MAX_LAG),
+        };
+        (model.clone(), named)
+    };
+    named.iter().map(of_model).collect()
+}
+
 fn fence(server: &Server) -> Option<u64> {
     let (_, latest_ms) = server.store.clock_ms()?;
     lock(&server.tenure).fence(latest_ms)
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -203,7 +203,7 @@
     text: &SampleText,
 ) {
     job.server.metrics.on_retry(reason);
-    tracing::info!(batch = %job.batch, sample = %job.sample.id, %endpoint, %reason, message,
+    tracing::info!(batch = %job.batch, sample = %job.sample.id, %endpoint, %reason, detail = message,
         after_event = text.last_event(), "run ended early");
 }
 
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -70,7 +70,7 @@
             CallEnd::Again(reason, message) => {
                 server.metrics.on_retry(reason);
                 tracing::info!(sample = %job.sample.id, call = %call.id, %endpoint, %reason,
-                    message, "score call ended early");
+                    detail = message, "score call ended early");
                 tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
             }
         }
