Relay calls to the store through a VM that still reaches it

Cause: a VM that the store turns away kept its share for 3.5 s without being able to list a sample, and another VM then ran it from the start; the step came 7 to 14 s late. Ruled out: waiting less before a takeover (runs are lost all the same).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod batch;
 pub mod config;
+pub mod detour;
 mod digest;
 pub mod endpoint;
 pub mod guard;
--- a/src/core/weights/moves.rs
+++ b/src/core/weights/moves.rs
@@ -77,7 +77,7 @@
         .filter(|endpoint| endpoint.record.stage == EndpointStage::Ready)
         .collect();
     let loading = serving.iter().filter(|endpoint| is_loading(endpoint)).count();
-    let most = (serving.len() * LOADING_PERCENT / 100).max(1);
+    let most = ((serving.len() * LOADING_PERCENT + 50) / 100).max(1);
     let mut wishes = Vec::new();
     for (model, named) in named {
         wishes.extend(wishes_of_model(&serving, model, *named, sent, now_ms));
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,10 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
@@ -17,9 +15,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    core::{Name, tenure::PlatformClock},
+    core::{
+        Name,
+        detour::{Detour, Way},
+        tenure::PlatformClock,
+    },
     daemon::now_ms,
-    server::{ExchangeError, Upstream, WholeReply, lock},
+    server::{ExchangeError, StoreCall, Upstream, WholeReply, lock, relay},
 };
 
 /// How long a call may take, in milliseconds: answers usually take 4 ms, and
@@ -166,16 +168,36 @@
     address: SocketAddr,
     http: Arc<Upstream>,
     clock: Mutex<PlatformClock>,
-    is_answering: AtomicBool,
+    detour: Mutex<Detour>,
+    own_peer: SocketAddr,
+    /// Where other VMs relay calls; the next one comes first.
+    peers: Mutex<Vec<SocketAddr>>,
 }
 
+/// Through how many VMs a call is tried before it counts as failed.
+const RELAY_TRIES: usize = 2;
+/// How often it is looked at whether the direct way is to be tried.
+const PROBE_LOOK_MS: u64 = 50;
+/// How long a try of the direct way may take, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 300;
+/// A read that costs the store next to nothing.
+const PROBE_PATH: &str = "/v1/rows-get?table=op&part=&from=config&limit=1";
+
 impl Store {
-    pub(crate) fn new(address: SocketAddr, http: Arc<Upstream>) -> Self {
+    pub(crate) fn new(
+        address: SocketAddr,
+        own_peer: SocketAddr,
+        seeds: &[SocketAddr],
+        http: Arc<Upstream>,
+    ) -> Self {
+        let others = seeds.iter().filter(|seed| **seed != own_peer);
         Self {
             address,
             http,
             clock: Mutex::default(),
-            is_answering: AtomicBool::new(true),
+            detour: Mutex::default(),
+            own_peer,
+            peers: Mutex::new(others.copied().collect()),
         }
     }
 
@@ -185,9 +207,9 @@
         Some((clock.earliest_ms(now_ms)?, clock.latest_ms(now_ms)?))
     }
 
-    /// Returns whether the last call was answered.
-    pub(crate) fn is_answering(&self) -> bool {
-        self.is_answering.load(Ordering::Relaxed)
+    /// Returns whether this VM reaches the store by itself.
+    pub(crate) fn is_direct(&self) -> bool {
+        lock(&self.detour).way() == Way::Direct
     }
 
     /// Applies a transaction.
@@ -355,6 +377,9 @@
         Ok(answer)
     }
 
+    /// Makes a call by whichever way is open.
+    ///
+    /// What was certainly not done is tried once more through another VM.
     async fn call(
         &self,
         method: Method,
@@ -363,35 +388,127 @@
         headers: &[(&str, &str)],
         timeout_ms: u64,
     ) -> Result<WholeReply, StoreError> {
+        let call = StoreCall {
+            method: method.as_str().into(),
+            path: path.into(),
+            headers: headers
+                .iter()
+                .map(|(name, text)| ((*name).into(), (*text).into()))
+                .collect(),
+            body,
+            timeout_ms,
+        };
+        let is_read = method == Method::GET;
+        let direct = if self.is_direct() {
+            Some(self.call_direct(&call).await)
+        } else {
+            None
+        };
+        match direct {
+            Some(Ok(reply)) if !is_unavailable(reply.status) => return Ok(reply),
+            Some(Err(error @ StoreError::Unknown(_))) if !is_read => return Err(error),
+            _ => {}
+        }
+        let relayed = self.relay(&call).await;
+        match (relayed, direct) {
+            // Both were refused: what the store itself said is more telling.
+            (Err(StoreError::NotDone(_)), Some(direct)) => direct,
+            (relayed, _) => relayed,
+        }
+    }
+
+    /// Makes a call by this VM's own connection.
+    pub(crate) async fn call_direct(&self, call: &StoreCall) -> Result<WholeReply, StoreError> {
         let mut request = Request::builder()
-            .method(method)
-            .uri(path)
+            .method(&*call.method)
+            .uri(&*call.path)
             .header(header::HOST, self.address.to_string());
-        for (name, text) in headers {
-            request = request.header(*name, *text);
+        for (name, text) in &call.headers {
+            request = request.header(&**name, &**text);
         }
-        if !body.is_empty() {
+        if !call.body.is_empty() {
             request = request.header(header::CONTENT_TYPE, "application/json");
         }
         let request = request
-            .body(Full::new(body))
+            .body(Full::new(call.body.clone()))
             .map_err(|error| StoreError::NotDone(error.to_string()))?;
-        let deadline_ms = now_ms() + timeout_ms;
+        let deadline_ms = now_ms() + call.timeout_ms;
         let result = self
             .http
             .exchange_whole(self.address, request, deadline_ms)
             .await;
-        let is_answering = result.as_ref().is_ok_and(|reply| !is_unavailable(reply.status));
-        self.is_answering.store(is_answering, Ordering::Relaxed);
+        let is_answered = result.as_ref().is_ok_and(|reply| !is_unavailable(reply.status));
+        if lock(&self.detour).on_direct(now_ms(), is_answered) {
+            let error = result.as_ref().err().map(ToString::to_string);
+            let status = result.as_ref().ok().map(|reply| reply.status.as_u16());
+            tracing::info!(is_answered, status, error, "way to the store changes");
+        }
         result.map_err(|error| {
             // The other kept connections may be silent as well.
             self.http.forget(self.address);
             match error {
-                ExchangeError::NotSent(message) => StoreError::NotDone(message),
-                ExchangeError::Broken(message) => StoreError::Unknown(message),
+                ExchangeError::NotSent(detail) => StoreError::NotDone(detail),
+                ExchangeError::Broken(detail) => StoreError::Unknown(detail),
             }
         })
     }
+
+    /// Makes a call through one of the VMs that may still reach the store.
+    async fn relay(&self, call: &StoreCall) -> Result<WholeReply, StoreError> {
+        let mut last = StoreError::NotDone("no other VM is known".to_owned());
+        for _ in 0..RELAY_TRIES {
+            let Some(peer) = self.next_peer() else { break };
+            match relay::send(&self.http, peer, call).await {
+                Ok(reply) => return Ok(reply),
+                Err(error @ StoreError::Unknown(_)) if &*call.method != Method::GET.as_str() => {
+                    return Err(error);
+                }
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    fn next_peer(&self) -> Option<SocketAddr> {
+        let mut peers = lock(&self.peers);
+        let next = peers.first().copied()?;
+        peers.rotate_left(1);
+        Some(next)
+    }
+
+    /// Notes which VMs may relay calls.
+    pub(crate) fn set_peers(&self, mut addresses: Vec<SocketAddr>) {
+        if !addresses.is_empty() {
+            let offset = usize::from(self.own_peer.port()) % addresses.len();
+            addresses.rotate_left(offset);
+            let first = lock(&self.peers).first().copied();
+            // Goes on where it was, so that the load is spread.
+            if let Some(at) = addresses.iter().position(|address| Some(*address) == first) {
+                addresses.rotate_left(at);
+            }
+            *lock(&self.peers) = addresses;
+        }
+    }
+
+    /// Tries the direct way now and then while calls are relayed.
+    pub(crate) async fn probe(&self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(PROBE_LOOK_MS)).await;
+            let is_due = lock(&self.detour).is_probe_due(now_ms());
+            if is_due {
+                let call = StoreCall {
+                    method: Method::GET.as_str().into(),
+                    path: PROBE_PATH.into(),
+                    headers: Vec::new(),
+                    body: Bytes::new(),
+                    timeout_ms: PROBE_TIMEOUT_MS,
+                };
+                if let Err(error) = self.call_direct(&call).await {
+                    tracing::debug!(%error, "store not reached directly");
+                }
+            }
+        }
+    }
 }
 
 fn query(pairs: &[(&str, &str)]) -> String {
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -16,6 +16,7 @@
 use super::{
     accept, directory, forward, read_batch,
     refuse::{Body, empty, json, refuse, whole},
+    relay,
     state::Server,
 };
 use crate::{
@@ -33,6 +34,8 @@
     Callers,
     Readiness,
     Directory,
+    /// Other VMs.
+    Peers,
     Metrics,
 }
 
@@ -128,6 +131,15 @@
             directory::answer(&server, near.as_deref())
                 .map_or_else(|| empty(StatusCode::SERVICE_UNAVAILABLE), json)
         }
+        Door::Peers if method == Method::POST && path == relay::RELAY_PATH => {
+            match request.into_body().collect().await {
+                Ok(body) => relay::answer(&server, &body.to_bytes()).await,
+                Err(error) => {
+                    tracing::debug!(%error, "relayed call broke off");
+                    empty(StatusCode::BAD_REQUEST)
+                }
+            }
+        }
         Door::Metrics if method == Method::GET => Response::new(whole(server.metrics.to_text())),
         _ => empty(StatusCode::NOT_FOUND),
     }
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -29,6 +29,7 @@
     pub(crate) incarnation: u64,
     pub(crate) data_centre: Name,
     pub(crate) caller_address: SocketAddr,
+    pub(crate) peer_address: SocketAddr,
     pub(crate) cpu_share: f64,
 }
 
@@ -117,6 +118,7 @@
         incarnation: server.incarnation,
         data_centre: settings.data_centre.clone(),
         caller_address: settings.caller_address,
+        peer_address: settings.peer_address,
         cpu_share: settings.cpu_share,
     };
     let bytes = match rmp_serde::to_vec_named(&row) {
@@ -142,6 +144,9 @@
             let mut members = lock(&server.members);
             let was_read = members.is_read();
             members.on_read(now_ms, &rows.rows);
+            let own = server.settings.peer_address;
+            let peers = members.live().map(|(_, row)| row.peer_address);
+            server.store.set_peers(peers.filter(|peer| *peer != own).collect());
             drop(members);
             if !was_read {
                 tracing::info!(vms = rows.rows.len(), "VMs read");
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -18,6 +18,7 @@
 mod orders;
 mod read_batch;
 mod refuse;
+pub(crate) mod relay;
 mod run;
 mod sample;
 mod score;
@@ -27,6 +28,7 @@
 
 pub use self::run::run;
 pub(crate) use self::{
+    relay::StoreCall,
     state::lock,
     upstream::{ExchangeError, Upstream, WholeReply},
 };
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -42,6 +42,7 @@
         (settings.caller_address, Door::Callers),
         (settings.readiness_address, Door::Readiness),
         (settings.directory_address, Door::Directory),
+        (settings.peer_address, Door::Peers),
         (settings.metrics_address, Door::Metrics),
     ];
     let mut listeners = Vec::new();
@@ -61,6 +62,8 @@
     tokio::spawn(members::beat(server.clone()));
     tokio::spawn(orders::order(server.clone()));
     tokio::spawn(expire(server.clone()));
+    let probing = server.clone();
+    tokio::spawn(async move { probing.store.probe().await });
     wait(&server, &mut terminate, &mut interrupt, &mut hangup, reload).await;
     leave(&server).await;
     Ok(())
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -46,7 +46,12 @@
         let me = settings.vm.clone();
         Self {
             incarnation,
-            store: Store::new(settings.store_address, http.clone()),
+            store: Store::new(
+                settings.store_address,
+                settings.peer_address,
+                &settings.seed_addresses,
+                http.clone(),
+            ),
             http,
             routes: Mutex::default(),
             pool: Mutex::default(),
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -18,6 +18,10 @@
     pub readiness_address: SocketAddr,
     /// Where callers ask which VMs to use.
     pub directory_address: SocketAddr,
+    /// Where other VMs connect.
+    pub peer_address: SocketAddr,
+    /// Some VMs to begin with; they may be gone.
+    pub seed_addresses: Vec<SocketAddr>,
     /// Where metrics are served.
     pub metrics_address: SocketAddr,
     /// Where the platform's store listens.
