Move runs away from slow or silent endpoints; forget old batches; lints

A run is now judged by its own pace and silence against what is usual, and goes on after its last event elsewhere.

--- a/src/core/batch/mod.rs
+++ b/src/core/batch/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod event;
 mod order;
+mod pace;
 mod share;
 mod spec;
 
@@ -10,6 +11,7 @@
     attempt::{SampleText, TextError},
     event::{Event, EventParser},
     order::run_order,
+    pace::{RunPace, RunVerdict},
     share::{share_count, share_of_group},
-    spec::{BatchHead, BatchSpec, ListedState, ListedSample, SampleSpec, ScoreCall},
+    spec::{BatchHead, BatchSpec, ListedSample, ListedState, SampleSpec, ScoreCall},
 };
--- a/src/core/pool/choose.rs
+++ b/src/core/pool/choose.rs
@@ -16,6 +16,9 @@
 /// be a long request.
 const MAX_PACE_FACTOR: f64 = 8.0;
 
+/// How many times slower than elsewhere a run has to be to be moved.
+const WORTH_MOVING_FACTOR: f64 = 1.5;
+
 /// What a request needs of an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -56,6 +59,36 @@
         Some(cheapest.record.id.clone())
     }
 
+    /// Returns the usual pace of a service's endpoints.
+    #[must_use]
+    pub fn typical_pace_ms(&self, service: &str) -> Option<f64> {
+        let endpoints: Vec<&PoolEndpoint> = self.of_service(service).collect();
+        typical_pace_ms(&endpoints)
+    }
+
+    /// Returns whether a run would soon do better at another endpoint: one
+    /// with room that is neither failing nor about as slow.
+    pub fn has_better<R>(
+        &self,
+        now_ms: u64,
+        wanted: &Wanted<'_>,
+        run_event_ms: Option<f64>,
+        rng: &mut R,
+    ) -> bool
+    where
+        R: Rng,
+    {
+        let chosen = self.choose(now_ms, wanted, rng);
+        let Some(endpoint) = chosen.and_then(|id| self.get(&id)) else {
+            return false;
+        };
+        let is_faster = match (endpoint.pace_ms, run_event_ms) {
+            (Some(pace), Some(run)) => run > pace * WORTH_MOVING_FACTOR,
+            _ => true,
+        };
+        is_faster && endpoint.penalty_until_ms <= now_ms
+    }
+
     /// Returns whether any endpoint of a service takes work.
     #[must_use]
     pub fn has_service(&self, service: &str) -> bool {
@@ -85,12 +118,7 @@
     known.get(known.len() / 2).copied()
 }
 
-fn cost(
-    endpoint: &PoolEndpoint,
-    now_ms: u64,
-    wanted: &Wanted<'_>,
-    typical_ms: Option<f64>,
-) -> f64 {
+fn cost(endpoint: &PoolEndpoint, now_ms: u64, wanted: &Wanted<'_>, typical_ms: Option<f64>) -> f64 {
     let is_far = &*endpoint.record.data_centre != wanted.data_centre;
     let is_loading = endpoint.loading_until_ms > now_ms;
     let factor = match (endpoint.pace_ms, typical_ms) {
--- a/src/core/tenure/clock.rs
+++ b/src/core/tenure/clock.rs
@@ -19,10 +19,14 @@
 }
 
 /// Offsets of the platform's clock from the local one.
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit as a suffix"
+)]
 #[derive(Clone, Copy, Debug)]
 struct Bounds {
-    least_ms: i64,
-    most_ms: i64,
+    least_offset_ms: i64,
+    most_offset_ms: i64,
     noted_at_ms: u64,
 }
 
@@ -34,13 +38,15 @@
     /// Notes the time that an answer said.
     pub fn on_answer(&mut self, sent_ms: u64, received_ms: u64, platform_ms: u64) {
         let newest = Bounds {
-            least_ms: signed(platform_ms) - signed(received_ms),
-            most_ms: signed(platform_ms) - signed(sent_ms),
+            least_offset_ms: signed(platform_ms) - signed(received_ms),
+            most_offset_ms: signed(platform_ms) - signed(sent_ms),
             noted_at_ms: received_ms,
         };
         let is_better = self.bounds.is_none_or(|bounds| {
-            let agrees = newest.least_ms <= bounds.most_ms && bounds.least_ms <= newest.most_ms;
-            let is_narrower = newest.most_ms - newest.least_ms <= bounds.most_ms - bounds.least_ms;
+            let agrees = newest.least_offset_ms <= bounds.most_offset_ms
+                && bounds.least_offset_ms <= newest.most_offset_ms;
+            let is_narrower = newest.most_offset_ms - newest.least_offset_ms
+                <= bounds.most_offset_ms - bounds.least_offset_ms;
             !agrees || is_narrower || received_ms > bounds.noted_at_ms + KEEP_MS
         });
         if is_better {
@@ -52,14 +58,14 @@
     #[must_use]
     pub fn earliest_ms(&self, now_ms: u64) -> Option<u64> {
         let bounds = self.bounds?;
-        u64::try_from(signed(now_ms) + bounds.least_ms).ok()
+        u64::try_from(signed(now_ms) + bounds.least_offset_ms).ok()
     }
 
     /// Returns the most that the platform's clock can show now.
     #[must_use]
     pub fn latest_ms(&self, now_ms: u64) -> Option<u64> {
         let bounds = self.bounds?;
-        u64::try_from(signed(now_ms) + bounds.most_ms).ok()
+        u64::try_from(signed(now_ms) + bounds.most_offset_ms).ok()
     }
 }
 
--- a/src/core/tenure/tenure.rs
+++ b/src/core/tenure/tenure.rs
@@ -75,7 +75,11 @@
 
     /// Notes the row as it was read; an older row changes nothing.
     pub fn on_read(&mut self, row: Option<TenureRow>, row_version: u64) {
-        if self.seen.as_ref().is_some_and(|(_, known)| *known > row_version) {
+        if self
+            .seen
+            .as_ref()
+            .is_some_and(|(_, known)| *known > row_version)
+        {
             return;
         }
         self.seen = Some((row, row_version));
--- a/src/core/weights/moves.rs
+++ b/src/core/weights/moves.rs
@@ -76,7 +76,10 @@
         .filter(|endpoint| !endpoint.record.weights.is_empty())
         .filter(|endpoint| endpoint.record.stage == EndpointStage::Ready)
         .collect();
-    let loading = serving.iter().filter(|endpoint| is_loading(endpoint)).count();
+    let loading = serving
+        .iter()
+        .filter(|endpoint| is_loading(endpoint))
+        .count();
     let most = ((serving.len() * LOADING_PERCENT + 50) / 100).max(1);
     let mut wishes = Vec::new();
     for (model, named) in named {
@@ -126,7 +129,9 @@
         .copied()
         .collect();
     let count_from = |least: u64| {
-        let from = of_model.iter().filter(|endpoint| version_of(endpoint) >= least);
+        let from = of_model
+            .iter()
+            .filter(|endpoint| version_of(endpoint) >= least);
         from.count()
     };
     let least_now = named.version.saturating_sub(named.allowed_lag);
--- a/src/platform/batches.rs
+++ b/src/platform/batches.rs
@@ -53,7 +53,9 @@
             let wait = headers.get(WAIT_MS).and_then(|value| value.to_str().ok());
             Some(BatchCall::Read {
                 batch,
-                from: parameter("after").and_then(|text| text.parse().ok()).unwrap_or(0),
+                from: parameter("after")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0),
                 wait_ms: wait.and_then(|text| text.parse().ok()).unwrap_or(0),
             })
         }
@@ -106,8 +108,7 @@
     if wire.requests.is_empty() {
         return Err("the batch has no samples".to_owned());
     }
-    let samples: Result<Vec<SampleSpec>, String> =
-        wire.requests.into_iter().map(sample).collect();
+    let samples: Result<Vec<SampleSpec>, String> = wire.requests.into_iter().map(sample).collect();
     Ok(BatchSpec {
         id,
         host: head.host.clone(),
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -50,7 +50,10 @@
     };
     let host = text(header::HOST.as_str()).or_else(|| parts.uri.host());
     let host = host.unwrap_or_default();
-    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
     CallerHead {
         method: parts.method.clone(),
         host: host.split(':').next().unwrap_or_default().into(),
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -118,11 +118,13 @@
 
 /// Reads a configuration.
 pub(crate) fn decode_config(bytes: &[u8]) -> Result<RouteTable, String> {
-    let config: WireConfig =
-        serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    let config: WireConfig = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
     let routes: Result<Vec<Route>, String> = config.routes.into_iter().map(route).collect();
     let pools = config.services.into_iter().map(|service| {
-        let models = service.engine.map(|engine| engine.models).unwrap_or_default();
+        let models = service
+            .engine
+            .map(|engine| engine.models)
+            .unwrap_or_default();
         let models = models.into_iter().map(|model| model.name).collect();
         (service.name, PoolSettings { models })
     });
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,8 +20,8 @@
         weights_model,
     },
     samplers::{
-        AnswerHead, EVENT_VERSION_FIELD, Order, OrderOutcome, RunHeaders, answer_head, decode_report,
-        order_outcome, order_request, report_request, run_request,
+        AnswerHead, EVENT_VERSION_FIELD, Order, OrderOutcome, RunHeaders, answer_head,
+        decode_report, order_outcome, order_request, report_request, run_request,
     },
     store::{Condition, Rows, Store, StoreError, Tx, TxOutcome, Value, Watch},
 };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -218,7 +218,13 @@
             .map_err(|error| StoreError::NotDone(error.to_string()))?;
         let sent_ms = now_ms();
         let reply = self
-            .call(Method::POST, "/v1/rows-tx", body.into(), &[], CALL_TIMEOUT_MS)
+            .call(
+                Method::POST,
+                "/v1/rows-tx",
+                body.into(),
+                &[],
+                CALL_TIMEOUT_MS,
+            )
             .await?;
         let is_committed = reply.status == StatusCode::OK;
         if !is_committed && reply.status != StatusCode::PRECONDITION_FAILED {
@@ -310,7 +316,13 @@
     ) -> Result<Watch, StoreError> {
         let path = format!("/v1/rows-feed?table={table}&after={after}&wait_ms={wait_ms}");
         let reply = self
-            .call(Method::GET, &path, Bytes::new(), &[], wait_ms + WATCH_SLACK_MS)
+            .call(
+                Method::GET,
+                &path,
+                Bytes::new(),
+                &[],
+                wait_ms + WATCH_SLACK_MS,
+            )
             .await?;
         match reply.status {
             StatusCode::OK => {
@@ -437,7 +449,9 @@
             .http
             .exchange_whole(self.address, request, deadline_ms)
             .await;
-        let is_answered = result.as_ref().is_ok_and(|reply| !is_unavailable(reply.status));
+        let is_answered = result
+            .as_ref()
+            .is_ok_and(|reply| !is_unavailable(reply.status));
         if lock(&self.detour).on_direct(now_ms(), is_answered) {
             let error = result.as_ref().err().map(ToString::to_string);
             let status = result.as_ref().ok().map(|reply| reply.status.as_u16());
@@ -523,7 +537,11 @@
 
 fn refused(reply: &WholeReply) -> StoreError {
     let text = String::from_utf8_lossy(&reply.body);
-    let message = format!("{}: {}", reply.status, text.chars().take(200).collect::<String>());
+    let message = format!(
+        "{}: {}",
+        reply.status,
+        text.chars().take(200).collect::<String>()
+    );
     if reply.status.is_server_error() && !is_unavailable(reply.status) {
         StoreError::Unknown(message)
     } else {
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -43,12 +43,18 @@
 ) -> Result<Response<Body>, Refusal> {
     let spec = decode_batch(&call.head, &call.body)
         .map_err(|error| Refusal::new(ErrorKind::BadRequest, error))?;
-    if lock(&server.batches).get(&spec.id).is_some_and(|known| known.head.is_some()) {
+    if lock(&server.batches)
+        .get(&spec.id)
+        .is_some_and(|known| known.head.is_some())
+    {
         tracing::info!(batch = %spec.id, "batch handed in again");
         return Ok(empty(StatusCode::ACCEPTED));
     }
     if server.is_draining() {
-        return Err(Refusal::new(ErrorKind::Draining, "this VM is shutting down"));
+        return Err(Refusal::new(
+            ErrorKind::Draining,
+            "this VM is shutting down",
+        ));
     }
     let unavailable =
         |error: &StoreError| Refusal::new(ErrorKind::PlatformUnavailable, error.to_string());
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -35,8 +35,6 @@
 const RANK_DELAY_MS: u64 = 150;
 /// How long after its time is over a batch is still run, in milliseconds.
 const AFTER_LIMIT_MS: u64 = 2_000;
-/// How long a batch is kept in memory and in the store, in milliseconds.
-const KEEP_MS: u64 = 150_000;
 
 /// Which start of which VM runs a share.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -112,10 +110,13 @@
             },
             END_KEY => batch.end(&row.part),
             key => {
-                let share = key.strip_prefix(OWNER_PREFIX).and_then(|text| text.parse().ok());
-                match (share, rmp_serde::from_slice(bytes)) {
-                    (Some(share), Ok(owner)) => batch.on_owner(share, owner, row.row_version),
-                    _ => tracing::error!(batch = %row.part, key, "row cannot be read"),
+                let share = key
+                    .strip_prefix(OWNER_PREFIX)
+                    .and_then(|text| text.parse().ok());
+                if let (Some(share), Ok(owner)) = (share, rmp_serde::from_slice(bytes)) {
+                    batch.on_owner(share, owner, row.row_version);
+                } else {
+                    tracing::error!(batch = %row.part, key, "row cannot be read");
                 }
             }
         }
@@ -133,6 +134,8 @@
             tracing::info!(batch = %id, running = self.running.len(), "batch ended");
         }
         self.is_ended = true;
+        // Whoever still asks for a body has it read again.
+        self.spec = None;
         for (_, task) in std::mem::take(&mut self.running) {
             task.abort();
         }
@@ -174,10 +177,6 @@
     let members = lock(&server.members);
     let live: Vec<Name> = members.live().map(|(vm, _)| vm.clone()).collect();
     let mut batches = lock(&server.batches);
-    batches.known.retain(|_, batch| {
-        let head = batch.head.as_ref();
-        head.is_none_or(|head| platform_ms < head.accepted_platform_ms + KEEP_MS)
-    });
     let mut claims = Vec::new();
     for (id, batch) in &mut batches.known {
         let Some(head) = batch.head.clone().filter(|_| !batch.is_ended) else {
@@ -268,8 +267,8 @@
     owner: &OwnerRow,
 ) -> Result<TxOutcome, StoreError> {
     let key: Name = format!("{OWNER_PREFIX}{share:03}").into();
-    let bytes = rmp_serde::to_vec_named(owner)
-        .map_err(|error| StoreError::NotDone(error.to_string()))?;
+    let bytes =
+        rmp_serde::to_vec_named(owner).map_err(|error| StoreError::NotDone(error.to_string()))?;
     let tx = Tx {
         part: batch.clone(),
         conditions: vec![Condition {
--- a/src/server/fleet.rs
+++ b/src/server/fleet.rs
@@ -78,16 +78,13 @@
             }
             Update::Changed(rows) => {
                 for row in &rows {
-                    match record(row) {
-                        Some(record) => {
-                            tracing::info!(endpoint = %record.id, stage = %record.stage,
-                                weights = ?record.weights, "endpoint listed");
-                            pool.on_listed(record);
-                        }
-                        None => {
-                            tracing::info!(endpoint = %row.key, "endpoint no longer listed");
-                            pool.on_unlisted(now_ms, &row.key);
-                        }
+                    if let Some(record) = record(row) {
+                        tracing::info!(endpoint = %record.id, stage = %record.stage,
+                            weights = ?record.weights, "endpoint listed");
+                        pool.on_listed(record);
+                    } else {
+                        tracing::info!(endpoint = %row.key, "endpoint no longer listed");
+                        pool.on_unlisted(now_ms, &row.key);
                     }
                 }
             }
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -44,7 +44,7 @@
     /// It may have run it.
     MayHaveRun(RetryReason, String),
     /// It ran it and answered with a failure of its own.
-    Answered(Response<Body>),
+    Answered(Box<Response<Body>>),
 }
 
 type Attempt = BoxFuture<'static, (Name, Result<Response<Body>, Failed>)>;
@@ -69,9 +69,10 @@
     let answer_by_ms = (call.started_ms + wait_ms).saturating_sub(ANSWER_MARGIN_MS);
     let give_up_ms = call.started_ms + patience_ms;
     let draw = rand::Rng::random(&mut *lock(&server.rng));
-    let service = route.service(draw).cloned().ok_or_else(|| {
-        Refusal::new(ErrorKind::NoEndpoint, "the route names no service")
-    })?;
+    let service = route
+        .service(draw)
+        .cloned()
+        .ok_or_else(|| Refusal::new(ErrorKind::NoEndpoint, "the route names no service"))?;
     let mut progress = Progress {
         sent: 0,
         avoid: BTreeSet::new(),
@@ -165,7 +166,7 @@
         Failed::MayHaveRun(reason, message) => (reason, message, true),
         Failed::Answered(response) => {
             let message = format!("answered {}", response.status());
-            progress.failure = Some(response);
+            progress.failure = Some(*response);
             (RetryReason::AnswerInvalid, message, true)
         }
     };
@@ -244,8 +245,8 @@
         after_event: None,
         urgency: None,
     };
-    let request = run_request(run.method, run.path, run.headers, &run_headers, run.body)
-        .map_err(not_sent)?;
+    let request =
+        run_request(run.method, run.path, run.headers, &run_headers, run.body).map_err(not_sent)?;
     let in_flight = server.enter(endpoint);
     let result = server.http.send(address, request).await;
     let reply = result.map_err(|error| on_broken(server, endpoint, &error))?;
@@ -320,7 +321,7 @@
     *response.status_mut() = status;
     *response.headers_mut() = forwardable_headers(&reply.headers);
     if status.is_server_error() {
-        return Err(Failed::Answered(response));
+        return Err(Failed::Answered(Box::new(response)));
     }
     Ok(response)
 }
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -186,7 +186,11 @@
     }
     let Some(route) = routes.find(&call.head.host, &call.head.path).cloned() else {
         let message = format!("no route in version {}", routes.version());
-        return refuse(server, &id, &Refusal::new(ErrorKind::UnknownService, message));
+        return refuse(
+            server,
+            &id,
+            &Refusal::new(ErrorKind::UnknownService, message),
+        );
     };
     let result = if route.repeat == Repeat::Batch {
         accept::answer(server, &route, &call).await
--- a/src/server/listing.rs
+++ b/src/server/listing.rs
@@ -63,7 +63,13 @@
 pub(crate) async fn read_names(server: &Server, batch: &str) -> Result<Vec<Name>, StoreError> {
     let rows = server
         .store
-        .read(LISTING_TABLE, batch, SAMPLE_PREFIX, Some(AFTER_SAMPLES), usize::MAX)
+        .read(
+            LISTING_TABLE,
+            batch,
+            SAMPLE_PREFIX,
+            Some(AFTER_SAMPLES),
+            usize::MAX,
+        )
         .await?;
     let names = rows.rows.iter();
     let names = names.filter_map(|row| row.key.strip_prefix(SAMPLE_PREFIX));
@@ -110,17 +116,16 @@
     next: &mut Option<Next>,
     waiting: &mut Vec<ListedSample>,
 ) -> Result<(), StoreError> {
-    let at = match *next {
-        Some(at) => at,
-        None => {
-            // What came of a write without an answer is known only by reading.
-            let listed = read_names(server, batch).await?;
-            waiting.retain(|sample| !listed.contains(&sample.id));
-            if waiting.is_empty() {
-                return Ok(());
-            }
-            read_next(server, batch).await?
+    let at = if let Some(at) = *next {
+        at
+    } else {
+        // What came of a write without an answer is known only by reading.
+        let listed = read_names(server, batch).await?;
+        waiting.retain(|sample| !listed.contains(&sample.id));
+        if waiting.is_empty() {
+            return Ok(());
         }
+        read_next(server, batch).await?
     };
     let count = batch_len(waiting);
     let tx = listing(batch, at, &waiting[..count])?;
@@ -215,8 +220,8 @@
         return Ok(Next::default());
     }
     let bytes = row.bytes.as_deref().unwrap_or_default();
-    let position = rmp_serde::from_slice(bytes)
-        .map_err(|error| StoreError::Unknown(error.to_string()))?;
+    let position =
+        rmp_serde::from_slice(bytes).map_err(|error| StoreError::Unknown(error.to_string()))?;
     Ok(Next {
         position,
         row_version: row.row_version,
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -146,7 +146,9 @@
             members.on_read(now_ms, &rows.rows);
             let own = server.settings.peer_address;
             let peers = members.live().map(|(_, row)| row.peer_address);
-            server.store.set_peers(peers.filter(|peer| *peer != own).collect());
+            server
+                .store
+                .set_peers(peers.filter(|peer| *peer != own).collect());
             drop(members);
             if !was_read {
                 tracing::info!(vms = rows.rows.len(), "VMs read");
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -38,8 +38,7 @@
 
 impl Metrics {
     pub(crate) fn new() -> Self {
-        let latency =
-            || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
+        let latency = || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
         let mut metrics = Self {
             registry: Registry::with_prefix("chicoryreach"),
             refusals: Family::default(),
@@ -58,11 +57,15 @@
         metrics.register();
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
-            refusals.get_or_create(&vec![("kind", kind.into())]).inc_by(0);
+            refusals
+                .get_or_create(&vec![("kind", kind.into())])
+                .inc_by(0);
         }
         for reason in RetryReason::iter() {
             let retries = &metrics.retries;
-            retries.get_or_create(&vec![("reason", reason.into())]).inc_by(0);
+            retries
+                .get_or_create(&vec![("reason", reason.into())])
+                .inc_by(0);
         }
         metrics
     }
@@ -73,10 +76,22 @@
         registry.register("retries", "Retries by reason", self.retries.clone());
         let counters = [
             ("requests", "Requests of callers", &self.requests),
-            ("batches_accepted", "Batches accepted", &self.batches_accepted),
+            (
+                "batches_accepted",
+                "Batches accepted",
+                &self.batches_accepted,
+            ),
             ("samples_listed", "Samples listed", &self.samples_listed),
-            ("samples_dead", "Samples listed as given up", &self.samples_dead),
-            ("shares_claimed", "Shares of batches claimed", &self.shares_claimed),
+            (
+                "samples_dead",
+                "Samples listed as given up",
+                &self.samples_dead,
+            ),
+            (
+                "shares_claimed",
+                "Shares of batches claimed",
+                &self.shares_claimed,
+            ),
             ("orders", "Orders sent to endpoints", &self.orders),
         ];
         for (name, help, counter) in counters {
@@ -88,9 +103,21 @@
             self.config_version.clone(),
         );
         let histograms = [
-            ("request_seconds", "Latency of requests", &self.request_seconds),
-            ("sample_seconds", "From the start of a sample to its text", &self.sample_seconds),
-            ("score_seconds", "From a sample's text to its score", &self.score_seconds),
+            (
+                "request_seconds",
+                "Latency of requests",
+                &self.request_seconds,
+            ),
+            (
+                "sample_seconds",
+                "From the start of a sample to its text",
+                &self.sample_seconds,
+            ),
+            (
+                "score_seconds",
+                "From a sample's text to its score",
+                &self.score_seconds,
+            ),
         ];
         for (name, help, histogram) in histograms {
             registry.register(name, help, histogram.clone());
@@ -104,7 +131,9 @@
 
     pub(crate) fn on_retry(&self, reason: RetryReason) {
         let retries = &self.retries;
-        retries.get_or_create(&vec![("reason", reason.into())]).inc();
+        retries
+            .get_or_create(&vec![("reason", reason.into())])
+            .inc();
     }
 
     pub(crate) fn to_text(&self) -> String {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod claims;
+mod clean;
 mod directory;
 mod fleet;
 mod follow;
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -194,7 +194,10 @@
     };
     server.metrics.orders.inc();
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
-    let reply = server.http.exchange_whole(address, request, deadline_ms).await;
+    let reply = server
+        .http
+        .exchange_whole(address, request, deadline_ms)
+        .await;
     let (endpoint, version) = (&entry.endpoint, entry.version);
     let outcome = match reply {
         Ok(reply) => {
@@ -217,7 +220,10 @@
 ) -> Result<u64, String> {
     let request = report_request(&entry.endpoint, &address.to_string())?;
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
-    let reply = server.http.exchange_whole(address, request, deadline_ms).await;
+    let reply = server
+        .http
+        .exchange_whole(address, request, deadline_ms)
+        .await;
     let reply = reply.map_err(|error| error.to_string())?;
     decode_report(reply.status, &reply.body)
 }
@@ -232,7 +238,10 @@
     match outcome {
         Some(OrderOutcome::Started) => known.orders_accepted = Some(orders_accepted + 1),
         Some(OrderOutcome::Holds) => {
-            known.record.weights.insert(entry.model.clone(), entry.version);
+            known
+                .record
+                .weights
+                .insert(entry.model.clone(), entry.version);
         }
         Some(OrderOutcome::Conflict | OrderOutcome::Refused) | None => {}
     }
--- a/src/server/read_batch.rs
+++ b/src/server/read_batch.rs
@@ -55,7 +55,7 @@
     let head = head(server, batch).await?;
     loop {
         let listed = read_listed(server, batch, from, MAX_RESULTS).await;
-        let listed = listed.map_err(unsure)?;
+        let listed = listed.map_err(|error| unsure(&error))?;
         let is_last = from + listed.len() >= head.sample_count;
         let may_wait = !is_last && now_ms() + LOOK_MS <= until_ms && !server.is_draining();
         if !listed.is_empty() || !may_wait {
@@ -82,7 +82,11 @@
             set: vec![(BATCH_TABLE, END_KEY.into(), Vec::new())],
             ..Tx::default()
         };
-        server.store.transact(&tx).await.map_err(unsure)?;
+        server
+            .store
+            .transact(&tx)
+            .await
+            .map_err(|error| unsure(&error))?;
     }
     if let Some(known) = lock(&server.batches).known.get_mut(batch) {
         known.end(batch);
@@ -91,19 +95,24 @@
 }
 
 /// What cannot be said for certain now.
-fn unsure(error: StoreError) -> Refusal {
+fn unsure(error: &StoreError) -> Refusal {
     Refusal::new(ErrorKind::PlatformUnavailable, error.to_string())
 }
 
 /// Returns the head of a batch; only the store can say that there is none.
 async fn head(server: &Server, batch: &Name) -> Result<BatchHead, Refusal> {
-    let known = lock(&server.batches).get(batch).and_then(|known| known.head.clone());
+    let known = lock(&server.batches)
+        .get(batch)
+        .and_then(|known| known.head.clone());
     if let Some(head) = known {
         return Ok(head);
     }
     let to = format!("{HEAD_KEY}\0");
-    let rows = server.store.read(BATCH_TABLE, batch, HEAD_KEY, Some(&to), 1).await;
-    let rows = rows.map_err(unsure)?;
+    let rows = server
+        .store
+        .read(BATCH_TABLE, batch, HEAD_KEY, Some(&to), 1)
+        .await;
+    let rows = rows.map_err(|error| unsure(&error))?;
     let bytes = rows.rows.first().and_then(|row| row.bytes.as_ref());
     let bytes = bytes.ok_or_else(|| Refusal::new(ErrorKind::UnknownStep, "no such batch"))?;
     rmp_serde::from_slice(bytes)
@@ -112,12 +121,18 @@
 
 /// Returns what the trainer handed in.
 pub(crate) async fn spec(server: &Server, batch: &Name) -> Result<Arc<BatchSpec>, Refusal> {
-    let known = lock(&server.batches).get(batch).and_then(|known| known.spec.clone());
+    let known = lock(&server.batches)
+        .get(batch)
+        .and_then(|known| known.spec.clone());
     if let Some(spec) = known {
         return Ok(spec);
     }
     let head = head(server, batch).await?;
-    let bytes = server.store.get_object(&head.object).await.map_err(unsure)?;
+    let bytes = server
+        .store
+        .get_object(&head.object)
+        .await
+        .map_err(|error| unsure(&error))?;
     let bytes = bytes.ok_or_else(|| Refusal::new(ErrorKind::Internal, "the object is missing"))?;
     let spec: BatchSpec = rmp_serde::from_slice(&bytes)
         .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
--- a/src/server/refuse.rs
+++ b/src/server/refuse.rs
@@ -22,7 +22,9 @@
 where
     B: Into<Bytes>,
 {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed()
 }
 
 /// Returns an empty answer.
--- a/src/server/relay.rs
+++ b/src/server/relay.rs
@@ -12,11 +12,7 @@
     state::Server,
     upstream::{ExchangeError, Upstream, WholeReply},
 };
-use crate::{
-    core::Name,
-    daemon::now_ms,
-    platform::StoreError,
-};
+use crate::{core::Name, daemon::now_ms, platform::StoreError};
 
 /// Where VMs take calls for the store.
 pub(crate) const RELAY_PATH: &str = "/peer/store";
@@ -64,7 +60,9 @@
     })?;
     match reply.status {
         StatusCode::OK => {}
-        StatusCode::SERVICE_UNAVAILABLE => return Err(not_done("nor does the other VM".to_owned())),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            return Err(not_done("nor does the other VM".to_owned()));
+        }
         status => return Err(unknown(format!("the other VM answered {status}"))),
     }
     let relayed: Relayed =
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    claims, fleet,
+    claims, clean, fleet,
     front::{Door, serve},
     members, orders,
     state::Server,
@@ -62,6 +62,7 @@
     tokio::spawn(members::beat(server.clone()));
     tokio::spawn(orders::order(server.clone()));
     tokio::spawn(expire(server.clone()));
+    tokio::spawn(clean::clean(server.clone()));
     let probing = server.clone();
     tokio::spawn(async move { probing.store.probe().await });
     wait(&server, &mut terminate, &mut interrupt, &mut hangup, reload).await;
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -15,7 +15,9 @@
 use crate::{
     core::{
         Name,
-        batch::{EventParser, ListedSample, ListedState, SampleSpec, SampleText},
+        batch::{
+            EventParser, ListedSample, ListedState, RunPace, RunVerdict, SampleSpec, SampleText,
+        },
         pool::Wanted,
         retry::RetryReason,
         routes::Route,
@@ -35,6 +37,10 @@
 /// How much of its slots an endpoint may have taken: a run that waits at an
 /// endpoint can no longer go to the one that is free first.
 const MAX_OCCUPANCY: f64 = 1.0;
+/// How often the run of one sample may move to a faster endpoint.
+pub(crate) const MAX_MOVES: u32 = 4;
+/// How much of its slots an endpoint may have taken to be moved to.
+const MOVE_OCCUPANCY: f64 = 0.75;
 /// The status of a run that can never succeed.
 const NEVER: StatusCode = StatusCode::UNPROCESSABLE_ENTITY;
 
@@ -44,13 +50,13 @@
     pub(crate) batch: Name,
     /// The host that the trainer named.
     pub(crate) host: Name,
-    /// The path that the trainer named.
-    pub(crate) path: Name,
     pub(crate) model: Name,
     pub(crate) min_weights_version: u64,
     /// When the sample may be given up, by the platform's clock.
     pub(crate) limit_platform_ms: u64,
     pub(crate) sample: SampleSpec,
+    /// How often its run may still move to a faster endpoint.
+    pub(crate) moves_left: u32,
 }
 
 /// A place at an endpoint.
@@ -77,6 +83,8 @@
     Failed,
     /// It can never succeed.
     Never,
+    /// It goes on at an endpoint that is faster.
+    Moved(RunVerdict),
     /// What was gathered cannot be used.
     Unusable(String),
 }
@@ -91,7 +99,11 @@
         let mut avoid = avoid;
         let nothing = BTreeSet::new();
         loop {
-            let route = self.server.routes().find(&self.host, &self.sample.path).cloned();
+            let route = self
+                .server
+                .routes()
+                .find(&self.host, &self.sample.path)
+                .cloned();
             let route = route.ok_or(NoPlace::RouteGone)?;
             if self.is_time_over() {
                 return Err(NoPlace::TimeOver);
@@ -119,6 +131,24 @@
         lock(&self.server.pool).choose(now_ms(), &wanted, &mut *lock(&self.server.rng))
     }
 
+    /// Returns whether a run should move to another endpoint.
+    fn may_move(&self, in_flight: &InFlight, pace: &RunPace) -> bool {
+        if self.moves_left == 0 {
+            return false;
+        }
+        let avoid = BTreeSet::from([in_flight.endpoint.clone()]);
+        let wanted = Wanted {
+            service: &in_flight.service,
+            data_centre: &self.server.settings.data_centre,
+            avoid: &avoid,
+            weights: Some((&self.model, self.min_weights_version)),
+            max_occupancy: MOVE_OCCUPANCY,
+        };
+        let event_ms = pace.event_ms();
+        let pool = lock(&self.server.pool);
+        pool.has_better(now_ms(), &wanted, event_ms, &mut *lock(&self.server.rng))
+    }
+
     fn is_time_over(&self) -> bool {
         let clock = self.server.store.clock_ms();
         clock.is_some_and(|(earliest_ms, _)| earliest_ms > self.limit_platform_ms)
@@ -138,6 +168,9 @@
 /// Runs a sample until it can be listed.
 pub(crate) async fn run(job: SampleJob, first: Result<Place, NoPlace>) -> ListedSample {
     let started_ms = now_ms();
+    let mut runs = 0;
+    let mut moves = 0;
+    let mut job = job;
     let mut place = first;
     let mut is_single = false;
     if let Ok(place) = &place {
@@ -156,6 +189,7 @@
         };
         let max_attempts = taken.route.max_attempts;
         let endpoint = taken.in_flight.endpoint.clone();
+        runs += 1;
         match run_once(&job, taken, &mut text).await {
             RunEnd::Complete => break,
             RunEnd::Never => return job.listed(ListedState::Dead, &text, None),
@@ -171,9 +205,22 @@
                 avoid.insert(endpoint.clone());
                 note_retry(&job, &endpoint, reason, &message, &text);
             }
+            RunEnd::Moved(verdict) => {
+                moves += 1;
+                job.moves_left = MAX_MOVES.saturating_sub(moves);
+                avoid = BTreeSet::from([endpoint.clone()]);
+                let detail = format!("{verdict:?}");
+                note_retry(&job, &endpoint, RetryReason::Straggler, &detail, &text);
+            }
             RunEnd::Refused(message) => {
                 avoid = BTreeSet::from([endpoint.clone()]);
-                note_retry(&job, &endpoint, RetryReason::EndpointRefused, &message, &text);
+                note_retry(
+                    &job,
+                    &endpoint,
+                    RetryReason::EndpointRefused,
+                    &message,
+                    &text,
+                );
                 tokio::time::sleep(Duration::from_millis(AFTER_REFUSAL_MS)).await;
             }
             RunEnd::Unusable(message) => {
@@ -184,15 +231,25 @@
         }
         place = job.place(&avoid).await;
     }
+    let text_ms = now_ms();
     let metrics = &job.server.metrics;
-    metrics.sample_seconds.observe(seconds(started_ms, now_ms()));
+    metrics
+        .sample_seconds
+        .observe(seconds(started_ms, now_ms()));
     let Some(call) = &job.sample.score else {
         return job.listed(ListedState::Done, &text, None);
     };
-    match score::score(&job, call).await {
-        Some(score) => job.listed(ListedState::Done, &text, Some(score)),
-        None => job.listed(ListedState::Dead, &text, None),
-    }
+    let score = score::score(&job, call).await;
+    tracing::info!(batch = %job.batch, sample = %job.sample.id, runs,
+        events = text.last_event(), hint = job.sample.length_hint,
+        run_ms = text_ms - started_ms, score_ms = now_ms() - text_ms,
+        is_scored = score.is_some(), "sample finished");
+    let state = if score.is_some() {
+        ListedState::Done
+    } else {
+        ListedState::Dead
+    };
+    job.listed(state, &text, score)
 }
 
 fn note_retry(
@@ -210,7 +267,9 @@
 async fn run_once(job: &SampleJob, place: Place, text: &mut SampleText) -> RunEnd {
     let server = &job.server;
     let endpoint = place.in_flight.endpoint.clone();
-    let known = lock(&server.pool).get(&endpoint).map(|known| known.record.address);
+    let known = lock(&server.pool)
+        .get(&endpoint)
+        .map(|known| known.record.address);
     let Some(address) = known else {
         return RunEnd::Refused("no longer listed".to_owned());
     };
@@ -251,7 +310,10 @@
         return RunEnd::Refused(message);
     }
     if !head.is_own || head.is_encoded || head.stamp.is_none() {
-        return RunEnd::Broken(RetryReason::AnswerInvalid, "not an answer to this".to_owned());
+        return RunEnd::Broken(
+            RetryReason::AnswerInvalid,
+            "not an answer to this".to_owned(),
+        );
     }
     match reply.status {
         status if status.is_success() => {}
@@ -278,18 +340,21 @@
     let server = &job.server;
     let mut parser = EventParser::new(EVENT_VERSION_FIELD);
     let before = text.last_event().unwrap_or(0);
+    let mut pace = RunPace::new(now_ms());
+    let stalled_ms = |pace: &RunPace| pace.last_ms() + STALL_MS;
     loop {
-        let next = tokio::time::timeout(Duration::from_millis(STALL_MS), reply.next_bytes());
+        let typical_ms = lock(&server.pool).typical_pace_ms(&in_flight.service);
+        let look_ms = pace.silent_at_ms(typical_ms).max(now_ms() + LOOK_MS);
+        let wait_ms = look_ms.min(stalled_ms(&pace)).saturating_sub(now_ms());
+        let next = tokio::time::timeout(Duration::from_millis(wait_ms), reply.next_bytes());
         let bytes = match next.await {
-            Ok(Ok(Some(bytes))) => bytes,
+            Ok(Ok(Some(bytes))) => Some(bytes),
             Ok(Ok(None)) => break,
             Ok(Err(error)) => return broken(server, &in_flight.endpoint, &error),
-            Err(_) => {
-                let message = "no event in time".to_owned();
-                return RunEnd::Broken(RetryReason::AnswerStalled, message);
-            }
+            Err(_) => None,
         };
-        for event in parser.push(&bytes) {
+        for event in parser.push(&bytes.unwrap_or_default()) {
+            pace.on_event(now_ms());
             if let Some(version) = event.weights_version {
                 on_weights_seen(server, &in_flight.endpoint, &job.model, version);
             }
@@ -297,6 +362,20 @@
                 return RunEnd::Unusable(error.to_string());
             }
         }
+        let verdict = pace.verdict(now_ms(), typical_ms);
+        if now_ms() >= stalled_ms(&pace) {
+            let message = "no event in time".to_owned();
+            return RunEnd::Broken(RetryReason::AnswerStalled, message);
+        }
+        if verdict != RunVerdict::Steady && job.may_move(in_flight, &pace) {
+            if let (Some(known), Some(event_ms)) = (
+                lock(&server.pool).get_mut(&in_flight.endpoint),
+                pace.event_ms(),
+            ) {
+                known.on_pace(event_ms);
+            }
+            return RunEnd::Moved(verdict);
+        }
     }
     if parser.is_inside_event() {
         let message = "ended inside an event".to_owned();
@@ -305,6 +384,8 @@
     reply.finish().await;
     let events = text.last_event().unwrap_or(0).saturating_sub(before);
     let took_s = seconds(in_flight.started_ms, now_ms());
+    tracing::debug!(sample = %job.sample.id, endpoint = %in_flight.endpoint, events, took_s,
+        "run ended");
     if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
         known.on_success();
         if let Ok(events) = u32::try_from(events)
@@ -319,11 +400,10 @@
 fn sample_headers(sample: &SampleSpec) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for (name, text) in &sample.headers {
-        match (name.parse::<HeaderName>(), text.parse()) {
-            (Ok(name), Ok(value)) => {
-                headers.insert(name, value);
-            }
-            _ => tracing::warn!(sample = %sample.id, %name, "header left out: not valid"),
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), text.parse()) {
+            headers.insert(name, value);
+        } else {
+            tracing::warn!(sample = %sample.id, %name, "header left out: not valid");
         }
     }
     headers
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -4,12 +4,7 @@
 
 use hyper::{HeaderMap, Method, StatusCode};
 
-use super::{
-    forward::note_answer,
-    metrics::seconds,
-    sample::SampleJob,
-    state::lock,
-};
+use super::{forward::note_answer, metrics::seconds, sample::SampleJob, state::lock};
 use crate::{
     core::{Name, batch::ScoreCall, pool::Wanted, retry::RetryReason, routes::Route},
     daemon::now_ms,
@@ -93,7 +88,9 @@
 
 async fn call_once(job: &SampleJob, call: &ScoreCall, route: &Route, endpoint: &Name) -> CallEnd {
     let server = &job.server;
-    let address = lock(&server.pool).get(endpoint).map(|known| known.record.address);
+    let address = lock(&server.pool)
+        .get(endpoint)
+        .map(|known| known.record.address);
     let Some(address) = address else {
         return CallEnd::Again(RetryReason::ConnectFailed, "no longer listed".to_owned());
     };
@@ -106,14 +103,23 @@
         after_event: None,
         urgency: None,
     };
-    let request = run_request(Method::POST, &call.path, HeaderMap::new(), &run, call.body.clone());
+    let request = run_request(
+        Method::POST,
+        &call.path,
+        HeaderMap::new(),
+        &run,
+        call.body.clone(),
+    );
     let request = match request {
         Ok(request) => request,
         Err(message) => return CallEnd::Again(RetryReason::AnswerInvalid, message),
     };
     let in_flight = server.enter(endpoint);
     let deadline_ms = now_ms() + patience_ms;
-    let reply = server.http.exchange_whole(address, request, deadline_ms).await;
+    let reply = server
+        .http
+        .exchange_whole(address, request, deadline_ms)
+        .await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
@@ -138,8 +144,6 @@
             CallEnd::Scored(stamp)
         }
         (StatusCode::INTERNAL_SERVER_ERROR, Some(_)) if is_own => CallEnd::Failed,
-        (status, _) => {
-            CallEnd::Again(RetryReason::EndpointRefused, format!("answered {status}"))
-        }
+        (status, _) => CallEnd::Again(RetryReason::EndpointRefused, format!("answered {status}")),
     }
 }
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -34,31 +34,31 @@
     tracing::info!(%batch, share, samples = missing.len(), listed = listed.len(), "share starts");
     let (finished, to_list) = mpsc::unbounded_channel();
     // Dropped with this task, by which everything that it started ends.
-    let mut lister = JoinSet::new();
-    lister.spawn(listing::list(server.clone(), batch.clone(), to_list));
+    let mut listing_task = JoinSet::new();
+    listing_task.spawn(listing::list(server.clone(), batch.clone(), to_list));
     let mut running = JoinSet::new();
     for place in run_order(&missing) {
         let job = SampleJob {
             server: server.clone(),
             batch: batch.clone(),
             host: spec.host.clone(),
-            path: spec.path.clone(),
             model: spec.model.clone(),
             min_weights_version: spec.min_weights_version,
             limit_platform_ms,
             sample: missing[place].clone(),
+            moves_left: sample::MAX_MOVES,
         };
         let endpoint = job.first_endpoint().await;
         let finished = finished.clone();
         running.spawn(async move {
             let listed = sample::run(job, endpoint).await;
-            // The lister goes only after all senders have gone.
+            // Listing ends only after all senders have gone.
             let _ = finished.send(listed);
         });
     }
     drop(finished);
     while running.join_next().await.is_some() {}
-    while lister.join_next().await.is_some() {}
+    while listing_task.join_next().await.is_some() {}
     claims::release(&server, &batch, share, true).await;
 }
 
@@ -91,7 +91,9 @@
     spec: &BatchSpec,
     share: u32,
 ) -> Vec<SampleSpec> {
-    let head = lock(&server.batches).get(batch).and_then(|known| known.head.clone());
+    let head = lock(&server.batches)
+        .get(batch)
+        .and_then(|known| known.head.clone());
     let share_count = head.map_or(1, |head| head.share_count);
     let mut groups: BTreeMap<&Name, usize> = BTreeMap::new();
     let mut samples = Vec::new();
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -90,12 +90,15 @@
 
     /// Counts a request at an endpoint until the guard is dropped.
     pub(crate) fn enter(self: &Arc<Self>, endpoint: &Name) -> InFlight {
+        let mut service = Name::from("");
         if let Some(known) = lock(&self.pool).get_mut(endpoint) {
             known.load.in_flight += 1;
+            service = known.record.service.clone();
         }
         InFlight {
             server: self.clone(),
             endpoint: endpoint.clone(),
+            service,
             started_ms: now_ms(),
         }
     }
@@ -105,6 +108,7 @@
 pub(crate) struct InFlight {
     server: Arc<Server>,
     pub(crate) endpoint: Name,
+    pub(crate) service: Name,
     pub(crate) started_ms: u64,
 }
 
--- a/src/server/upstream.rs
+++ b/src/server/upstream.rs
@@ -286,7 +286,9 @@
 /// Reads how long the other side keeps an idle connection.
 fn allowed_idle_ms(headers: &HeaderMap) -> Option<u64> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
-    let mut fields = text.split(',').filter_map(|field| field.trim().split_once('='));
+    let mut fields = text
+        .split(',')
+        .filter_map(|field| field.trim().split_once('='));
     let (_, seconds) = fields.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
     let seconds: u64 = seconds.trim().parse().ok()?;
     Some(seconds * 1_000)
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -30,6 +30,8 @@
     pub cpu_share: f64,
     /// How long callers may keep an answer on which VMs to use, in seconds.
     pub keep_addresses_s: u64,
+    /// How long a batch can be read after it was accepted, in milliseconds.
+    pub keep_batches_ms: u64,
     /// How long after SIGTERM the process is killed, in seconds.
     pub stop_grace_s: f64,
     /// How long nobody may have given orders to endpoints before another VM
