Keep growing texts in the store, and go on with them

Cause: after a kill of all VMs every run began anew, and the long samples of groups that come again in a later step, which that step has to wait for, were generated twice from the start.

--- a/src/core/batch/attempt.rs
+++ b/src/core/batch/attempt.rs
@@ -1,4 +1,5 @@
 use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
 
 use super::Event;
 use crate::core::Name;
@@ -26,6 +27,19 @@
     }
 }
 
+/// A text as it is kept for whoever goes on with it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SavedText {
+    /// The data of the events so far.
+    pub text: Name,
+    /// The number of the last event.
+    pub last_event: u64,
+    /// The weights versions that generated the events.
+    pub weights_versions: Vec<u64>,
+    /// Whether nothing more is to come.
+    pub is_complete: bool,
+}
+
 /// The text of one sample, gathered over as many runs as it takes.
 ///
 /// # Examples
@@ -64,6 +78,57 @@
         }
     }
 
+    /// Goes on with a text that was kept, if its versions will do here.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chicoryreach::core::batch::{SampleText, SavedText};
+    ///
+    /// let saved = SavedText {
+    ///     text: "a".into(),
+    ///     last_event: 1,
+    ///     weights_versions: vec![2],
+    ///     is_complete: false,
+    /// };
+    /// assert!(SampleText::restore(&saved, 2, false).is_some());
+    /// assert!(SampleText::restore(&saved, 3, false).is_none());
+    /// ```
+    #[must_use]
+    pub fn restore(
+        saved: &SavedText,
+        min_weights_version: u64,
+        is_single_version: bool,
+    ) -> Option<Self> {
+        let versions = &saved.weights_versions;
+        let are_new = versions
+            .iter()
+            .all(|version| *version >= min_weights_version);
+        let are_few = !is_single_version || versions.len() == 1;
+        if versions.is_empty() || !are_new || !are_few {
+            return None;
+        }
+        Some(Self {
+            min_weights_version,
+            is_single_version,
+            text: saved.text.to_string(),
+            last_event: Some(saved.last_event),
+            running_version: None,
+            versions: versions.clone(),
+        })
+    }
+
+    /// Returns the text to be kept; none before the first event.
+    #[must_use]
+    pub fn saved(&self, is_complete: bool) -> Option<SavedText> {
+        Some(SavedText {
+            text: self.text(),
+            last_event: self.last_event?,
+            weights_versions: self.versions.clone(),
+            is_complete,
+        })
+    }
+
     /// Notes that a run begins, with the weights version that it names.
     ///
     /// # Errors
--- a/src/core/batch/mod.rs
+++ b/src/core/batch/mod.rs
@@ -8,7 +8,7 @@
 mod spec;
 
 pub use self::{
-    attempt::{SampleText, TextError},
+    attempt::{SampleText, SavedText, TextError},
     event::{Event, EventParser},
     order::run_order,
     pace::{RunPace, RunVerdict},
--- a/src/core/batch/pace.rs
+++ b/src/core/batch/pace.rs
@@ -1,3 +1,5 @@
+use strum::Display;
+
 /// How many times the usual time between events a run may be silent.
 const SILENT_FACTOR: f64 = 8.0;
 /// The least silence that counts, in milliseconds: events come in clumps when
@@ -11,7 +13,8 @@
 const JUDGED_EVENTS: u32 = 4;
 
 /// What is to be done about a run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub enum RunVerdict {
     /// It goes as expected.
     Steady,
--- a/src/server/clean.rs
+++ b/src/server/clean.rs
@@ -5,6 +5,7 @@
 use super::{
     claims::BATCH_TABLE,
     listing::LISTING_TABLE,
+    progress::PROGRESS_TABLE,
     state::{Server, lock},
 };
 use crate::{
@@ -56,7 +57,7 @@
 
 /// Deletes a batch, the rows by which it is found last.
 async fn delete(server: &Server, batch: &Name, object: &str) -> Result<(), StoreError> {
-    for table in [LISTING_TABLE, BATCH_TABLE] {
+    for table in [LISTING_TABLE, PROGRESS_TABLE, BATCH_TABLE] {
         if table == BATCH_TABLE {
             server.store.delete_object(object).await?;
         }
--- a/src/server/listing.rs
+++ b/src/server/listing.rs
@@ -1,6 +1,6 @@
 //! Listing samples: each position of a batch is filled once, for ever.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use tokio::sync::mpsc;
 
@@ -59,8 +59,11 @@
     rmp_serde::from_slice(bytes).map_err(|error| StoreError::Unknown(error.to_string()))
 }
 
-/// Reads which samples are listed.
-pub(crate) async fn read_names(server: &Server, batch: &str) -> Result<Vec<Name>, StoreError> {
+/// Reads which samples are listed, with their positions.
+pub(crate) async fn read_names(
+    server: &Server,
+    batch: &str,
+) -> Result<BTreeMap<Name, usize>, StoreError> {
     let rows = server
         .store
         .read(
@@ -71,9 +74,16 @@
             usize::MAX,
         )
         .await?;
-    let names = rows.rows.iter();
-    let names = names.filter_map(|row| row.key.strip_prefix(SAMPLE_PREFIX));
-    Ok(names.map(Into::into).collect())
+    let mut names = BTreeMap::new();
+    for row in &rows.rows {
+        let bytes = row.bytes.as_deref().unwrap_or_default();
+        let position =
+            rmp_serde::from_slice(bytes).map_err(|error| StoreError::Unknown(error.to_string()))?;
+        if let Some(name) = row.key.strip_prefix(SAMPLE_PREFIX) {
+            names.insert(name.into(), position);
+        }
+    }
+    Ok(names)
 }
 
 /// How many positions are filled, and the version of that row.
@@ -121,7 +131,7 @@
     } else {
         // What came of a write without an answer is known only by reading.
         let listed = read_names(server, batch).await?;
-        waiting.retain(|sample| !listed.contains(&sample.id));
+        waiting.retain(|sample| !listed.contains_key(&sample.id));
         if waiting.is_empty() {
             return Ok(());
         }
@@ -188,9 +198,10 @@
             row_version: 0,
         });
         let bytes = rmp_serde::to_vec_named(sample).map_err(encode_failed)?;
-        let position = position_key(at.position + offset);
-        tx.set.push((LISTING_TABLE, position, bytes));
-        tx.set.push((LISTING_TABLE, name, Vec::new()));
+        let position = at.position + offset;
+        tx.set.push((LISTING_TABLE, position_key(position), bytes));
+        let position = rmp_serde::to_vec(&position).map_err(encode_failed)?;
+        tx.set.push((LISTING_TABLE, name, position));
     }
     Ok(tx)
 }
--- /dev/null
+++ b/src/server/run_once.rs
@@ -0,0 +1,209 @@
+//! One run of a sample at one endpoint.
+
+use std::time::Duration;
+
+use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
+
+use super::{
+    fleet::on_weights_seen,
+    forward::note_answer,
+    metrics::seconds,
+    sample::{Place, RunEnd, SampleJob},
+    state::{InFlight, Server, lock},
+    upstream::{ExchangeError, Reply},
+};
+use crate::{
+    core::{
+        Name,
+        batch::{EventParser, RunPace, RunVerdict, SampleSpec, SampleText},
+        retry::RetryReason,
+    },
+    daemon::now_ms,
+    platform::{EVENT_VERSION_FIELD, RunHeaders, answer_head, run_request},
+};
+
+/// How long a run may bring nothing before it is continued elsewhere, in
+/// milliseconds: loading weights holds a run up for about a second.
+const STALL_MS: u64 = 2_000;
+/// How long to wait for more before the pace of a run is looked at again, in
+/// milliseconds.
+const LOOK_MS: u64 = 25;
+/// The status of a run that can never succeed.
+const NEVER: StatusCode = StatusCode::UNPROCESSABLE_ENTITY;
+
+/// Runs a sample at one endpoint, after the last event of its text.
+pub(crate) async fn run_once(
+    job: &SampleJob,
+    place: Place,
+    text: &mut SampleText,
+    may_move: bool,
+) -> RunEnd {
+    let server = &job.server;
+    let endpoint = place.in_flight.endpoint.clone();
+    let known = lock(&server.pool)
+        .get(&endpoint)
+        .map(|known| known.record.address);
+    let Some(address) = known else {
+        return RunEnd::Refused("no longer listed".to_owned());
+    };
+    let left_ms = match server.store.clock_ms() {
+        Some((_, latest_ms)) => job.limit_platform_ms.saturating_sub(latest_ms),
+        None => place.route.timeout_ms,
+    };
+    let run_headers = RunHeaders {
+        request_id: &job.sample.id,
+        endpoint: &endpoint,
+        host: &job.host,
+        left_ms,
+        after_event: text.last_event(),
+        urgency: None,
+    };
+    let request = run_request(
+        Method::POST,
+        &job.sample.path,
+        sample_headers(&job.sample),
+        &run_headers,
+        job.sample.body.clone(),
+    );
+    let request = match request {
+        Ok(request) => request,
+        Err(message) => return RunEnd::Refused(message),
+    };
+    let sent = server.http.send(address, request);
+    let reply = match tokio::time::timeout(Duration::from_millis(STALL_MS), sent).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(error)) => return broken(server, &endpoint, &error),
+        Err(_) => return stalled(server, &endpoint, address),
+    };
+    let head = answer_head(&job.sample.id, reply.status, &reply.headers);
+    note_answer(server, &endpoint, &head);
+    if head.is_not_run {
+        let message = format!("refused with {}", reply.status);
+        reply.finish_quietly().await;
+        return RunEnd::Refused(message);
+    }
+    if !head.is_own || head.is_encoded || head.stamp.is_none() {
+        return RunEnd::Broken(
+            RetryReason::AnswerInvalid,
+            "not an answer to this".to_owned(),
+        );
+    }
+    match reply.status {
+        status if status.is_success() => {}
+        NEVER => return RunEnd::Never,
+        StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::Failed,
+        status => return RunEnd::Broken(RetryReason::AnswerInvalid, format!("answered {status}")),
+    }
+    if let Some(version) = head.weights_version {
+        on_weights_seen(server, &endpoint, &job.model, version);
+    }
+    if let Err(error) = text.on_run(head.weights_version) {
+        return RunEnd::Unusable(error.to_string());
+    }
+    let end = read_events(job, reply, &place.in_flight, text, may_move).await;
+    if matches!(end, RunEnd::Complete) {
+        job.progress.forget(&job.sample.id);
+    }
+    end
+}
+
+/// Takes the events of a run as they come.
+async fn read_events(
+    job: &SampleJob,
+    mut reply: Reply,
+    in_flight: &InFlight,
+    text: &mut SampleText,
+    may_move: bool,
+) -> RunEnd {
+    let server = &job.server;
+    let mut saved_at = text.last_event().unwrap_or(0);
+    let mut parser = EventParser::new(EVENT_VERSION_FIELD);
+    let before = text.last_event().unwrap_or(0);
+    let mut pace = RunPace::new(now_ms());
+    let stalled_ms = |pace: &RunPace| pace.last_ms() + STALL_MS;
+    loop {
+        let typical_ms = lock(&server.pool).typical_pace_ms(&in_flight.service);
+        let look_ms = pace.silent_at_ms(typical_ms).max(now_ms() + LOOK_MS);
+        let wait_ms = look_ms.min(stalled_ms(&pace)).saturating_sub(now_ms());
+        let next = tokio::time::timeout(Duration::from_millis(wait_ms), reply.next_bytes());
+        let bytes = match next.await {
+            Ok(Ok(Some(bytes))) => Some(bytes),
+            Ok(Ok(None)) => break,
+            Ok(Err(error)) => return broken(server, &in_flight.endpoint, &error),
+            Err(_) => None,
+        };
+        for event in parser.push(&bytes.unwrap_or_default()) {
+            pace.on_event(now_ms());
+            if let Some(version) = event.weights_version {
+                on_weights_seen(server, &in_flight.endpoint, &job.model, version);
+            }
+            if let Err(error) = text.on_event(&event) {
+                return RunEnd::Unusable(error.to_string());
+            }
+        }
+        saved_at = job.progress.note(&job.sample.id, text, saved_at);
+        let verdict = pace.verdict(now_ms(), typical_ms);
+        if now_ms() >= stalled_ms(&pace) {
+            let message = "no event in time".to_owned();
+            return RunEnd::Broken(RetryReason::AnswerStalled, message);
+        }
+        if verdict != RunVerdict::Steady && may_move && job.may_move(in_flight, &pace) {
+            if let (Some(known), Some(event_ms)) = (
+                lock(&server.pool).get_mut(&in_flight.endpoint),
+                pace.event_ms(),
+            ) {
+                known.on_pace(event_ms);
+            }
+            return RunEnd::Moved(verdict);
+        }
+    }
+    if parser.is_inside_event() {
+        let message = "ended inside an event".to_owned();
+        return RunEnd::Broken(RetryReason::AnswerCut, message);
+    }
+    reply.finish().await;
+    let events = text.last_event().unwrap_or(0).saturating_sub(before);
+    let took_s = seconds(in_flight.started_ms, now_ms());
+    tracing::debug!(sample = %job.sample.id, endpoint = %in_flight.endpoint, events, took_s,
+        "run ended");
+    if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
+        known.on_success();
+        if let Ok(events) = u32::try_from(events)
+            && events > 0
+        {
+            known.on_pace(took_s * 1_000.0 / f64::from(events));
+        }
+    }
+    RunEnd::Complete
+}
+
+fn sample_headers(sample: &SampleSpec) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, text) in &sample.headers {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), text.parse()) {
+            headers.insert(name, value);
+        } else {
+            tracing::warn!(sample = %sample.id, %name, "header left out: not valid");
+        }
+    }
+    headers
+}
+
+fn broken(server: &Server, endpoint: &Name, error: &ExchangeError) -> RunEnd {
+    if let Some(known) = lock(&server.pool).get_mut(endpoint) {
+        known.on_failure(now_ms());
+    }
+    let reason = match error {
+        ExchangeError::NotSent(_) => RetryReason::ConnectFailed,
+        ExchangeError::Broken(_) => RetryReason::AnswerCut,
+    };
+    RunEnd::Broken(reason, error.to_string())
+}
+
+fn stalled(server: &Server, endpoint: &Name, address: std::net::SocketAddr) -> RunEnd {
+    server.http.forget(address);
+    if let Some(known) = lock(&server.pool).get_mut(endpoint) {
+        known.on_failure(now_ms());
+    }
+    RunEnd::Broken(RetryReason::AnswerStalled, "no answer in time".to_owned())
+}
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -1,15 +1,13 @@
 //! Running one share of a batch.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use tokio::{sync::mpsc, task::JoinSet};
 
 use super::{
-    claims, listing, read_batch,
+    claims, listing,
+    progress::{self, Progress},
+    read_batch,
     sample::{self, SampleJob},
     state::{Server, lock},
 };
@@ -29,13 +27,22 @@
     let samples = samples_of_share(&server, &batch, &spec, share);
     let missing: Vec<SampleSpec> = samples
         .into_iter()
-        .filter(|sample| !listed.contains(&sample.id))
+        .filter(|sample| !listed.contains_key(&sample.id))
         .collect();
-    tracing::info!(%batch, share, samples = missing.len(), listed = listed.len(), "share starts");
+    let names = missing.iter().map(|sample| sample.id.clone()).collect();
+    let mut kept = progress::read(&server, &batch, &names).await;
+    tracing::info!(%batch, share, kept = kept.len(), samples = missing.len(), listed = listed.len(), "share starts");
     let (finished, to_list) = mpsc::unbounded_channel();
     // Dropped with this task, by which everything that it started ends.
     let mut listing_task = JoinSet::new();
     listing_task.spawn(listing::list(server.clone(), batch.clone(), to_list));
+    let progress = Arc::new(Progress::default());
+    let mut saving_task = JoinSet::new();
+    saving_task.spawn(progress::save(
+        server.clone(),
+        batch.clone(),
+        progress.clone(),
+    ));
     let mut running = JoinSet::new();
     for place in run_order(&missing) {
         let job = SampleJob {
@@ -46,7 +53,8 @@
             min_weights_version: spec.min_weights_version,
             limit_platform_ms,
             sample: missing[place].clone(),
-            moves_left: sample::MAX_MOVES,
+            kept: kept.remove(&missing[place].id),
+            progress: progress.clone(),
         };
         let endpoint = job.first_endpoint().await;
         let finished = finished.clone();
@@ -63,7 +71,10 @@
 }
 
 /// Reads what is to be run and what is listed already.
-async fn prepare(server: &Server, batch: &Name) -> Option<(Arc<BatchSpec>, BTreeSet<Name>, u64)> {
+async fn prepare(
+    server: &Server,
+    batch: &Name,
+) -> Option<(Arc<BatchSpec>, BTreeMap<Name, usize>, u64)> {
     loop {
         let head = lock(&server.batches).get(batch)?.head.clone()?;
         match (
@@ -76,7 +87,7 @@
                     .find(&spec.host, &spec.path)
                     .map_or(0, |route| route.queue_limit_ms);
                 let limit_platform_ms = head.accepted_platform_ms + limit_ms;
-                return Some((spec, listed.into_iter().collect(), limit_platform_ms));
+                return Some((spec, listed, limit_platform_ms));
             }
             (Err(error), _) => tracing::warn!(%batch, %error, "batch not read"),
             (_, Err(error)) => tracing::warn!(%batch, %error, "listing not read"),
