--- /dev/null
+++ b/tests/loads/frozen_order_givers.rs
@@ -0,0 +1,146 @@
+//! VMs that give orders freeze, lose the store and die by turns, in the middle
+//! of renewing, while the answers of the store are late.
+
+use chicoryreach::core::tenure::{PlatformClock, Tenure, TenureRow};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+
+const VMS: usize = 5;
+const GAP_MS: u64 = 3_000;
+const END_MS: u64 = 120_000;
+const TICK_MS: u64 = 20;
+
+struct Vm {
+    tenure: Tenure,
+    clock: PlatformClock,
+    clock_offset_ms: u64,
+    /// Until when nothing of this VM runs.
+    frozen_until_ms: u64,
+    /// Until when it does not reach the store.
+    cut_until_ms: u64,
+    incarnation: u64,
+}
+
+#[derive(Default)]
+struct Row {
+    row: Option<TenureRow>,
+    version: u64,
+}
+
+struct Act {
+    at_ms: u64,
+    vm: usize,
+    fence: u64,
+}
+
+fn vm(number: usize, incarnation: u64) -> Vm {
+    Vm {
+        tenure: Tenure::new(format!("vm-{number}").into(), incarnation, GAP_MS),
+        clock: PlatformClock::default(),
+        clock_offset_ms: 7_000 * u64::try_from(number).expect("few"),
+        frozen_until_ms: 0,
+        cut_until_ms: 0,
+        incarnation,
+    }
+}
+
+/// One VM's turn at the store; the answer arrives up to 60 ms later.
+fn turn(vm: &mut Vm, store: &mut Row, now_ms: u64, late_ms: u64, is_lost: bool) {
+    let local_ms = now_ms + vm.clock_offset_ms;
+    vm.clock.on_answer(local_ms, local_ms + late_ms, now_ms);
+    vm.tenure.on_read(store.row.clone(), store.version);
+    let Some(earliest_ms) = vm.clock.earliest_ms(local_ms) else {
+        return;
+    };
+    let Some(claim) = vm.tenure.claim(local_ms, earliest_ms) else {
+        return;
+    };
+    if claim.row_version != store.version {
+        return;
+    }
+    store.version += 1;
+    store.row = Some(claim.row.clone());
+    if is_lost {
+        vm.tenure.on_unknown();
+    } else {
+        vm.tenure.on_written(claim.row, store.version);
+    }
+}
+
+fn play(seed: u64) -> Vec<Act> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut store = Row::default();
+    let mut vms: Vec<Vm> = (0..VMS).map(|number| vm(number, 1)).collect();
+    let mut acts: Vec<Act> = Vec::new();
+    let mut now_ms = 10_000;
+    while now_ms < END_MS {
+        now_ms += TICK_MS;
+        for number in 0..VMS {
+            if rng.random_bool(0.0015) {
+                vms[number].frozen_until_ms = now_ms + rng.random_range(500..9_000);
+            }
+            if rng.random_bool(0.0015) {
+                vms[number].cut_until_ms = now_ms + rng.random_range(500..12_000);
+            }
+            if rng.random_bool(0.0005) {
+                let incarnation = vms[number].incarnation + 1;
+                vms[number] = vm(number, incarnation);
+                vms[number].frozen_until_ms = now_ms + 1_000;
+            }
+            let vm = &mut vms[number];
+            if now_ms < vm.frozen_until_ms {
+                continue;
+            }
+            if now_ms >= vm.cut_until_ms && rng.random_bool(0.05) {
+                let (late_ms, is_lost) = (rng.random_range(0..60), rng.random_bool(0.05));
+                turn(vm, &mut store, now_ms, late_ms, is_lost);
+            }
+            let local_ms = now_ms + vm.clock_offset_ms;
+            let latest_ms = vm.clock.latest_ms(local_ms);
+            if let Some(fence) = latest_ms.and_then(|latest_ms| vm.tenure.fence(latest_ms)) {
+                acts.push(Act {
+                    at_ms: now_ms,
+                    vm: number,
+                    fence,
+                });
+            }
+        }
+    }
+    acts
+}
+
+#[rstest]
+fn two_vms_never_order_within_the_gap(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64) {
+    for seed in seed * 20..seed * 20 + 20 {
+        let acts = play(seed);
+        let mut holders = std::collections::BTreeSet::new();
+        for pair in acts.windows(2) {
+            let (before, after) = (&pair[0], &pair[1]);
+            holders.insert(after.vm);
+            assert!(after.fence >= before.fence, "seed {seed}: fence went back");
+            if before.vm != after.vm {
+                let gap_ms = after.at_ms - before.at_ms;
+                assert!(gap_ms >= GAP_MS, "seed {seed}: {gap_ms} ms between two VMs");
+                assert!(
+                    after.fence > before.fence,
+                    "seed {seed}: one fence, two VMs"
+                );
+            }
+        }
+        assert!(holders.len() > 1, "seed {seed}: nobody ever took over");
+    }
+}
+
+#[test]
+fn a_vm_that_steps_down_is_followed_after_the_gap() {
+    let mut first = Tenure::new("vm-1".into(), 1, GAP_MS);
+    first.on_read(None, 0);
+    let claim = first.claim(0, 50_000).expect("nobody holds it");
+    first.on_written(claim.row, 1);
+    let given_back = first.step_down(50_400).expect("it is held");
+    let mut second = Tenure::new("vm-2".into(), 1, GAP_MS);
+    second.on_read(Some(given_back.row), 2);
+    assert!(second.claim(0, 50_400 + GAP_MS - 1).is_none());
+    let claim = second.claim(0, 50_400 + GAP_MS).expect("the gap is over");
+    assert_eq!(claim.row.fence, 2);
+}
--- /dev/null
+++ b/tests/loads/support.rs
@@ -0,0 +1,63 @@
+//! Endpoints and samples for the patterns.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use chicoryreach::core::{
+    Name,
+    batch::SampleSpec,
+    pool::{EndpointRecord, EndpointStage, Pool},
+};
+use rand::{Rng, rngs::SmallRng};
+
+/// The service of all endpoints.
+pub const SERVICE: &str = "demand-lm";
+
+/// Returns the name of an endpoint.
+pub fn name(number: usize) -> Name {
+    format!("endpoint-{number:02}").into()
+}
+
+/// Returns what an endpoint says of itself.
+pub fn record(number: usize, slots: u32, weights: &[(&str, u64)]) -> EndpointRecord {
+    let weights = weights.iter();
+    let weights = weights.map(|(model, version)| (Arc::from(*model), *version));
+    EndpointRecord {
+        id: name(number),
+        born_unix_ms: 1,
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 9_000 + u16::try_from(number).expect("few")).into(),
+        data_centre: format!("dc-{}", number % 3).into(),
+        slots,
+        stage: EndpointStage::Ready,
+        weights: weights.collect::<BTreeMap<_, _>>(),
+    }
+}
+
+/// Returns a pool of endpoints.
+pub fn pool(count: usize, slots: u32, weights: &[(&str, u64)]) -> Pool {
+    let mut pool = Pool::default();
+    for number in 0..count {
+        pool.on_listed(record(number, slots, weights));
+    }
+    pool
+}
+
+/// Draws the length of a sample: most are short, a tenth is five times longer.
+pub fn events(rng: &mut SmallRng) -> u32 {
+    let base = rng.random_range(3..30);
+    if rng.random_bool(0.1) { base * 5 } else { base }
+}
+
+/// Returns a sample of a group.
+pub fn sample(number: usize, group: usize, length_hint: u64) -> SampleSpec {
+    SampleSpec {
+        id: format!("sample-{number}").into(),
+        path: "/rollout/1".into(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        group: format!("group-{group}").into(),
+        length_hint,
+        score: None,
+    }
+}
