Stand-ins for the platform's protocol, and real processes between them

Eight tests of 'serve' as processes: a batch whole at every VM, VMs killed in a step, a VM that the store turns away, lost answers, lost history, entries of another writer, signals, weights. They found that a VM whose row was not read yet counted as gone, so that shares were run twice after a common start: such an owner is now unknown for 2.2 s. The pattern has a test in tests/loads.

--- /dev/null
+++ b/crates/standins/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! Stand-ins that speak the users' platform's published protocol: the store,
+//! and samplers that register themselves in it.
+
+mod row_store;
+mod sampler;
+mod store_server;
+
+pub use self::{
+    row_store::{Row, RowStore},
+    sampler::{Sampler, SamplerSettings},
+    store_server::{StoreServer, StoreWriter},
+};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod drive;
 pub mod engine;
 pub mod fault;
+pub mod fleet;
 pub mod http;
 pub mod oracle;
 pub mod platform;
--- a/src/core/batch/attempt.rs
+++ b/src/core/batch/attempt.rs
@@ -104,8 +104,8 @@
         let are_new = versions
             .iter()
             .all(|version| *version >= min_weights_version);
-        let are_few = !is_single_version || versions.len() == 1;
-        if versions.is_empty() || !are_new || !are_few {
+        let is_allowed_mix = !is_single_version || versions.len() == 1;
+        if versions.is_empty() || !are_new || !is_allowed_mix {
             return None;
         }
         Some(Self {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod rendezvous;
 pub mod request;
 pub mod retry;
+pub mod roster;
 pub mod routes;
 pub mod routing;
 pub mod run_ahead;
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -15,6 +15,7 @@
         Name,
         batch::{BatchHead, BatchSpec},
         rendezvous,
+        roster::Presence,
     },
     daemon::now_ms,
     platform::{Condition, StoreError, Tx, TxOutcome, Value},
@@ -33,6 +34,9 @@
 /// How much later each next VM in the order claims a share, in milliseconds:
 /// longer than it takes to hear of another's claim.
 const RANK_DELAY_MS: u64 = 150;
+/// How long an owner may be unknown here before its share is claimed, in
+/// milliseconds: a VM that has just started is read within two beats.
+const UNKNOWN_MS: u64 = 2_200;
 /// How long after its time is over a batch is still run, in milliseconds.
 const AFTER_LIMIT_MS: u64 = 2_000;
 
@@ -195,12 +199,16 @@
             let is_owned = owner.is_some_and(|(owner, _)| {
                 owner.is_done
                     || owner.vm.as_ref().is_some_and(|vm| {
-                        let is_running = batch.running.contains_key(&share);
-                        let is_mine = server.is_me(vm, owner.incarnation);
-                        (is_mine && is_running)
-                            || (!is_mine && members.is_live(vm, owner.incarnation))
+                        !server.is_me(vm, owner.incarnation)
+                            && members.presence(vm, owner.incarnation) == Presence::Live
                     })
             });
+            let may_run = owner.is_some_and(|(owner, _)| {
+                owner.vm.as_ref().is_some_and(|vm| {
+                    !server.is_me(vm, owner.incarnation)
+                        && members.presence(vm, owner.incarnation) == Presence::Unknown
+                })
+            });
             if is_owned || batch.running.contains_key(&share) {
                 batch.unowned_since_ms.remove(&share);
                 continue;
@@ -211,7 +219,8 @@
             let order = rendezvous::choose(&live, &key, live.len());
             let rank = order.iter().position(|vm| *vm == server.settings.vm);
             let rank = u64::try_from(rank.unwrap_or(live.len())).unwrap_or(u64::MAX);
-            if now_ms >= since_ms + rank * RANK_DELAY_MS {
+            let unknown_ms = if may_run { UNKNOWN_MS } else { 0 };
+            if now_ms >= since_ms + unknown_ms + rank * RANK_DELAY_MS {
                 claims.push(Claim {
                     batch: id.clone(),
                     share,
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -1,12 +1,10 @@
-//! The VMs that take part, and since when each has been silent.
+//! Writing this VM's row and reading those of the others.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
-
-use serde::{Deserialize, Serialize};
+use std::{sync::Arc, time::Duration};
 
 use super::state::{Server, lock};
 use crate::{
-    core::{Name, tenure::TenureRow},
+    core::{Name, roster::VmRow, tenure::TenureRow},
     daemon::now_ms,
     platform::{Tx, Value},
 };
@@ -18,88 +16,6 @@
 pub(crate) const TENURE_KEY: &str = "~orders";
 /// How often a VM writes its row and reads the others, in milliseconds.
 const BEAT_MS: u64 = 1_000;
-/// How long a VM's row may stay as it is before the VM counts as lost.
-const LOST_MS: u64 = 3_500;
-/// A longer gap between two reads says nothing of other VMs.
-const BLIND_MS: u64 = 2_000;
-
-/// What a VM says of itself.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct MemberRow {
-    pub(crate) incarnation: u64,
-    pub(crate) data_centre: Name,
-    pub(crate) caller_address: SocketAddr,
-    pub(crate) peer_address: SocketAddr,
-    pub(crate) cpu_share: f64,
-}
-
-#[derive(Clone, Debug)]
-struct Member {
-    row: MemberRow,
-    row_version: u64,
-    seen_ms: u64,
-}
-
-/// The VMs as one VM knows them.
-#[derive(Debug, Default)]
-pub(crate) struct Members {
-    members: BTreeMap<Name, Member>,
-    read_at_ms: Option<u64>,
-}
-
-impl Members {
-    /// Notes the rows as they were read.
-    pub(crate) fn on_read(&mut self, now_ms: u64, rows: &[Value]) {
-        let was_blind = self
-            .read_at_ms
-            .is_none_or(|read_ms| now_ms > read_ms + BLIND_MS);
-        let mut members = BTreeMap::new();
-        for value in rows.iter().filter(|value| &*value.key != TENURE_KEY) {
-            let Some(bytes) = &value.bytes else { continue };
-            let row: MemberRow = match rmp_serde::from_slice(bytes) {
-                Ok(row) => row,
-                Err(error) => {
-                    tracing::warn!(vm = %value.key, %error, "row of a VM cannot be read");
-                    continue;
-                }
-            };
-            let before = self.members.get(&value.key);
-            let unchanged = before.filter(|known| known.row_version == value.row_version);
-            let seen_ms = unchanged
-                .filter(|_| !was_blind)
-                .map_or(now_ms, |known| known.seen_ms);
-            let member = Member {
-                row,
-                row_version: value.row_version,
-                seen_ms,
-            };
-            members.insert(value.key.clone(), member);
-        }
-        self.members = members;
-        self.read_at_ms = Some(now_ms);
-    }
-
-    pub(crate) const fn is_read(&self) -> bool {
-        self.read_at_ms.is_some()
-    }
-
-    /// Returns the VMs that are not lost, as of the last read.
-    pub(crate) fn live(&self) -> impl Iterator<Item = (&Name, &MemberRow)> {
-        let read_ms = self.read_at_ms.unwrap_or(0);
-        let live = self
-            .members
-            .iter()
-            .filter(move |(_, member)| read_ms < member.seen_ms + LOST_MS);
-        live.map(|(vm, member)| (vm, &member.row))
-    }
-
-    /// Returns whether this start of a VM is taken to run.
-    pub(crate) fn is_live(&self, vm: &str, incarnation: u64) -> bool {
-        let mut live = self.live();
-        live.any(|(name, row)| &**name == vm && row.incarnation == incarnation)
-    }
-}
-
 /// Writes this VM's row and reads the others, for as long as the process runs.
 pub(crate) async fn beat(server: Arc<Server>) {
     loop {
@@ -114,7 +30,7 @@
 
 async fn announce(server: &Server) {
     let settings = &server.settings;
-    let row = MemberRow {
+    let row = VmRow {
         incarnation: server.incarnation,
         data_centre: settings.data_centre.clone(),
         caller_address: settings.caller_address,
@@ -143,7 +59,7 @@
             let now_ms = now_ms();
             let mut members = lock(&server.members);
             let was_read = members.is_read();
-            members.on_read(now_ms, &rows.rows);
+            members.on_read(now_ms, rows.rows.iter().filter_map(decode));
             let own = server.settings.peer_address;
             let peers = members.live().map(|(_, row)| row.peer_address);
             server
@@ -161,6 +77,20 @@
     }
 }
 
+fn decode(value: &Value) -> Option<(Name, VmRow, u64)> {
+    let bytes = value.bytes.as_ref()?;
+    if &*value.key == TENURE_KEY {
+        return None;
+    }
+    match rmp_serde::from_slice(bytes) {
+        Ok(row) => Some((value.key.clone(), row, value.row_version)),
+        Err(error) => {
+            tracing::warn!(vm = %value.key, %error, "row of a VM cannot be read");
+            None
+        }
+    }
+}
+
 fn on_tenure_row(server: &Server, value: Option<&Value>) {
     let row = value.and_then(|value| value.bytes.as_ref());
     let row: Option<TenureRow> = row.and_then(|bytes| match rmp_serde::from_slice(bytes) {
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -38,20 +38,14 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let doors = [
-        (settings.caller_address, Door::Callers),
-        (settings.readiness_address, Door::Readiness),
-        (settings.directory_address, Door::Directory),
-        (settings.peer_address, Door::Peers),
-        (settings.metrics_address, Door::Metrics),
-    ];
-    let mut listeners = Vec::new();
-    for (address, door) in doors {
-        listeners.push((TcpListener::bind(address).await?, door));
-    }
+    let read_at_start = settings.clone();
+    let (settings, listeners) = bind(settings).await?;
     let server = Arc::new(Server::new(settings, unix_ms()));
-    tracing::info!(vm = %server.settings.vm, data_centre = %server.settings.data_centre,
-        incarnation = server.incarnation, "start");
+    let bound = &server.settings;
+    tracing::info!(vm = %bound.vm, data_centre = %bound.data_centre,
+        incarnation = server.incarnation, callers = %bound.caller_address,
+        readiness = %bound.readiness_address, directory = %bound.directory_address,
+        peers = %bound.peer_address, metrics = %bound.metrics_address, "start");
     for (listener, door) in listeners {
         tokio::spawn(serve(server.clone(), listener, door));
     }
@@ -65,14 +59,40 @@
     tokio::spawn(clean::clean(server.clone()));
     let probing = server.clone();
     tokio::spawn(async move { probing.store.probe().await });
-    wait(&server, &mut terminate, &mut interrupt, &mut hangup, reload).await;
+    wait(
+        &read_at_start,
+        &mut terminate,
+        &mut interrupt,
+        &mut hangup,
+        reload,
+    )
+    .await;
     leave(&server).await;
     Ok(())
 }
 
+/// Binds the addresses of the settings, and puts in the ports that the kernel
+/// chose where a port is 0.
+async fn bind(mut settings: VmSettings) -> io::Result<(VmSettings, Vec<(TcpListener, Door)>)> {
+    let doors = [
+        (&mut settings.caller_address, Door::Callers),
+        (&mut settings.readiness_address, Door::Readiness),
+        (&mut settings.directory_address, Door::Directory),
+        (&mut settings.peer_address, Door::Peers),
+        (&mut settings.metrics_address, Door::Metrics),
+    ];
+    let mut listeners = Vec::new();
+    for (address, door) in doors {
+        let listener = TcpListener::bind(*address).await?;
+        *address = listener.local_addr()?;
+        listeners.push((listener, door));
+    }
+    Ok((settings, listeners))
+}
+
 /// Waits for the signal to stop.
 async fn wait<R>(
-    server: &Server,
+    read_at_start: &VmSettings,
     terminate: &mut Signal,
     interrupt: &mut Signal,
     hangup: &mut Signal,
@@ -85,8 +105,10 @@
             _ = terminate.recv() => return,
             _ = interrupt.recv() => return,
             _ = hangup.recv() => match reload() {
-                Ok(settings) if settings == server.settings => tracing::info!("reload: no change"),
-                Ok(_) => tracing::info!("reload: changed settings take effect at the next start"),
+                Ok(settings) => {
+                    let is_changed = settings != *read_at_start;
+                    tracing::info!(is_changed, "reload: changes take effect at the next start");
+                }
                 Err(error) => tracing::error!(error, "reload: the settings are not valid"),
             },
         }
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -9,9 +9,9 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, watch};
 
-use super::{claims::Batches, members::Members, metrics::Metrics, upstream::Upstream};
+use super::{claims::Batches, metrics::Metrics, upstream::Upstream};
 use crate::{
-    core::{Name, pool::Pool, routes::RouteTable, tenure::Tenure},
+    core::{Name, pool::Pool, roster::Roster, routes::RouteTable, tenure::Tenure},
     daemon::now_ms,
     platform::Store,
     settings::VmSettings,
@@ -28,7 +28,7 @@
     /// Rings when a place at an endpoint may have become free.
     pub(crate) pool_changed: Notify,
     pub(crate) named_weights: Mutex<BTreeMap<Name, u64>>,
-    pub(crate) members: Mutex<Members>,
+    pub(crate) members: Mutex<Roster>,
     pub(crate) batches: Mutex<Batches>,
     /// Rings when batches or members have changed.
     pub(crate) batches_changed: Notify,
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -11,4 +11,5 @@
     mod new_weights_every_step;
     mod slow_samplers_in_a_step;
     pub mod support;
+    mod vms_that_start_together;
 }
--- a/tests/loads/bursts_at_many_samplers.rs
+++ b/tests/loads/bursts_at_many_samplers.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use chicoryreach::core::pool::{LoadReport, Wanted};
+use chicoryreach::core::{
+    Name,
+    pool::{LoadReport, Wanted},
+};
 use rand::{SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 
@@ -11,7 +14,7 @@
 const ENDPOINTS: usize = 11;
 const SLOTS: u32 = 12;
 
-fn wanted<'a>(avoid: &'a BTreeSet<chicoryreach::core::Name>) -> Wanted<'a> {
+fn wanted(avoid: &BTreeSet<Name>) -> Wanted<'_> {
     Wanted {
         service: SERVICE,
         data_centre: "dc-1",
--- a/tests/loads/frozen_order_givers.rs
+++ b/tests/loads/frozen_order_givers.rs
@@ -33,7 +33,7 @@
     fence: u64,
 }
 
-fn vm(number: usize, incarnation: u64) -> Vm {
+fn new_vm(number: usize, incarnation: u64) -> Vm {
     Vm {
         tenure: Tenure::new(format!("vm-{number}").into(), incarnation, GAP_MS),
         clock: PlatformClock::default(),
@@ -70,24 +70,22 @@
 fn play(seed: u64) -> Vec<Act> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut store = Row::default();
-    let mut vms: Vec<Vm> = (0..VMS).map(|number| vm(number, 1)).collect();
+    let mut vms: Vec<Vm> = (0..VMS).map(|number| new_vm(number, 1)).collect();
     let mut acts: Vec<Act> = Vec::new();
     let mut now_ms = 10_000;
     while now_ms < END_MS {
         now_ms += TICK_MS;
-        for number in 0..VMS {
+        for (number, vm) in vms.iter_mut().enumerate() {
             if rng.random_bool(0.0015) {
-                vms[number].frozen_until_ms = now_ms + rng.random_range(500..9_000);
+                vm.frozen_until_ms = now_ms + rng.random_range(500..9_000);
             }
             if rng.random_bool(0.0015) {
-                vms[number].cut_until_ms = now_ms + rng.random_range(500..12_000);
+                vm.cut_until_ms = now_ms + rng.random_range(500..12_000);
             }
             if rng.random_bool(0.0005) {
-                let incarnation = vms[number].incarnation + 1;
-                vms[number] = vm(number, incarnation);
-                vms[number].frozen_until_ms = now_ms + 1_000;
+                *vm = new_vm(number, vm.incarnation + 1);
+                vm.frozen_until_ms = now_ms + 1_000;
             }
-            let vm = &mut vms[number];
             if now_ms < vm.frozen_until_ms {
                 continue;
             }
--- a/tests/loads/slow_samplers_in_a_step.rs
+++ b/tests/loads/slow_samplers_in_a_step.rs
@@ -28,7 +28,7 @@
     moves: u32,
 }
 
-fn wanted<'a>(avoid: &'a BTreeSet<Name>, max_occupancy: f64) -> Wanted<'a> {
+fn wanted(avoid: &BTreeSet<Name>, max_occupancy: f64) -> Wanted<'_> {
     Wanted {
         service: SERVICE,
         data_centre: "dc-0",
