--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -27,6 +27,7 @@
 /// Those of binding the two addresses, and of listening for signals.
 pub async fn run(settings: Settings) -> io::Result<()> {
     let mut signals = Signals::try_new()?;
+    let hangups = shutdown::hangups()?;
     let callers = TcpListener::bind(settings.caller_address).await?;
     let control = TcpListener::bind(settings.control_address).await?;
     let me = MemberRecord {
@@ -60,6 +61,7 @@
     tasks.spawn(watch::list_loop(daemon.clone()));
     tasks.spawn(trainer_task::supervise(daemon.clone()));
     tasks.spawn(rollout_task::supervise(daemon.clone()));
+    tasks.spawn(shutdown::ignore_hangups(hangups, daemon.stop.subscribe()));
     tasks.spawn(expire(daemon.clone()));
     if !shutdown::wait(daemon.clone(), &mut signals).await {
         return Ok(());
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
+};
 
 use super::{
     clock::{now_ms, sleep_until},
@@ -41,6 +44,22 @@
     }
 }
 
+/// Starts to take hangups, which would end the process otherwise.
+pub(crate) fn hangups() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Notes hangups until the daemon stops: its settings hold for one start.
+pub(crate) async fn ignore_hangups(mut hangups: Signal, mut stop: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            _ = hangups.recv() => tracing::info!("reload: settings are read at the next start"),
+            // An error means that the daemon is gone.
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
 /// Waits for a signal or a drain by configuration, then leaves in order.
 ///
 /// Returns whether all was finished; a second signal cuts it short.
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -7,7 +7,8 @@
 
 use crate::core::Name;
 
-const REQUEST_ID: &str = "x-request-id";
+/// The header that names a request, also in answers.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
 const DEADLINE_MS: &str = "x-deadline-ms";
 const READY_PATH: &str = "/v1/ready";
 const RESOLVE_PATH: &str = "/v1/resolve";
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,11 +8,12 @@
 mod documents;
 mod samplers;
 mod store;
+mod wire_rows;
 
 pub(crate) use self::{
     batches::{BatchCall, batch_call, decode_batch, encode_results},
     callers::{
-        CallerHead, addresses_body, caller_head, forwardable_headers, is_address_query,
+        CallerHead, REQUEST_ID, addresses_body, caller_head, forwardable_headers, is_address_query,
         is_readiness_check, resolve_query,
     },
     documents::{
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -5,9 +5,9 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, header};
 use serde::{Deserialize, Serialize};
 
+use super::callers::REQUEST_ID;
 use crate::core::{Name, pool::LoadReport};
 
-const REQUEST_ID: &str = "x-request-id";
 const DEADLINE_MS: &str = "x-deadline-ms";
 const EXPECT_INSTANCE: &str = "x-expect-instance";
 const LAST_EVENT_ID: &str = "last-event-id";
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,14 +6,14 @@
     time::Duration,
 };
 
-use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use form_urlencoded::Serializer;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use quick_error::quick_error;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 
+use super::wire_rows::{WireRows, WireTxAnswer, value, wire_tx};
 use crate::{
     core::{
         Name,
@@ -99,69 +99,6 @@
     HistoryLost,
 }
 
-#[derive(Deserialize)]
-struct WireRow {
-    #[serde(default)]
-    part: Name,
-    key: Name,
-    value: Option<String>,
-    #[serde(default)]
-    row_version: u64,
-    #[serde(default)]
-    tombstone: bool,
-}
-
-#[derive(Deserialize)]
-struct WireRows {
-    #[serde(default)]
-    rows: Vec<WireRow>,
-    #[serde(default)]
-    has_more: bool,
-    /// The newest version of the store, not of a row.
-    row_version: u64,
-    now_ms: u64,
-}
-
-#[derive(Deserialize)]
-struct WireTxAnswer {
-    #[serde(default)]
-    rows: Vec<WireRow>,
-    #[serde(default)]
-    row_version: u64,
-    now_ms: Option<u64>,
-}
-
-#[derive(Serialize)]
-struct WireTx {
-    /// Rows with the version that each must have.
-    expect_rev: Vec<WireCondition>,
-    set_keys: Vec<WireSet>,
-    remove: Vec<WireKey>,
-}
-
-#[derive(Serialize)]
-struct WireCondition {
-    table: &'static str,
-    part: Name,
-    key: Name,
-    row_version: u64,
-}
-
-#[derive(Serialize)]
-struct WireSet {
-    table: &'static str,
-    part: Name,
-    key: Name,
-    value: String,
-}
-
-#[derive(Serialize)]
-struct WireKey {
-    table: &'static str,
-    part: Name,
-    key: Name,
-}
-
 /// The one client of the platform's store.
 #[derive(Debug)]
 pub(crate) struct Store {
@@ -555,55 +492,3 @@
 {
     serde_json::from_slice(body).map_err(|error| StoreError::Unknown(error.to_string()))
 }
-
-fn value(row: WireRow) -> Value {
-    let bytes = row.value.filter(|_| !row.tombstone);
-    let bytes = bytes.and_then(|text| match STANDARD.decode(&text) {
-        Ok(bytes) => Some(bytes),
-        Err(error) => {
-            tracing::warn!(key = %row.key, %error, "row ignored: its value is not base64");
-            None
-        }
-    });
-    Value {
-        part: row.part,
-        key: row.key,
-        bytes,
-        row_version: if row.tombstone { 0 } else { row.row_version },
-    }
-}
-
-fn wire_tx(tx: &Tx) -> WireTx {
-    let part = &tx.part;
-    WireTx {
-        expect_rev: tx
-            .conditions
-            .iter()
-            .map(|condition| WireCondition {
-                table: condition.table,
-                part: part.clone(),
-                key: condition.key.clone(),
-                row_version: condition.row_version,
-            })
-            .collect(),
-        set_keys: tx
-            .set
-            .iter()
-            .map(|(table, key, bytes)| WireSet {
-                table,
-                part: part.clone(),
-                key: key.clone(),
-                value: STANDARD.encode(bytes),
-            })
-            .collect(),
-        remove: tx
-            .delete
-            .iter()
-            .map(|(table, key)| WireKey {
-                table,
-                part: part.clone(),
-                key: key.clone(),
-            })
-            .collect(),
-    }
-}
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -15,7 +15,7 @@
         Name,
         batch::{BatchHead, BatchSpec},
         rendezvous,
-        roster::Presence,
+        roster::{Presence, Roster},
     },
     daemon::now_ms,
     platform::{Condition, StoreError, Tx, TxOutcome, Value},
@@ -156,6 +156,40 @@
     }
 }
 
+impl KnownBatch {
+    fn standing(&self, server: &Server, roster: &Roster, share: u32) -> Standing {
+        if self.running.contains_key(&share) {
+            return Standing::Taken;
+        }
+        let Some((owner, _)) = self.owners.get(&share) else {
+            return Standing::Free;
+        };
+        if owner.is_done {
+            return Standing::Taken;
+        }
+        let Some(vm) = &owner.vm else {
+            return Standing::Free;
+        };
+        if server.is_me(vm, owner.incarnation) {
+            return Standing::Free;
+        }
+        match roster.presence(vm, owner.incarnation) {
+            Presence::Live => Standing::Taken,
+            Presence::Gone => Standing::Free,
+            Presence::Unknown => Standing::Unsure,
+        }
+    }
+}
+
+/// Whether a share has an owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    Taken,
+    /// Its owner may have just started.
+    Unsure,
+    Free,
+}
+
 /// Claims shares that nobody runs, for as long as the process runs.
 pub(crate) async fn claim(server: Arc<Server>) {
     loop {
@@ -194,37 +228,27 @@
             continue;
         }
         for share in 0..head.share_count {
-            let owner = batch.owners.get(&share);
-            let row_version = owner.map_or(0, |(_, version)| *version);
-            let is_owned = owner.is_some_and(|(owner, _)| {
-                owner.is_done
-                    || owner.vm.as_ref().is_some_and(|vm| {
-                        !server.is_me(vm, owner.incarnation)
-                            && members.presence(vm, owner.incarnation) == Presence::Live
-                    })
-            });
-            let may_run = owner.is_some_and(|(owner, _)| {
-                owner.vm.as_ref().is_some_and(|vm| {
-                    !server.is_me(vm, owner.incarnation)
-                        && members.presence(vm, owner.incarnation) == Presence::Unknown
-                })
-            });
-            if is_owned || batch.running.contains_key(&share) {
-                batch.unowned_since_ms.remove(&share);
-                continue;
-            }
+            let standing = batch.standing(server, &members, share);
+            let wait_ms = match standing {
+                Standing::Taken => {
+                    batch.unowned_since_ms.remove(&share);
+                    continue;
+                }
+                Standing::Unsure => UNKNOWN_MS,
+                Standing::Free => 0,
+            };
             let since_ms = *batch.unowned_since_ms.entry(share).or_insert(now_ms);
             // The same VMs for each step of a trainer: they have connections.
             let key = format!("{}/{share}", route.name);
             let order = rendezvous::choose(&live, &key, live.len());
             let rank = order.iter().position(|vm| *vm == server.settings.vm);
             let rank = u64::try_from(rank.unwrap_or(live.len())).unwrap_or(u64::MAX);
-            let unknown_ms = if may_run { UNKNOWN_MS } else { 0 };
-            if now_ms >= since_ms + unknown_ms + rank * RANK_DELAY_MS {
+            if now_ms >= since_ms + wait_ms + rank * RANK_DELAY_MS {
+                let owner = batch.owners.get(&share);
                 claims.push(Claim {
                     batch: id.clone(),
                     share,
-                    row_version,
+                    row_version: owner.map_or(0, |(_, version)| *version),
                 });
             }
         }
--- a/src/server/refuse.rs
+++ b/src/server/refuse.rs
@@ -8,6 +8,7 @@
 use crate::{
     daemon::now_ms,
     error::{Refusal, Retry},
+    platform::REQUEST_ID,
 };
 
 /// The body of an answer.
@@ -69,7 +70,7 @@
         }
     }
     if let Ok(value) = id.parse() {
-        response.headers_mut().insert("x-request-id", value);
+        response.headers_mut().insert(REQUEST_ID, value);
     }
     response
 }
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -1,6 +1,9 @@
 //! One run of a sample at one endpoint.
 
-use std::time::Duration;
+use std::{
+    pin::{Pin, pin},
+    time::Duration,
+};
 
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
 
@@ -15,7 +18,7 @@
 use crate::{
     core::{
         Name,
-        batch::{EventParser, RunPace, RunVerdict, SampleSpec, SampleText},
+        batch::{EventParser, RunPace, RunVerdict, SampleSpec, SampleText, TextError},
         retry::RetryReason,
     },
     daemon::now_ms,
@@ -69,11 +72,14 @@
         Ok(request) => request,
         Err(message) => return RunEnd::Refused(message),
     };
-    let sent = server.http.send(address, request);
-    let reply = match tokio::time::timeout(Duration::from_millis(STALL_MS), sent).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(error)) => return broken(server, &endpoint, &error),
-        Err(_) => return stalled(server, &endpoint, address),
+    let sent = pin!(server.http.send(address, request));
+    let reply = match wait_for_head(job, sent, &place.in_flight, may_move).await {
+        Head::Came(result) => match *result {
+            Ok(reply) => reply,
+            Err(error) => return broken(server, &endpoint, &error),
+        },
+        Head::Late => return RunEnd::Moved(RunVerdict::Silent),
+        Head::Missing => return stalled(server, &endpoint, address),
     };
     let head = answer_head(&job.sample.id, reply.status, &reply.headers);
     note_answer(server, &endpoint, &head);
@@ -98,7 +104,7 @@
         on_weights_seen(server, &endpoint, &job.model, version);
     }
     if let Err(error) = text.on_run(head.weights_version) {
-        return RunEnd::Unusable(error.to_string());
+        return on_text_error(&error);
     }
     let end = read_events(job, reply, &place.in_flight, text, may_move).await;
     if matches!(end, RunEnd::Complete) {
@@ -107,6 +113,51 @@
     end
 }
 
+/// What came of waiting for the head of an answer.
+enum Head {
+    Came(Box<Result<Reply, ExchangeError>>),
+    /// The run waits at the endpoint, and would begin sooner elsewhere.
+    Late,
+    Missing,
+}
+
+async fn wait_for_head<F>(
+    job: &SampleJob,
+    mut sent: Pin<&mut F>,
+    in_flight: &InFlight,
+    may_move: bool,
+) -> Head
+where
+    F: Future<Output = Result<Reply, ExchangeError>>,
+{
+    let pace = RunPace::new(now_ms());
+    let stalled_ms = pace.last_ms() + STALL_MS;
+    while now_ms() < stalled_ms {
+        let typical_ms = lock(&job.server.pool).typical_pace_ms(&in_flight.service);
+        let look_ms = pace.silent_at_ms(typical_ms).max(now_ms() + LOOK_MS);
+        let wait_ms = look_ms.min(stalled_ms).saturating_sub(now_ms());
+        let waiting = tokio::time::timeout(Duration::from_millis(wait_ms), sent.as_mut());
+        if let Ok(result) = waiting.await {
+            return Head::Came(Box::new(result));
+        }
+        if may_move && job.may_move(in_flight, &pace) {
+            return Head::Late;
+        }
+    }
+    Head::Missing
+}
+
+/// What was gathered before stays good, unless another version would go on
+/// with it.
+fn on_text_error(error: &TextError) -> RunEnd {
+    match error {
+        TextError::Mixed(..) => RunEnd::Unusable(error.to_string()),
+        TextError::OutOfOrder(..) | TextError::TooOld(..) | TextError::NoVersion => {
+            RunEnd::Broken(RetryReason::AnswerInvalid, error.to_string())
+        }
+    }
+}
+
 /// Takes the events of a run as they come.
 async fn read_events(
     job: &SampleJob,
@@ -138,7 +189,7 @@
                 on_weights_seen(server, &in_flight.endpoint, &job.model, version);
             }
             if let Err(error) = text.on_event(&event) {
-                return RunEnd::Unusable(error.to_string());
+                return on_text_error(&error);
             }
         }
         saved_at = job.progress.note(&job.sample.id, text, saved_at);
--- a/tests/process_membership.rs
+++ b/tests/process_membership.rs
@@ -76,3 +76,17 @@
         .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hangup_does_not_end_a_daemon() {
+    let cluster = Cluster::start(SIZE, EngineSettings::default()).await;
+    for number in 0..3 {
+        cluster.signal(number, Signal::HUP);
+    }
+    for number in 0..3 {
+        let answered = eventually("the daemon answers after a hangup", async || {
+            status(&cluster, number).await.map(|_| ())
+        });
+        answered.await;
+    }
+}
