--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -201,9 +201,12 @@
     let version = lock(&shared.model).as_ref().map(|(_, version)| *version);
     let mut answer = if let Some(version) = version {
         let mut answer = events(shared.clone(), &id, after.unwrap_or(0));
-        answer
-            .headers_mut()
-            .insert("x-weight-versions", version.into());
+        // Nothing is generated after the last event, by no weights.
+        if after.is_none_or(|after| after < shared.settings.events) {
+            answer
+                .headers_mut()
+                .insert("x-weight-versions", version.into());
+        }
         answer
     } else {
         tokio::time::sleep(Duration::from_millis(shared.settings.work_ms)).await;
--- a/src/core/batch/attempt.rs
+++ b/src/core/batch/attempt.rs
@@ -135,10 +135,13 @@
     ///
     /// Where the version is not one that the sample may have.
     pub fn on_run(&mut self, version: Option<u64>) -> Result<(), TextError> {
-        let version = version.ok_or(TextError::NoVersion)?;
-        self.check(version)?;
-        self.running_version = Some(version);
-        Ok(())
+        self.running_version = version;
+        match version {
+            Some(version) => self.check(version),
+            // A run after the last event brings none, and names no version.
+            None if self.last_event.is_some() => Ok(()),
+            None => Err(TextError::NoVersion),
+        }
     }
 
     /// Takes the next event of the run.
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -25,8 +25,12 @@
 /// How long to wait for a place at an endpoint before looking again, in
 /// milliseconds.
 const LOOK_MS: u64 = 25;
-/// How long to wait after an endpoint had no room, in milliseconds.
-const AFTER_REFUSAL_MS: u64 = 20;
+/// How long to wait after a run that added nothing, in milliseconds; doubled
+/// with each further one.
+const AFTER_REFUSAL_MS: u64 = 10;
+/// How often that wait is doubled: to a third of a second, in which weights
+/// are loaded for the most part.
+const MAX_DOUBLINGS: u32 = 5;
 /// How much of its slots an endpoint may have taken: a run that waits at an
 /// endpoint can no longer go to the one that is free first.
 const MAX_OCCUPANCY: f64 = 1.0;
@@ -164,6 +168,8 @@
     runs: u32,
     moves: u32,
     failures: u32,
+    /// Runs in a row that added nothing to the text.
+    fruitless: u32,
     avoid: BTreeSet<Name>,
 }
 
@@ -185,6 +191,7 @@
             runs: 0,
             moves: 0,
             failures: 0,
+            fruitless: 0,
             avoid: BTreeSet::new(),
         }
     }
@@ -245,17 +252,21 @@
         let endpoint = taken.in_flight.endpoint.clone();
         run.runs += 1;
         let may_move = run.moves < MAX_MOVES;
+        let before = run.text.last_event();
         let end = run_once(&run.job, taken, &mut run.text, may_move).await;
-        let was_refused = matches!(end, RunEnd::Refused(_));
         if run.on_end(&endpoint, end, max_failures) {
             return run.job.listed(ListedState::Dead, &run.text, None);
         }
-        if was_refused {
-            tokio::time::sleep(Duration::from_millis(AFTER_REFUSAL_MS)).await;
-        }
         if run.is_complete {
             break;
         }
+        run.fruitless = if run.text.last_event() > before {
+            0
+        } else {
+            run.fruitless + 1
+        };
+        let wait_ms = AFTER_REFUSAL_MS << run.fruitless.min(MAX_DOUBLINGS);
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         place = run.job.place(&run.avoid).await;
     }
     finish(&run, started_ms, kept_events).await
--- a/tests/loads/a_stream_cut_anywhere.rs
+++ b/tests/loads/a_stream_cut_anywhere.rs
@@ -104,3 +104,15 @@
     assert!(SampleText::restore(&saved, 4, false).is_none());
     assert!(SampleText::restore(&saved, 3, true).is_none());
 }
+
+#[test]
+fn a_run_that_goes_on_after_the_last_event_may_end_without_any() {
+    let mut text = SampleText::new(0, false);
+    assert_eq!(text.on_run(None), Err(TextError::NoVersion));
+    text.on_run(Some(1)).expect("any version");
+    text.on_event(&event(1)).expect("the first");
+    // The sampler has nothing to generate, and so names no weights.
+    text.on_run(None).expect("there is a text to go on with");
+    assert_eq!(text.on_event(&event(2)), Err(TextError::NoVersion));
+    assert_eq!(text.weights_versions(), [1]);
+}
