--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -108,6 +108,7 @@
         .buffered_lines_limit(LOG_LINES)
         .lossy(true)
         .finish(std::io::stdout());
+    let dropped = writer.error_counter();
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
@@ -122,7 +123,8 @@
     let result = runtime
         .map_err(|error| error.to_string())
         .and_then(|runtime| {
-            let result = runtime.block_on(server::run(settings, read));
+            let result =
+                runtime.block_on(server::run(settings, read, move || dropped.dropped_lines()));
             result.map_err(|error| error.to_string())
         });
     match result {
--- a/src/platform/batches.rs
+++ b/src/platform/batches.rs
@@ -32,6 +32,15 @@
     End { batch: Name },
 }
 
+impl BatchCall {
+    /// Returns the batch that the call is about.
+    pub(crate) const fn batch(&self) -> &Name {
+        match self {
+            Self::Read { batch, .. } | Self::Body { batch, .. } | Self::End { batch } => batch,
+        }
+    }
+}
+
 /// Reads a call about a batch; none where it is another call.
 pub(crate) fn batch_call(method: &Method, uri: &Uri, headers: &HeaderMap) -> Option<BatchCall> {
     let parameter = |wanted: &str| {
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -152,9 +152,11 @@
     let head = caller_head(&parts);
     let id = head.request_id.clone().unwrap_or_else(|| "-".into());
     if let Some(call) = batch_call(&parts.method, &parts.uri, &parts.headers) {
+        // Readers send no request id; their batch tells them apart.
+        let id = head.request_id.as_ref().unwrap_or_else(|| call.batch());
         return match read_batch::answer(server, &call).await {
             Ok(response) => response,
-            Err(refusal) => refuse(server, &id, &refusal),
+            Err(refusal) => refuse(server, id, &refusal),
         };
     }
     let routes = server.routes();
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) samples_dead: Counter,
     pub(crate) shares_claimed: Counter,
     pub(crate) orders: Counter,
+    pub(crate) log_lines_dropped: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) request_seconds: Histogram,
     pub(crate) sample_seconds: Histogram,
@@ -49,6 +50,7 @@
             samples_dead: Counter::default(),
             shares_claimed: Counter::default(),
             orders: Counter::default(),
+            log_lines_dropped: Gauge::default(),
             config_version: Gauge::default(),
             request_seconds: latency(),
             sample_seconds: latency(),
@@ -97,6 +99,11 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register(
+            "log_lines_dropped",
+            "Log lines that were dropped, since nobody read them in time",
+            self.log_lines_dropped.clone(),
+        );
         registry.register(
             "config_version",
             "The configuration version in force",
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -26,14 +26,16 @@
 
 /// Runs one VM until it is told to stop.
 ///
-/// `reload` reads the settings again on SIGHUP.
+/// `reload` reads the settings again on SIGHUP; `dropped_lines` returns how many
+/// log lines were dropped so far.
 ///
 /// # Errors
 ///
 /// Those of binding the addresses and of listening for signals.
-pub async fn run<R>(settings: VmSettings, reload: R) -> io::Result<()>
+pub async fn run<R, D>(settings: VmSettings, reload: R, dropped_lines: D) -> io::Result<()>
 where
     R: Fn() -> Result<VmSettings, String> + Send,
+    D: Fn() -> usize + Send + 'static,
 {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -55,7 +57,7 @@
     tokio::spawn(claims::claim(server.clone()));
     tokio::spawn(members::beat(server.clone()));
     tokio::spawn(orders::order(server.clone()));
-    tokio::spawn(expire(server.clone()));
+    tokio::spawn(expire(server.clone(), dropped_lines));
     tokio::spawn(clean::clean(server.clone()));
     let probing = server.clone();
     tokio::spawn(async move { probing.store.probe().await });
@@ -132,10 +134,22 @@
     tracing::info!("stop: left");
 }
 
-async fn expire(server: Arc<Server>) {
+async fn expire<D>(server: Arc<Server>, dropped_lines: D)
+where
+    D: Fn() -> usize,
+{
+    let mut dropped_before = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(EXPIRE_MS)).await;
         server.http.expire();
+        let dropped = dropped_lines();
+        if dropped > dropped_before {
+            let lines = dropped - dropped_before;
+            tracing::warn!(lines, "log lines dropped: they were not read in time");
+            dropped_before = dropped;
+        }
+        let dropped = i64::try_from(dropped).unwrap_or(i64::MAX);
+        server.metrics.log_lines_dropped.set(dropped);
         let lapsed = super::state::lock(&server.pool).expire(now_ms());
         for endpoint in lapsed {
             tracing::info!(%endpoint, "endpoint gone: its entry did not come back");
