--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,7 +1,7 @@
 //! What does, on a platform that keeps what must last: the process of one VM.
 //!
 //! [`run`] starts it. What is kept in the platform's store is followed by
-//! [`follow`]; callers' requests take the way `front`, `forward`; batches the
+//! `follow`; callers' requests take the way `front`, `forward`; batches the
 //! way `accept`, `claims`, `share`, `sample`, `listing`; weights the way
 //! `orders`.
 
