--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -14,7 +14,7 @@
 use hyper::Method;
 use rustix::process::Signal;
 use serde_json::Value;
-use standins::fleet::SamplerSettings;
+use standins::fleet::{Sampler, SamplerSettings};
 
 /// Fails unless every sample stands once, whole and scored by its own call.
 fn check_whole(fleet: &Fleet, batch: &str, results: &[Value], samples: usize, events: u64) {
@@ -201,7 +201,13 @@
     fleet.signal(0, Signal::HUP);
     let held = fleet.get(callers, "/slips/1", "r1");
     let stop = async {
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        // The stop comes while a sampler runs the request, not before.
+        let deadline = Instant::now() + PATIENCE;
+        let runs = |sampler: &Sampler| sampler.runs().iter().any(|id| id == "r1");
+        while !fleet.plain.iter().any(runs) {
+            assert!(Instant::now() < deadline, "the request did not begin");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
         fleet.signal(0, Signal::TERM);
     };
     let (answer, ()) = tokio::join!(held, stop);
