--- a/src/core/weights/rollout.rs
+++ b/src/core/weights/rollout.rs
@@ -11,7 +11,8 @@
 /// How long after an order the same order is sent again. It may be shorter
 /// than a load: a sampler that loads the version already goes on with it.
 pub const ORDER_TIMEOUT_MS: u64 = 3_000;
-/// At most this share of a data centre's samplers swaps at once, in hundredths.
+/// This share of a data centre's samplers swaps at once, in hundredths, rounded
+/// up: of three that swap one by one, a few failures make the last one late.
 pub const WAVE_PERCENT: usize = 50;
 /// How long an order of an earlier holder may be under way.
 pub const LONGEST_ORDER_MS: u64 = 1_000;
@@ -47,8 +48,8 @@
 /// # Limits
 ///
 /// The samplers handed in are those that report and do not leave. Of each data
-/// centre, half of these swap at once, and one at least; so a data centre with
-/// a single sampler is without it during the swap.
+/// centre, half of these swap at once, rounded up, and never all of several; so
+/// a data centre with a single sampler is without it during the swap.
 ///
 /// # Examples
 ///
@@ -219,5 +220,6 @@
     if !guard::is_on(Guard::WeightWaves) {
         return samplers;
     }
-    (samplers * WAVE_PERCENT / 100).max(1)
+    let wave = (samplers * WAVE_PERCENT).div_ceil(100);
+    wave.min(samplers.saturating_sub(1)).max(1)
 }
