Give each model a part of the endpoints; note refusals, waits and connections

Now each model is loaded by its part of the endpoints, by the tokens that its trainer asks for; a share fills a slice of them first; open connections are preferred; a refusal counts as a full endpoint for 100 ms; an endpoint at which a run waits is passed over; samples that are short beside the longest of their batch wait up to four times as long before they move.

--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeSet,
     io,
     net::SocketAddr,
     sync::{
@@ -35,6 +36,25 @@
     pub load_ms: u64,
 }
 
+/// What is wrong with an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Spoil {
+    /// It belongs to another request.
+    Foreign,
+    /// It does not say which sampler made it.
+    Unstamped,
+    /// Its body is encoded, which nobody asked for.
+    Encoded,
+    /// It breaks off inside its body.
+    Cut,
+    /// A stream only: it says an event twice.
+    Doubled,
+    /// A stream only: it leaves an event out.
+    Gap,
+    /// A stream only: it names no weights version.
+    Versionless,
+}
+
 /// A sampler that registers itself in the store.
 #[derive(Debug)]
 pub struct Sampler {
@@ -56,6 +76,10 @@
     /// Request ids in the order in which they began to run.
     runs: Mutex<Vec<String>>,
     active: AtomicU32,
+    /// How the next answers are spoilt.
+    spoilt: Mutex<Vec<Spoil>>,
+    /// Requests that fail whenever they run.
+    failing: Mutex<BTreeSet<String>>,
 }
 
 impl Sampler {
@@ -82,6 +106,8 @@
             orders: Mutex::default(),
             runs: Mutex::default(),
             active: AtomicU32::new(0),
+            spoilt: Mutex::default(),
+            failing: Mutex::default(),
         });
         let serving = shared.clone();
         let task = tokio::spawn(serve(listener, move |request| {
@@ -101,6 +127,22 @@
         lock(&self.shared.runs).clone()
     }
 
+    /// Returns how many streams it sends now.
+    #[must_use]
+    pub fn active(&self) -> u32 {
+        self.shared.active.load(Ordering::Relaxed)
+    }
+
+    /// Spoils the next answers to requests.
+    pub fn spoil(&self, spoil: Spoil, count: usize) {
+        lock(&self.shared.spoilt).extend(std::iter::repeat_n(spoil, count));
+    }
+
+    /// Answers a request with a failure whenever it comes.
+    pub fn fail(&self, id: &str) {
+        lock(&self.shared.failing).insert(id.to_owned());
+    }
+
     /// Returns the orders that it accepted.
     #[must_use]
     pub fn orders(&self) -> Vec<Value> {
@@ -198,11 +240,17 @@
         Err(answer) => return answer,
     };
     lock(&shared.runs).push(id.clone());
+    let spoil = lock(&shared.spoilt).pop();
+    if lock(&shared.failing).contains(&id) {
+        let answer = status(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+        return with_head(&shared, answer, &id, None);
+    }
     let version = lock(&shared.model).as_ref().map(|(_, version)| *version);
     let mut answer = if let Some(version) = version {
-        let mut answer = events(shared.clone(), &id, after.unwrap_or(0));
+        let mut answer = events(shared.clone(), &id, after.unwrap_or(0), spoil);
         // Nothing is generated after the last event, by no weights.
-        if after.is_none_or(|after| after < shared.settings.events) {
+        let generates = after.is_none_or(|after| after < shared.settings.events);
+        if generates && spoil != Some(Spoil::Versionless) {
             answer
                 .headers_mut()
                 .insert("x-weight-versions", version.into());
@@ -210,15 +258,35 @@
         answer
     } else {
         tokio::time::sleep(Duration::from_millis(shared.settings.work_ms)).await;
-        let text = format!("{method} {path} {} bytes", body.len());
+        let text = match spoil {
+            Some(spoil) => format!("spoilt: {spoil:?}"),
+            None => format!("{method} {path} {} bytes", body.len()),
+        };
         bytes(text.into_bytes().into())
     };
+    if version.is_none() && spoil == Some(Spoil::Cut) {
+        answer = cut(answer).await;
+    }
+    with_head(&shared, answer, &id, spoil)
+}
+
+fn with_head(shared: &Shared, mut answer: Answer, id: &str, spoil: Option<Spoil>) -> Answer {
     let active = shared.active.load(Ordering::Relaxed);
-    let headers = [
-        ("x-request-id", id.clone()),
-        ("x-response-stamp", format!("stamp-{}-{id}", shared.id)),
+    let own = if spoil == Some(Spoil::Foreign) {
+        "another"
+    } else {
+        id
+    };
+    let mut headers = vec![
+        ("x-request-id", own.to_owned()),
         ("x-server-load", format!("{active},0,8")),
     ];
+    if spoil != Some(Spoil::Unstamped) {
+        headers.push(("x-response-stamp", format!("stamp-{}-{id}", shared.id)));
+    }
+    if spoil == Some(Spoil::Encoded) {
+        headers.push(("content-encoding", "gzip".to_owned()));
+    }
     for (name, text) in headers {
         if let Ok(value) = text.parse() {
             answer.headers_mut().insert(name, value);
@@ -227,6 +295,19 @@
     answer
 }
 
+/// Ends the connection after half of the body.
+async fn cut(answer: Answer) -> Answer {
+    let (parts, body) = answer.into_parts();
+    let whole = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return status(StatusCode::BAD_GATEWAY, &error.to_string()),
+    };
+    let half = whole.slice(..whole.len() / 2);
+    let broken = io::Error::from(io::ErrorKind::ConnectionReset);
+    let frames = stream::iter([Ok(Frame::data(half)), Err(broken)]);
+    Response::from_parts(parts, BodyExt::boxed(StreamBody::new(frames)))
+}
+
 /// Counts a run until its stream is dropped.
 struct Active(Arc<Shared>);
 
@@ -236,9 +317,11 @@
     }
 }
 
-fn events(shared: Arc<Shared>, id: &str, after: u64) -> Answer {
+fn events(shared: Arc<Shared>, id: &str, after: u64, spoil: Option<Spoil>) -> Answer {
     shared.active.fetch_add(1, Ordering::Relaxed);
     let settings = shared.settings;
+    // The event at which a spoilt stream goes wrong: the second of this run.
+    let wrong = after + 2;
     let state = (Active(shared), id.to_owned(), after);
     let frames = stream::unfold(state, move |(active, id, last)| async move {
         if last >= settings.events {
@@ -246,8 +329,20 @@
         }
         tokio::time::sleep(Duration::from_millis(settings.event_ms)).await;
         let number = last + 1;
+        if spoil == Some(Spoil::Gap) && number == wrong {
+            return Some((Ok(Frame::data(Bytes::new())), (active, id, number)));
+        }
         let event = format!("id: {number}\ndata: {id} event {number}\n\n");
-        let frame = Frame::data(Bytes::from(event.into_bytes()));
+        if spoil == Some(Spoil::Cut) && number > wrong {
+            let broken = io::Error::from(io::ErrorKind::ConnectionReset);
+            return Some((Err(broken), (active, id, settings.events)));
+        }
+        let text = match spoil {
+            Some(Spoil::Doubled) if number == wrong => event.repeat(2),
+            Some(Spoil::Cut) if number == wrong => event[..event.len() / 2].to_owned(),
+            _ => event,
+        };
+        let frame = Frame::data(Bytes::from(text.into_bytes()));
         Some((Ok(frame), (active, id, number)))
     });
     Response::new(BodyExt::boxed(StreamBody::new(frames)))
--- a/src/core/batch/mod.rs
+++ b/src/core/batch/mod.rs
@@ -11,7 +11,7 @@
     attempt::{SampleText, SavedText, TextError},
     event::{Event, EventParser},
     order::run_order,
-    pace::{RunPace, RunVerdict},
+    pace::{RunPace, RunVerdict, patience},
     share::{share_count, share_of_group},
     spec::{BatchHead, BatchSpec, ListedSample, ListedState, SampleSpec, ScoreCall},
 };
--- a/src/core/batch/pace.rs
+++ b/src/core/batch/pace.rs
@@ -12,6 +12,28 @@
 /// After how many events the pace of a run is judged.
 const JUDGED_EVENTS: u32 = 4;
 
+/// At most so many times the usual silence the shortest samples wait.
+const MAX_PATIENCE: u64 = 4;
+
+/// Returns how many times the usual silence a run waits to begin before it is
+/// moved: a batch is as late as its longest samples, and moving any other costs
+/// a connection and gains nothing.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::batch::patience;
+///
+/// assert_eq!(patience(900, 1_000), 1);
+/// assert_eq!(patience(300, 1_000), 3);
+/// assert_eq!(patience(0, 1_000), 4);
+/// ```
+#[must_use]
+pub fn patience(length_hint: u64, longest_hint: u64) -> u64 {
+    let ratio = longest_hint / length_hint.max(1);
+    ratio.clamp(1, MAX_PATIENCE)
+}
+
 /// What is to be done about a run.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
--- a/src/core/batch/spec.rs
+++ b/src/core/batch/spec.rs
@@ -66,6 +66,8 @@
     pub accepted_platform_ms: u64,
     /// How many samples it has.
     pub sample_count: usize,
+    /// About how many tokens they generate, by the trainer's estimates.
+    pub tokens: u64,
     /// Into how many shares its groups are divided.
     pub share_count: u32,
     /// The host that the trainer named.
--- a/src/core/pool/choose.rs
+++ b/src/core/pool/choose.rs
@@ -1,8 +1,8 @@
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use rand::Rng;
 
-use super::{EndpointStage, Pool, PoolEndpoint};
+use super::{EndpointStage, Pool, PoolEndpoint, Slice};
 use crate::core::Name;
 
 /// Among how many drawn endpoints the cheapest is chosen: enough to find an
@@ -10,8 +10,14 @@
 const DRAWN: usize = 6;
 /// What work in another data centre costs, in shares of an endpoint's slots.
 const FAR_COST: f64 = 0.08;
-/// What an endpoint costs that loads weights, in shares of its slots.
-const LOADING_COST: f64 = 1.0;
+/// What an endpoint costs at which a run waits to begin, in shares of its slots.
+const STALLED_COST: f64 = 1.0;
+/// What a new connection costs, in shares of an endpoint's slots: a round trip,
+/// and a slot for a moment.
+const CONNECT_COST: f64 = 0.7;
+/// What an endpoint of another slice costs, in shares of its slots: those whose
+/// slice it is fill it too, and their requests are not known here.
+const FOREIGN_COST: f64 = 0.5;
 /// How much a difference of pace is trusted at the most: one slow answer may
 /// be a long request.
 const MAX_PACE_FACTOR: f64 = 8.0;
@@ -32,6 +38,10 @@
     pub weights: Option<(&'a str, u64)>,
     /// How many requests an endpoint may have, in shares of its slots.
     pub max_occupancy: f64,
+    /// Where an idle connection is ready.
+    pub connected: &'a BTreeSet<SocketAddr>,
+    /// Which endpoints are this request's rather than those of others.
+    pub slice: Option<Slice>,
 }
 
 impl Pool {
@@ -51,10 +61,18 @@
         let from = if calm.is_empty() { usable } else { calm };
         let typical_ms = typical_pace_ms(&from);
         let cost = |endpoint: &PoolEndpoint| cost(endpoint, now_ms, wanted, typical_ms);
-        let drawn = rand::seq::index::sample(rng, from.len(), from.len().min(DRAWN));
+        // Slices differ from VM to VM, so that all may look at all endpoints.
+        let count = if wanted.slice.is_some() {
+            from.len()
+        } else {
+            DRAWN
+        };
+        let drawn = rand::seq::index::sample(rng, from.len(), from.len().min(count));
+        let drawn = drawn.iter().map(|index| from[index]);
+        let connected = from.iter().copied();
+        let connected = connected.filter(|e| wanted.connected.contains(&e.record.address));
         let cheapest = drawn
-            .iter()
-            .map(|index| from[index])
+            .chain(connected)
             .min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         Some(cheapest.record.id.clone())
     }
@@ -119,8 +137,10 @@
 }
 
 fn cost(endpoint: &PoolEndpoint, now_ms: u64, wanted: &Wanted<'_>, typical_ms: Option<f64>) -> f64 {
-    let is_far = &*endpoint.record.data_centre != wanted.data_centre;
-    let is_loading = endpoint.loading_until_ms > now_ms;
+    let record = &endpoint.record;
+    let is_far = &*record.data_centre != wanted.data_centre;
+    let is_connected = wanted.connected.contains(&record.address);
+    let is_foreign = wanted.slice.is_some_and(|slice| !slice.has(&record.id));
     let factor = match (endpoint.pace_ms, typical_ms) {
         (Some(pace), Some(typical)) if typical > 0.0 => {
             (pace / typical).clamp(1.0 / MAX_PACE_FACTOR, MAX_PACE_FACTOR)
@@ -128,6 +148,9 @@
         _ => 1.0,
     };
     let far = if is_far { FAR_COST } else { 0.0 };
-    let loading = if is_loading { LOADING_COST } else { 0.0 };
-    factor * (1.0 + occupancy(endpoint, now_ms)) + far + loading
+    let is_stalled = endpoint.stalled_until_ms > now_ms;
+    let stalled = if is_stalled { STALLED_COST } else { 0.0 };
+    let connect = if is_connected { 0.0 } else { CONNECT_COST };
+    let foreign = if is_foreign { FOREIGN_COST } else { 0.0 };
+    factor * (1.0 + occupancy(endpoint, now_ms)) + far + stalled + connect + foreign
 }
--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -43,6 +43,9 @@
 /// milliseconds; doubled with each further one.
 const FIRST_PENALTY_MS: u64 = 500;
 const MAX_PENALTY_MS: u64 = 8_000;
+/// For how long an endpoint at which a run waits counts as stalled, in
+/// milliseconds: about what is left of a load of weights.
+const STALLED_MS: u64 = 700;
 
 /// An endpoint as one VM knows it.
 #[derive(Clone, Debug)]
@@ -53,10 +56,10 @@
     pub load: Load,
     /// How long it takes for a unit of work, in milliseconds.
     pub pace_ms: Option<f64>,
-    /// Until when it is busy loading weights.
-    pub loading_until_ms: u64,
     /// Until when it is passed over.
     pub penalty_until_ms: u64,
+    /// Until when runs that begin there are taken to wait.
+    pub stalled_until_ms: u64,
     /// Until when it counts although the platform no longer lists it.
     pub unlisted_until_ms: Option<u64>,
     /// How many orders it has accepted since its start, where that is known.
@@ -70,8 +73,8 @@
             record,
             load: Load::DEFAULT,
             pace_ms: None,
-            loading_until_ms: 0,
             penalty_until_ms: 0,
+            stalled_until_ms: 0,
             unlisted_until_ms: None,
             orders_accepted: None,
             failures: 0,
@@ -90,6 +93,17 @@
         self.penalty_until_ms = 0;
     }
 
+    /// Notes that it refused a request because it had no room.
+    pub fn on_refusal(&mut self, now_ms: u64) {
+        self.load.on_refusal(now_ms, self.record.slots);
+    }
+
+    /// Notes that a run has waited in vain to begin: the endpoint loads weights,
+    /// or others have filled it.
+    pub const fn on_stalled(&mut self, now_ms: u64) {
+        self.stalled_until_ms = now_ms + STALLED_MS;
+    }
+
     /// Notes a broken or missing answer.
     pub fn on_failure(&mut self, now_ms: u64) {
         let penalty_ms = FIRST_PENALTY_MS << self.failures.min(4);
--- a/src/core/pool/load.rs
+++ b/src/core/pool/load.rs
@@ -13,6 +13,10 @@
 /// other VMs come and go within about a second.
 const REPORT_LIFETIME_MS: u64 = 1_000;
 
+/// How long a refusal is worth something, in milliseconds: a place becomes free
+/// or a load ends in about a tenth of a second where many requests run.
+const REFUSAL_LIFETIME_MS: u64 = 100;
+
 /// The load of one endpoint: this VM's own requests, which are known exactly,
 /// and those of others, which reports tell with a lag.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,6 +41,12 @@
         self.others_until_ms = now_ms + REPORT_LIFETIME_MS;
     }
 
+    /// Notes a refusal: whatever it reports, the endpoint takes nothing now.
+    pub fn on_refusal(&mut self, now_ms: u64, slots: u32) {
+        self.others = self.others.max(slots);
+        self.others_until_ms = now_ms + REFUSAL_LIFETIME_MS;
+    }
+
     /// Returns how many requests the endpoint is taken to have.
     #[must_use]
     pub const fn total(&self, now_ms: u64) -> u32 {
--- a/src/core/pool/mod.rs
+++ b/src/core/pool/mod.rs
@@ -4,10 +4,12 @@
 mod endpoint;
 mod load;
 mod pool;
+mod slice;
 
 pub use self::{
     choose::Wanted,
     endpoint::{EndpointRecord, EndpointStage, PoolEndpoint},
     load::{Load, LoadReport},
     pool::Pool,
+    slice::Slice,
 };
--- a/src/core/rendezvous.rs
+++ b/src/core/rendezvous.rs
@@ -52,3 +52,35 @@
         .map(|(_, member)| member.clone())
         .collect()
 }
+
+/// Returns all members, best first; one with twice the share comes first for
+/// twice as many keys.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::rendezvous::rank_by_share;
+///
+/// let members = [("small".into(), 0.1), ("large".into(), 0.9)];
+/// let keys = (0..1_000).map(|key| key.to_string());
+/// let first = keys.filter(|key| &*rank_by_share(&members, key)[0] == "large");
+/// assert!((850..950).contains(&first.count()));
+/// ```
+#[must_use]
+pub fn rank_by_share(members: &[(Name, f64)], key: &str) -> Vec<Name> {
+    // The first of several exponential draws falls to each by its rate.
+    let arrival = |member: &str, share: f64| {
+        #[expect(clippy::cast_precision_loss, reason = "a hash needs no exact value")]
+        let uniform = (weight(member, key) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -uniform.ln() / share.max(f64::MIN_POSITIVE)
+    };
+    let mut ranked: Vec<_> = members
+        .iter()
+        .map(|(member, share)| (arrival(member, *share), member))
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+    ranked
+        .into_iter()
+        .map(|(_, member)| member.clone())
+        .collect()
+}
--- a/src/core/weights/mod.rs
+++ b/src/core/weights/mod.rs
@@ -1,5 +1,6 @@
 //! Bringing new weights onto every sampler of a service.
 
+mod homes;
 mod moves;
 mod rollout;
 
--- a/src/core/weights/moves.rs
+++ b/src/core/weights/moves.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::homes::homes;
 use crate::core::{
     Name,
     pool::{EndpointStage, Pool, PoolEndpoint},
@@ -12,6 +13,8 @@
     pub version: u64,
     /// How many versions behind it samples may be generated.
     pub allowed_lag: u64,
+    /// About how many tokens its trainer asks for in a step.
+    pub step_tokens: u64,
 }
 
 /// An order that moves one endpoint to the weights version that was named.
@@ -47,7 +50,7 @@
 
 /// Returns the orders to send now.
 ///
-/// An endpoint within the allowed lag serves, and stays as it is where enough
+/// Of a model, only its [`homes`] are moved. An endpoint within the allowed lag serves, and stays as it is where enough
 /// others have the newest version: each endpoint then loads every second
 /// version only, and never all of them at once.
 ///
@@ -81,9 +84,15 @@
         .filter(|endpoint| is_loading(endpoint))
         .count();
     let most = ((serving.len() * LOADING_PERCENT + 50) / 100).max(1);
+    let homes = homes(&serving, named);
     let mut wishes = Vec::new();
     for (model, named) in named {
-        wishes.extend(wishes_of_model(&serving, model, *named, sent, now_ms));
+        let of_model: Vec<&PoolEndpoint> = serving
+            .iter()
+            .filter(|endpoint| homes[model].contains(&endpoint.record.id))
+            .copied()
+            .collect();
+        wishes.extend(wishes_of_model(&of_model, model, *named, sent, now_ms));
     }
     wishes.sort_by_key(|wish| wish.rank);
     let mut taken: BTreeSet<Name> = BTreeSet::new();
@@ -111,7 +120,7 @@
 }
 
 fn wishes_of_model<'a>(
-    serving: &[&'a PoolEndpoint],
+    of_model: &[&'a PoolEndpoint],
     model: &'a Name,
     named: Named,
     sent: &BTreeMap<Name, Sent>,
@@ -123,11 +132,6 @@
         let version = endpoint.weights_version(model);
         order.map_or(version, |order| version.max(order.version))
     };
-    let of_model: Vec<&PoolEndpoint> = serving
-        .iter()
-        .filter(|endpoint| endpoint.record.weights.contains_key(model))
-        .copied()
-        .collect();
     let count_from = |least: u64| {
         let from = of_model
             .iter()
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -73,6 +73,7 @@
         object,
         accepted_platform_ms: platform_ms,
         sample_count: spec.samples.len(),
+        tokens: spec.samples.iter().map(|sample| sample.length_hint).sum(),
         share_count: share_count(spec.samples.len()),
         host: spec.host.clone(),
         path: spec.path.clone(),
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -66,8 +66,17 @@
 #[derive(Debug, Default)]
 pub(crate) struct Batches {
     pub(crate) known: BTreeMap<Name, KnownBatch>,
-    /// The newest of the oldest weights versions that batches ask of a model.
-    pub(crate) min_versions: BTreeMap<Name, u64>,
+    /// What the trainer of each model asks for.
+    pub(crate) asked: BTreeMap<Name, Asked>,
+}
+
+/// What a trainer asks for in its newest batch.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Asked {
+    /// The oldest weights version that will do.
+    pub(crate) min_version: u64,
+    /// About how many tokens.
+    pub(crate) tokens: u64,
 }
 
 /// A share that this VM may claim now.
@@ -105,9 +114,11 @@
         match &*row.key {
             HEAD_KEY => match rmp_serde::from_slice::<BatchHead>(bytes) {
                 Ok(head) => {
-                    let least = head.min_weights_version;
-                    let newest = self.min_versions.entry(head.model.clone()).or_default();
-                    *newest = least.max(*newest);
+                    let newest = self.asked.entry(head.model.clone()).or_default();
+                    if newest.min_version <= head.min_weights_version {
+                        newest.min_version = head.min_weights_version;
+                        newest.tokens = head.tokens;
+                    }
                     batch.head = Some(head);
                 }
                 Err(error) => tracing::error!(batch = %row.part, %error, "head cannot be read"),
@@ -213,7 +224,8 @@
     };
     let routes = server.routes();
     let members = lock(&server.members);
-    let live: Vec<Name> = members.live().map(|(vm, _)| vm.clone()).collect();
+    let live = members.live();
+    let live: Vec<(Name, f64)> = live.map(|(vm, row)| (vm.clone(), row.cpu_share)).collect();
     let mut batches = lock(&server.batches);
     let mut claims = Vec::new();
     for (id, batch) in &mut batches.known {
@@ -240,7 +252,7 @@
             let since_ms = *batch.unowned_since_ms.entry(share).or_insert(now_ms);
             // The same VMs for each step of a trainer: they have connections.
             let key = format!("{}/{share}", route.name);
-            let order = rendezvous::choose(&live, &key, live.len());
+            let order = rendezvous::rank_by_share(&live, &key);
             let rank = order.iter().position(|vm| *vm == server.settings.vm);
             let rank = u64::try_from(rank.unwrap_or(live.len())).unwrap_or(u64::MAX);
             if now_ms >= since_ms + wait_ms + rank * RANK_DELAY_MS {
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -139,6 +139,8 @@
         avoid,
         weights: None,
         max_occupancy,
+        connected: &server.http.connected(),
+        slice: None,
     };
     lock(&server.pool).choose(now_ms(), &wanted, &mut *lock(&server.rng))
 }
@@ -298,9 +300,15 @@
 /// Notes what the head of an answer says of the endpoint's load.
 pub(crate) fn note_answer(server: &Server, endpoint: &Name, head: &AnswerHead) {
     let mut pool = lock(&server.pool);
-    if let (Some(known), Some(report)) = (pool.get_mut(endpoint), head.load) {
+    let Some(known) = pool.get_mut(endpoint) else {
+        return;
+    };
+    if let Some(report) = head.load {
         known.load.on_report(now_ms(), report);
     }
+    if head.is_not_run {
+        known.on_refusal(now_ms());
+    }
 }
 
 fn whole_answer(reply: WholeReply, is_stamped: bool) -> Result<Response<Body>, Failed> {
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -83,11 +83,14 @@
     let named = lock(&server.named_weights);
     let batches = lock(&server.batches);
     let of_model = |(model, version): (&Name, &u64)| {
-        let least = batches.min_versions.get(model);
-        let lag = least.map_or(DEFAULT_LAG, |least| version.saturating_sub(*least));
+        let asked = batches.asked.get(model);
+        let lag = asked.map_or(DEFAULT_LAG, |asked| {
+            version.saturating_sub(asked.min_version)
+        });
         let named = Named {
             version: *version,
             allowed_lag: lag.min(MAX_LAG),
+            step_tokens: asked.map_or(0, |asked| asked.tokens),
         };
         (model.clone(), named)
     };
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -134,12 +134,17 @@
     let stalled_ms = pace.last_ms() + STALL_MS;
     while now_ms() < stalled_ms {
         let typical_ms = lock(&job.server.pool).typical_pace_ms(&in_flight.service);
-        let look_ms = pace.silent_at_ms(typical_ms).max(now_ms() + LOOK_MS);
+        let silent_ms = pace.silent_at_ms(typical_ms) - pace.last_ms();
+        let patient_ms = pace.last_ms() + silent_ms * job.patience;
+        let look_ms = patient_ms.max(now_ms() + LOOK_MS);
         let wait_ms = look_ms.min(stalled_ms).saturating_sub(now_ms());
         let waiting = tokio::time::timeout(Duration::from_millis(wait_ms), sent.as_mut());
         if let Ok(result) = waiting.await {
             return Head::Came(Box::new(result));
         }
+        if let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint) {
+            known.on_stalled(now_ms());
+        }
         if may_move && job.may_move(in_flight, &pace) {
             return Head::Late;
         }
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -15,7 +15,7 @@
         batch::{
             ListedSample, ListedState, RunPace, RunVerdict, SampleSpec, SampleText, SavedText,
         },
-        pool::Wanted,
+        pool::{Slice, Wanted},
         retry::RetryReason,
         routes::Route,
     },
@@ -50,6 +50,10 @@
     /// When the sample may be given up, by the platform's clock.
     pub(crate) limit_platform_ms: u64,
     pub(crate) sample: SampleSpec,
+    /// How many times the usual silence its runs wait to begin.
+    pub(crate) patience: u64,
+    /// The endpoints that its share fills first.
+    pub(crate) slice: Slice,
     /// What is kept of its text.
     pub(crate) kept: Option<SavedText>,
     /// Where its text is kept while it grows.
@@ -124,6 +128,8 @@
             avoid,
             weights: Some((&self.model, self.min_weights_version)),
             max_occupancy: MAX_OCCUPANCY,
+            connected: &self.server.http.connected(),
+            slice: Some(self.slice),
         };
         lock(&self.server.pool).choose(now_ms(), &wanted, &mut *lock(&self.server.rng))
     }
@@ -137,6 +143,8 @@
             avoid: &avoid,
             weights: Some((&self.model, self.min_weights_version)),
             max_occupancy: MOVE_OCCUPANCY,
+            connected: &self.server.http.connected(),
+            slice: Some(self.slice),
         };
         let event_ms = pace.event_ms();
         let pool = lock(&self.server.pool);
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -82,6 +82,8 @@
         avoid,
         weights: None,
         max_occupancy: MAX_OCCUPANCY,
+        connected: &server.http.connected(),
+        slice: None,
     };
     lock(&server.pool).choose(now_ms(), &wanted, &mut *lock(&server.rng))
 }
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -13,7 +13,8 @@
 };
 use crate::core::{
     Name,
-    batch::{BatchSpec, SampleSpec, run_order, share_of_group},
+    batch::{BatchSpec, SampleSpec, patience, run_order, share_of_group},
+    pool::Slice,
 };
 
 /// How long to wait after the store did not answer, in milliseconds.
@@ -24,7 +25,13 @@
     let Some((spec, listed, limit_platform_ms)) = prepare(&server, &batch).await else {
         return;
     };
-    let samples = samples_of_share(&server, &batch, &spec, share);
+    let head = lock(&server.batches)
+        .get(&batch)
+        .and_then(|known| known.head.clone());
+    let share_count = head.map_or(1, |head| head.share_count);
+    let samples = samples_of_share(&spec, share, share_count);
+    let hints = spec.samples.iter().map(|sample| sample.length_hint);
+    let longest_hint = hints.max().unwrap_or(0);
     let missing: Vec<SampleSpec> = samples
         .into_iter()
         .filter(|sample| !listed.contains_key(&sample.id))
@@ -53,6 +60,8 @@
             min_weights_version: spec.min_weights_version,
             limit_platform_ms,
             sample: missing[place].clone(),
+            patience: patience(missing[place].length_hint, longest_hint),
+            slice: Slice { share, share_count },
             kept: kept.remove(&missing[place].id),
             progress: progress.clone(),
         };
@@ -96,16 +105,7 @@
     }
 }
 
-fn samples_of_share(
-    server: &Server,
-    batch: &Name,
-    spec: &BatchSpec,
-    share: u32,
-) -> Vec<SampleSpec> {
-    let head = lock(&server.batches)
-        .get(batch)
-        .and_then(|known| known.head.clone());
-    let share_count = head.map_or(1, |head| head.share_count);
+fn samples_of_share(spec: &BatchSpec, share: u32, share_count: u32) -> Vec<SampleSpec> {
     let mut groups: BTreeMap<&Name, usize> = BTreeMap::new();
     let mut samples = Vec::new();
     for sample in &spec.samples {
--- a/src/server/upstream.rs
+++ b/src/server/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to endpoints and to the platform, kept for reuse.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -166,13 +166,17 @@
         let mut idle = lock(&self.idle);
         let kept = idle.get_mut(&address)?;
         let now_ms = now_ms();
+        let mut found = None;
         while let Some(newest) = kept.pop() {
             if newest.until_ms > now_ms && newest.connection.sender.is_ready() {
-                return Some(newest.connection);
+                found = Some(newest.connection);
+                break;
             }
         }
-        idle.remove(&address);
-        None
+        if kept.is_empty() {
+            idle.remove(&address);
+        }
+        found
     }
 
     fn keep(&self, address: SocketAddr, connection: Connection, headers: &HeaderMap) {
@@ -191,6 +195,11 @@
         }
     }
 
+    /// Returns the addresses to which a connection is idle.
+    pub(crate) fn connected(&self) -> BTreeSet<SocketAddr> {
+        lock(&self.idle).keys().copied().collect()
+    }
+
     /// Closes the connections that have been idle for too long.
     pub(crate) fn expire(&self) {
         let now_ms = now_ms();
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 //! platform's protocol and run in the test's process.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs::{self, File},
     net::SocketAddr,
     path::PathBuf,
@@ -225,6 +225,30 @@
         results
     }
 
+    /// Fails unless every sample stands once, whole and scored by its own call.
+    pub fn check_whole(&self, batch: &str, results: &[Value], samples: usize, events: u64) {
+        let ids: BTreeSet<&str> = results.iter().filter_map(|r| r["id"].as_str()).collect();
+        assert_eq!(ids.len(), samples, "each sample stands once");
+        for result in results {
+            let id = result["id"].as_str().expect("an id");
+            assert!(id.starts_with(batch));
+            assert_eq!(result["state"], "done", "{id}");
+            let data: Vec<String> = (1..=events).map(|n| format!("{id} event {n}")).collect();
+            assert_eq!(result["text"], data.join("\n"));
+            assert_eq!(result["versions"], json!([1]));
+            let call = id.replace("-s", "-score");
+            let stamps = self.plain.iter();
+            let mut stamps = stamps.map(|sampler| format!("stamp-{}-{call}", sampler.id));
+            let score = result["score"].as_str().expect("a score");
+            assert!(stamps.any(|stamp| stamp == score), "{score}");
+        }
+    }
+
+    /// Returns the ids of all runs of samples so far.
+    pub fn sample_runs(&self) -> Vec<String> {
+        self.models.iter().flat_map(Sampler::runs).collect()
+    }
+
     /// Sends a signal to a VM's process.
     pub fn signal(&self, number: usize, signal: Signal) {
         let id = i32::try_from(self.vms[number].child.id()).expect("an id");
--- a/tests/loads/bursts_at_many_samplers.rs
+++ b/tests/loads/bursts_at_many_samplers.rs
@@ -21,6 +21,8 @@
         avoid,
         weights: None,
         max_occupancy: 1.0,
+        connected: const { &BTreeSet::new() },
+        slice: None,
     }
 }
 
--- /dev/null
+++ b/tests/loads/callers_of_a_data_centre.rs
@@ -0,0 +1,97 @@
+//! Few callers in four data centres ask seventeen small VMs in each of them
+//! which to use.
+
+use std::collections::BTreeSet;
+
+use chicoryreach::core::{
+    Name,
+    roster::{VmRow, shown_to},
+};
+use rstest::rstest;
+
+const DATA_CENTRES: [&str; 4] = ["krk-north", "krk-south", "tarnow", "katowice"];
+
+fn vms(each: u16) -> Vec<(Name, VmRow)> {
+    let places = (0..).zip(DATA_CENTRES);
+    let all = places.flat_map(|(place, data_centre): (u16, _)| {
+        (0..each).map(move |number| {
+            let port = 8_000 + place * 100 + number;
+            let row = VmRow {
+                incarnation: 1,
+                data_centre: data_centre.into(),
+                caller_address: ([127, 0, 0, 1], port).into(),
+                peer_address: ([127, 0, 0, 2], port).into(),
+                cpu_share: if number % 3 == 0 { 0.5 } else { 0.12 },
+            };
+            (format!("vm-{data_centre}-{number}").into(), row)
+        })
+    });
+    all.collect()
+}
+
+#[rstest]
+fn they_meet_at_a_few_vms_most_of_them_near(#[values(0, 1, 2, 3)] place: usize) {
+    let near = DATA_CENTRES[place];
+    let vms = vms(17);
+    let shown: BTreeSet<_> = shown_to(&vms, Some(near)).into_iter().collect();
+    let is_near = |(_, row): &&(Name, VmRow)| &*row.data_centre == near;
+    let near_shown = vms.iter().filter(is_near);
+    let near_shown = near_shown.filter(|(_, row)| shown.contains(&row.caller_address));
+    assert!(shown.len() <= 10, "{} VMs", shown.len());
+    assert!(near_shown.count() * 4 >= shown.len() * 3);
+}
+
+#[test]
+fn every_data_centre_lost_leaves_the_others_callers_theirs() {
+    let all = vms(17);
+    for lost in DATA_CENTRES {
+        let gone = |(_, row): &&(Name, VmRow)| &*row.data_centre == lost;
+        let gone: Vec<_> = all
+            .iter()
+            .filter(gone)
+            .map(|(_, r)| r.caller_address)
+            .collect();
+        for near in DATA_CENTRES {
+            let shown = shown_to(&all, Some(near));
+            let left = shown.iter().filter(|address| !gone.contains(address));
+            assert!(left.count() >= 2, "{near} without {lost}");
+        }
+    }
+}
+
+#[test]
+fn the_loss_of_one_vm_moves_no_other() {
+    let mut all = vms(17);
+    let before = shown_to(&all, Some("tarnow"));
+    let lost = before[0];
+    all.retain(|(_, row)| row.caller_address != lost);
+    let after = shown_to(&all, Some("tarnow"));
+    let kept = before.iter().filter(|address| after.contains(address));
+    assert_eq!(kept.count(), before.len() - 1);
+    assert_eq!(after.len(), before.len());
+}
+
+#[test]
+fn a_small_deployment_shows_all_of_the_data_centre() {
+    let all = vms(3);
+    let shown = shown_to(&all, Some("tarnow"));
+    let near = all.iter().filter(|(_, row)| &*row.data_centre == "tarnow");
+    assert!(near.clone().count() == 3);
+    for (_, row) in near {
+        assert!(shown.contains(&row.caller_address));
+    }
+    assert_eq!(shown.len(), 8);
+}
+
+#[test]
+fn larger_vms_are_shown_to_more_callers() {
+    let all = vms(17);
+    let shown: Vec<_> = DATA_CENTRES
+        .iter()
+        .flat_map(|near| shown_to(&all, Some(near)))
+        .collect();
+    let large = all.iter().filter(|(_, row)| row.cpu_share > 0.4);
+    let large_shown = large.filter(|(_, row)| shown.contains(&row.caller_address));
+    // A third of the VMs is large; by their share of a core two thirds are due.
+    assert!(large_shown.count() * 2 >= shown.len());
+}
--- a/tests/loads/new_weights_every_step.rs
+++ b/tests/loads/new_weights_every_step.rs
@@ -49,6 +49,7 @@
                 let entry = Named {
                     version,
                     allowed_lag: 1,
+                    step_tokens: 0,
                 };
                 named.insert(model.clone(), entry);
             }
--- /dev/null
+++ b/tests/loads/refusals_while_weights_load.rs
@@ -0,0 +1,90 @@
+//! A share starts while the sampler that looks emptiest to its VM refuses all.
+
+use std::collections::BTreeSet;
+
+use chicoryreach::core::{
+    batch::patience,
+    pool::{LoadReport, Pool, Wanted},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::support::{SERVICE, name, pool};
+
+const SLOTS: u32 = 8;
+const SAMPLES: u64 = 48;
+
+fn choose(pool: &Pool, now_ms: u64, max_occupancy: f64) -> Option<chicoryreach::core::Name> {
+    let wanted = Wanted {
+        service: SERVICE,
+        data_centre: "dc-0",
+        avoid: &BTreeSet::new(),
+        weights: None,
+        max_occupancy,
+        connected: &BTreeSet::new(),
+        slice: None,
+    };
+    pool.choose(now_ms, &wanted, &mut SmallRng::seed_from_u64(now_ms))
+}
+
+/// Fills all samplers but one, which refuses and reports nothing running.
+fn one_refuses(pool: &mut Pool) -> u64 {
+    for number in 1..4 {
+        pool.get_mut(&name(number)).expect("listed").load.in_flight = SLOTS;
+    }
+    let mut refusals = 0;
+    for now_ms in 0..SAMPLES {
+        let Some(chosen) = choose(pool, now_ms, 1.0) else {
+            continue;
+        };
+        refusals += 1;
+        let endpoint = pool.get_mut(&chosen).expect("it was chosen");
+        let report = LoadReport {
+            running: 0,
+            waiting: 0,
+            slots: SLOTS,
+        };
+        endpoint.load.on_report(now_ms, report);
+        endpoint.on_refusal(now_ms);
+    }
+    refusals
+}
+
+#[test]
+fn one_refusal_holds_the_other_samples_back() {
+    let mut pool = pool(4, SLOTS, &[]);
+    assert_eq!(one_refuses(&mut pool), 1);
+}
+
+#[test]
+fn a_tenth_of_a_second_later_it_is_tried_again() {
+    let mut pool = pool(4, SLOTS, &[]);
+    one_refuses(&mut pool);
+    assert_eq!(choose(&pool, 99, 1.0), None);
+    assert_eq!(choose(&pool, 101, 1.0), Some(name(0)));
+}
+
+#[test]
+fn callers_may_still_queue_there() {
+    let mut pool = pool(1, SLOTS, &[]);
+    let endpoint = pool.get_mut(&name(0)).expect("listed");
+    endpoint.on_refusal(0);
+    assert_eq!(choose(&pool, 1, 4.0), Some(name(0)));
+}
+
+#[test]
+fn a_sampler_at_which_a_run_waits_is_chosen_last() {
+    let mut pool = pool(4, SLOTS, &[]);
+    for number in 0..3 {
+        pool.get_mut(&name(number)).expect("listed").on_stalled(0);
+    }
+    for now_ms in 0..50 {
+        assert_eq!(choose(&pool, now_ms, 1.0), Some(name(3)));
+    }
+}
+
+#[test]
+fn short_samples_wait_out_a_load_that_long_ones_leave() {
+    // The silence that counts is 250 ms at least, and a load takes 930 ms.
+    assert!(250 * patience(100, 1_000) >= 930);
+    assert!(250 * patience(1_000, 1_000) < 930 / 2);
+}
--- a/tests/loads/slow_samplers_in_a_step.rs
+++ b/tests/loads/slow_samplers_in_a_step.rs
@@ -35,6 +35,8 @@
         avoid,
         weights: None,
         max_occupancy,
+        connected: const { &BTreeSet::new() },
+        slice: None,
     }
 }
 
