Explain a request from the logs of many VMs; check the settings of serve

chicoryreach explain ID FILE… prints, in order of time, the lines that name an id, those of its batch, and what the same VMs logged of the endpoints that they used meanwhile; silences of a second and more are marked. check --vm says every fault of the settings of serve at once, as check does for daemon.

Tests: tests/cli.rs, one each, over real files.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -41,10 +41,22 @@
     /// Checks a settings file and says every fault.
     #[bpaf(command)]
     Check {
+        /// Checks the settings of `serve` instead of those of `daemon`.
+        vm: bool,
         /// The settings, as JSON.
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Prints what log files say of a request, a sample, a batch or an endpoint.
+    #[bpaf(command)]
+    Explain {
+        /// Its id.
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Logs of any number of VMs, as JSON lines.
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
     /// Reads and changes the numbered configuration.
     #[bpaf(command)]
     Config {
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,44 @@
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader, Write},
+    path::PathBuf,
+};
+
+use crate::core::explain::{LogLine, story};
+
+/// Prints what the log files say of an id.
+pub(crate) fn explain(id: &str, files: &[PathBuf]) -> Result<(), String> {
+    let mut lines = Vec::new();
+    let mut unreadable = 0;
+    for path in files {
+        let failed = |error: io::Error| format!("{}: {error}", path.display());
+        let source = path.file_stem().unwrap_or_default().to_string_lossy();
+        let file = BufReader::new(File::open(path).map_err(failed)?);
+        for text in file.split(b'\n') {
+            let text = text.map_err(failed)?;
+            match LogLine::read(&String::from_utf8_lossy(&text), &source) {
+                Some(line) => lines.push(line),
+                None => unreadable += 1,
+            }
+        }
+    }
+    let story = story(lines, id);
+    if story.entries.is_empty() {
+        return Err(format!(
+            "no line names {id}; {unreadable} lines are not log lines"
+        ));
+    }
+    let mut output = io::stdout().lock();
+    let result = story
+        .entries
+        .iter()
+        .try_for_each(|entry| writeln!(output, "{entry}"));
+    result.map_err(|error| error.to_string())?;
+    let vms: std::collections::BTreeSet<_> = story.entries.iter().map(|e| &e.line.vm).collect();
+    eprintln!(
+        "{} lines of {} VMs; {unreadable} lines are not log lines",
+        story.entries.len(),
+        vms.len()
+    );
+    Ok(())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod args;
+mod explain;
 mod operate;
 mod start;
 
--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -4,11 +4,12 @@
 
 use super::{
     args::{Command, LogFormat, command},
+    explain::explain,
     operate,
 };
 use crate::{
     daemon, server,
-    settings::{Settings, check, check_vm},
+    settings::{Fault, check, check_vm},
 };
 
 const EXIT_INVALID: u8 = 2;
@@ -29,12 +30,26 @@
             settings,
             log_level,
         } => serve(&settings, &log_level),
-        Command::Check { file } => match read_settings(&file) {
-            Ok(_) => {
-                println!("{}: valid", file.display());
-                ExitCode::SUCCESS
+        Command::Check { vm, file } => {
+            let result = if vm {
+                read_checked(&file, check_vm).map(|_| ())
+            } else {
+                read_checked(&file, check).map(|_| ())
+            };
+            match result {
+                Ok(()) => {
+                    println!("{}: valid", file.display());
+                    ExitCode::SUCCESS
+                }
+                Err(code) => code,
+            }
+        }
+        Command::Explain { id, files } => match explain(&id, &files) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(message) => {
+                eprintln!("{message}");
+                ExitCode::FAILURE
             }
-            Err(code) => code,
         },
         Command::Config { command } => with_runtime(operate::config(command)),
         Command::Status { daemon, json } => with_runtime(operate::status(daemon, json)),
@@ -42,7 +57,10 @@
     }
 }
 
-fn read_settings(path: &Path) -> Result<Settings, ExitCode> {
+fn read_checked<T, C>(path: &Path, check: C) -> Result<T, ExitCode>
+where
+    C: Fn(&str) -> Result<T, Vec<Fault>>,
+{
     let text = fs::read_to_string(path).map_err(|error| {
         eprintln!("{}: {error}", path.display());
         ExitCode::from(EXIT_INVALID)
@@ -56,7 +74,7 @@
 }
 
 fn start_daemon(path: &Path, format: LogFormat, level: &str) -> ExitCode {
-    let settings = match read_settings(path) {
+    let settings = match read_checked(path, check) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
@@ -85,16 +103,17 @@
 const LOG_LINES: usize = 4_096;
 
 fn serve(path: &Path, level: &str) -> ExitCode {
+    let settings = match read_checked(path, check_vm) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
     let read = || {
         let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
-        check_vm(&text).map_err(|fault| fault.to_string())
-    };
-    let settings = match read() {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{}: {error}", path.display());
-            return ExitCode::from(EXIT_INVALID);
-        }
+        let joined = |faults: Vec<Fault>| {
+            let faults: Vec<String> = faults.iter().map(Fault::to_string).collect();
+            faults.join("; ")
+        };
+        check_vm(&text).map_err(joined)
     };
     let filter = match EnvFilter::builder().parse(level) {
         Ok(filter) => filter,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod detour;
 mod digest;
 pub mod endpoint;
+pub mod explain;
 pub mod guard;
 pub mod lease;
 pub mod membership;
--- a/src/core/pool/choose.rs
+++ b/src/core/pool/choose.rs
@@ -14,7 +14,7 @@
 const STALLED_COST: f64 = 1.0;
 /// What a new connection costs, in shares of an endpoint's slots: a round trip,
 /// and a slot for a moment.
-const CONNECT_COST: f64 = 0.7;
+const CONNECT_COST: f64 = 0.3;
 /// What an endpoint of another slice costs, in shares of its slots: those whose
 /// slice it is fill it too, and their requests are not known here.
 const FOREIGN_COST: f64 = 0.5;
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -43,31 +43,38 @@
 ///
 /// # Errors
 ///
-/// What is wrong, with its path.
+/// Everything that is wrong, each with its path; where the text does not have
+/// the documented types, the first place where it differs.
 ///
 /// # Examples
 ///
 /// ```
 /// use chicoryreach::settings::check_vm;
 ///
-/// let fault = check_vm(r#"{"vm": 3}"#).unwrap_err();
-/// assert_eq!(fault.path, "vm");
+/// let faults = check_vm(r#"{"vm": 3}"#).unwrap_err();
+/// assert_eq!(faults[0].path, "vm");
 /// ```
-pub fn check_vm(text: &str) -> Result<VmSettings, super::Fault> {
+pub fn check_vm(text: &str) -> Result<VmSettings, Vec<super::Fault>> {
     let mut reader = serde_json::Deserializer::from_str(text);
-    let settings: VmSettings =
-        serde_path_to_error::deserialize(&mut reader).map_err(|error| super::Fault {
+    let settings: VmSettings = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        vec![super::Fault {
             path: error.path().to_string(),
             found: error.inner().to_string(),
             allowed: "a value of the documented type".to_owned(),
-        })?;
-    let fault = |path: &str, found: &str, allowed: &str| super::Fault {
-        path: path.to_owned(),
-        found: found.to_owned(),
-        allowed: allowed.to_owned(),
+        }]
+    })?;
+    let mut faults = Vec::new();
+    let mut fault = |path: &str, found: &str, allowed: &str| {
+        faults.push(super::Fault {
+            path: path.to_owned(),
+            found: found.to_owned(),
+            allowed: allowed.to_owned(),
+        });
     };
-    if settings.vm.is_empty() {
-        return Err(fault("vm", "\"\"", "a name"));
+    for (path, name) in [("vm", &settings.vm), ("data_centre", &settings.data_centre)] {
+        if name.is_empty() {
+            fault(path, "\"\"", "a name");
+        }
     }
     let positive = [
         ("cpu_share", settings.cpu_share),
@@ -75,11 +82,21 @@
     ];
     for (path, value) in positive {
         if value.is_nan() || value <= 0.0 {
-            return Err(fault(path, &value.to_string(), "a number above 0"));
+            fault(path, &value.to_string(), "a number above 0");
+        }
+    }
+    let above_zero = [
+        ("keep_addresses_s", settings.keep_addresses_s),
+        ("keep_batches_ms", settings.keep_batches_ms),
+    ];
+    for (path, value) in above_zero {
+        if value == 0 {
+            fault(path, "0", "a whole number above 0");
         }
     }
-    if settings.keep_addresses_s == 0 {
-        return Err(fault("keep_addresses_s", "0", "a whole number above 0"));
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(faults)
     }
-    Ok(settings)
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -224,3 +224,76 @@
     watch.kill().expect("the command is killed");
     watch.wait().expect("the command is gone");
 }
+
+const VALID_VM: &str = r#"{"vm": "vm-1", "data_centre": "nave-a", "caller_address": "127.0.0.1:0",
+    "readiness_address": "127.0.0.1:0", "directory_address": "127.0.0.1:0",
+    "peer_address": "127.0.0.1:0", "seed_addresses": [], "metrics_address": "127.0.0.1:0",
+    "store_address": "127.0.0.1:1", "cpu_share": 0.5, "keep_addresses_s": 2,
+    "keep_batches_ms": 120000, "stop_grace_s": 4.0, "order_gap_ms": 500}"#;
+
+#[test]
+fn check_says_every_fault_of_a_vms_settings() {
+    let file = Scratch::new(VALID_VM);
+    let output = run(&["check", "--vm", file.path()]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let faulty = VALID_VM
+        .replace("\"vm-1\"", "\"\"")
+        .replace("0.5", "0")
+        .replace("120000", "0");
+    let file = Scratch::new(&faulty);
+    let output = run(&["check", "--vm", file.path()]);
+    let said = text(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    for path in ["vm", "cpu_share", "keep_batches_ms"] {
+        assert!(said.contains(&format!(": {path}: found ")), "{said}");
+    }
+    assert_eq!(said.lines().count(), 3, "{said}");
+}
+
+#[test]
+fn explain_puts_the_lines_of_many_vms_in_order_and_marks_gaps() {
+    let first = Scratch::new(
+        r#"no log line
+{"timestamp":"2026-03-10T06:48:27.250Z","level":"INFO","message":"share claimed","batch":"b1","share":0}
+{"timestamp":"2026-03-10T06:48:27.500Z","level":"INFO","message":"run ended early","batch":"b1","sample":"s7","endpoint":"i-1","reason":"answer_cut"}
+{"timestamp":"2026-03-10T06:48:27.600Z","level":"INFO","message":"endpoint gone","endpoint":"i-1"}
+{"timestamp":"2026-03-10T06:48:27.700Z","level":"INFO","message":"sample finished","batch":"b1","sample":"s8"}
+"#,
+    );
+    let second = Scratch::new(
+        r#"{"timestamp":"2026-03-10T06:48:30.100Z","level":"INFO","message":"sample finished","batch":"b1","sample":"s7","runs":2}
+{"timestamp":"2026-03-10T06:48:27.000Z","level":"INFO","message":"batch accepted","batch":"b1"}
+{"timestamp":"2026-03-10T06:48:27.650Z","level":"INFO","message":"endpoint gone","endpoint":"i-1"}
+"#,
+    );
+    let output = run(&["explain", "s7", first.path(), second.path()]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let said = text(&output.stdout);
+    let order = [
+        "0.000 s",
+        "batch accepted",
+        "0.250 s",
+        "share claimed",
+        "0.500 s",
+        "run ended early",
+        "reason=answer_cut",
+        "0.600 s",
+        "endpoint gone",
+        "nothing for 2.500 s",
+        "3.100 s",
+        "sample finished",
+        "runs=2",
+    ];
+    let mut rest = &*said;
+    for part in order {
+        let at = rest
+            .find(part)
+            .unwrap_or_else(|| panic!("no {part:?} in {rest:?}"));
+        rest = &rest[at + part.len()..];
+    }
+    assert!(!said.contains("s8"), "{said}");
+    assert_eq!(said.matches("endpoint gone").count(), 1, "{said}");
+    assert!(text(&output.stderr).contains("2 VMs; 1 lines are not log lines"));
+    let unknown = run(&["explain", "s9", first.path()]);
+    assert_eq!(unknown.status.code(), Some(1));
+}
