Start shares sooner; a soak of seeded faults on real processes

Each share read its listing and the texts of two earlier batches, several hundred kilobytes, though a share that nobody had before has no listing and groups seldom come again. Now the head names the groups, and only batches that had them are read.

The soak runs four serve processes behind loopback proxies with a trainer and callers that check all they get.

--- a/src/core/batch/spec.rs
+++ b/src/core/batch/spec.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
@@ -68,6 +70,8 @@
     pub sample_count: usize,
     /// About how many tokens they generate, by the trainer's estimates.
     pub tokens: u64,
+    /// Its groups: some may have come in an earlier batch already.
+    pub groups: BTreeSet<Name>,
     /// Into how many shares its groups are divided.
     pub share_count: u32,
     /// The host that the trainer named.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,12 @@
 //!
 //! The crate has two halves. [`core`], [`error`], [`settings`] and [`wire`]
 //! decide and describe: they do no I/O, and time comes in as an argument.
-//! [`daemon`] and [`cli`] do: sockets, files and timers.
+//! [`server`], [`daemon`] and [`cli`] do: sockets, files and timers.
+//!
+//! [`server`] runs one VM on the users' platform, whose calls and names only the
+//! folder `platform` knows. [`daemon`] serves the product's own interface with
+//! a state of its own. Both decide with [`core`]; read [`core::batch`],
+//! [`core::pool`] and [`core::weights`] first.
 //!
 //! # Embedding a part
 //!
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -74,6 +74,11 @@
         accepted_platform_ms: platform_ms,
         sample_count: spec.samples.len(),
         tokens: spec.samples.iter().map(|sample| sample.length_hint).sum(),
+        groups: spec
+            .samples
+            .iter()
+            .map(|sample| sample.group.clone())
+            .collect(),
         share_count: share_count(spec.samples.len()),
         host: spec.host.clone(),
         path: spec.path.clone(),
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -300,7 +300,9 @@
     if batch.is_ended {
         return;
     }
-    let task = tokio::spawn(share::run(server.clone(), claim.batch.clone(), claim.share));
+    let is_first = claim.row_version == 0;
+    let task = share::run(server.clone(), claim.batch.clone(), claim.share, is_first);
+    let task = tokio::spawn(task);
     batch.running.insert(claim.share, task.abort_handle());
 }
 
--- a/src/server/progress.rs
+++ b/src/server/progress.rs
@@ -17,7 +17,7 @@
 use crate::{
     core::{
         Name,
-        batch::{ListedState, SampleText, SavedText},
+        batch::{ListedState, SampleSpec, SampleText, SavedText},
     },
     platform::{StoreError, Tx},
 };
@@ -105,32 +105,40 @@
 }
 
 /// Reads the texts that are kept of these samples.
+///
+/// The longest samples wait for it: only batches that had their groups are read.
 pub(crate) async fn read(
     server: &Server,
     batch: &Name,
-    samples: &BTreeSet<Name>,
+    samples: &[SampleSpec],
+    is_first: bool,
 ) -> BTreeMap<Name, SavedText> {
+    let groups = samples.iter().map(|sample| sample.group.clone()).collect();
+    let names = samples.iter().map(|sample| sample.id.clone()).collect();
     let mut texts = BTreeMap::new();
-    for earlier in earlier_batches(server, batch) {
-        match read_finished(server, &earlier, samples).await {
+    for earlier in earlier_batches(server, batch, &groups) {
+        match read_finished(server, &earlier, &names).await {
             Ok(finished) => texts.extend(finished),
             Err(error) => tracing::info!(%batch, %earlier, %error, "earlier texts not read"),
         }
-        note_partial(server, &earlier, samples, &mut texts).await;
+        note_partial(server, &earlier, &names, &mut texts).await;
+    }
+    if !is_first {
+        note_partial(server, batch, &names, &mut texts).await;
     }
-    note_partial(server, batch, samples, &mut texts).await;
     texts
 }
 
-/// Returns the batches of the same trainer before this one, oldest first.
-fn earlier_batches(server: &Server, batch: &Name) -> Vec<Name> {
+/// Returns the batches of the same trainer before this one that had some of
+/// these groups, oldest first.
+fn earlier_batches(server: &Server, batch: &Name, groups: &BTreeSet<Name>) -> Vec<Name> {
     let routes = server.routes();
     let batches = lock(&server.batches);
     let Some(head) = batches.get(batch).and_then(|known| known.head.as_ref()) else {
         return Vec::new();
     };
     let route = routes.find(&head.host, &head.path).map(|route| &route.name);
-    let mut earlier: Vec<(u64, Name)> = batches
+    let mut earlier: Vec<(u64, &Name, &BTreeSet<Name>)> = batches
         .known
         .iter()
         .filter_map(|(id, known)| Some((id, known.head.as_ref()?)))
@@ -141,14 +149,15 @@
                 .map(|route| &route.name)
                 == route
         })
-        .map(|(id, other)| (other.accepted_platform_ms, id.clone()))
+        .map(|(id, other)| (other.accepted_platform_ms, id, &other.groups))
         .collect();
     earlier.sort();
     let skipped = earlier.len().saturating_sub(EARLIER_BATCHES);
     earlier
         .into_iter()
         .skip(skipped)
-        .map(|(_, id)| id)
+        .filter(|(_, _, had)| !had.is_disjoint(groups))
+        .map(|(_, id, _)| id.clone())
         .collect()
 }
 
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -21,8 +21,10 @@
 const AFTER_FAILURE_MS: u64 = 150;
 
 /// Runs every sample of a share that is not listed yet.
-pub(crate) async fn run(server: Arc<Server>, batch: Name, share: u32) {
-    let Some((spec, listed, limit_platform_ms)) = prepare(&server, &batch).await else {
+///
+/// Of a share that nobody had before nothing is listed or kept.
+pub(crate) async fn run(server: Arc<Server>, batch: Name, share: u32, is_first: bool) {
+    let Some((spec, listed, limit_platform_ms)) = prepare(&server, &batch, is_first).await else {
         return;
     };
     let head = lock(&server.batches)
@@ -36,8 +38,7 @@
         .into_iter()
         .filter(|sample| !listed.contains_key(&sample.id))
         .collect();
-    let names = missing.iter().map(|sample| sample.id.clone()).collect();
-    let mut kept = progress::read(&server, &batch, &names).await;
+    let mut kept = progress::read(&server, &batch, &missing, is_first).await;
     tracing::info!(%batch, share, kept = kept.len(), samples = missing.len(), listed = listed.len(), "share starts");
     let (finished, to_list) = mpsc::unbounded_channel();
     // Dropped with this task, by which everything that it started ends.
@@ -83,13 +84,17 @@
 async fn prepare(
     server: &Server,
     batch: &Name,
+    is_first: bool,
 ) -> Option<(Arc<BatchSpec>, BTreeMap<Name, usize>, u64)> {
     loop {
         let head = lock(&server.batches).get(batch)?.head.clone()?;
-        match (
-            read_batch::spec(server, batch).await,
-            listing::read_names(server, batch).await,
-        ) {
+        let names = async {
+            if is_first {
+                return Ok(BTreeMap::new());
+            }
+            listing::read_names(server, batch).await
+        };
+        match (read_batch::spec(server, batch).await, names.await) {
             (Ok(spec), Ok(listed)) => {
                 let routes = server.routes();
                 let limit_ms = routes
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -41,6 +41,10 @@
     pub models: Vec<Sampler>,
     pub plain: Vec<Sampler>,
     pub vms: Vec<Vm>,
+    /// Where each VM reaches the store.
+    pub store_addresses: Vec<SocketAddr>,
+    /// How many processes were started.
+    starts: usize,
     http: HttpClient,
     dir: PathBuf,
 }
@@ -62,6 +66,13 @@
 impl Fleet {
     /// Starts a store, samplers and VMs, and waits until all VMs are ready.
     pub async fn start(vms: usize, samplers: SamplerSettings) -> Self {
+        let mut fleet = Self::prepare(vms, samplers).await;
+        fleet.start_vms(vms).await;
+        fleet
+    }
+
+    /// Starts a store and samplers, and no VM yet.
+    pub async fn prepare(vms: usize, samplers: SamplerSettings) -> Self {
         let store = StoreServer::try_start(vms).await.expect("the store starts");
         store.with_store(|store| store.put("op", "config", STANDARD.encode(config(1).to_string())));
         let mut models = Vec::new();
@@ -81,25 +92,36 @@
         );
         let dir = std::env::temp_dir().join(dir);
         fs::create_dir_all(&dir).expect("the folder is made");
-        let mut fleet = Self {
+        Self {
+            store_addresses: store.addresses.clone(),
             store,
             models,
             plain,
             vms: Vec::new(),
+            starts: 0,
             http: HttpClient::new(),
             dir,
-        };
+        }
+    }
+
+    /// Starts VMs, and waits until all are ready.
+    pub async fn start_vms(&mut self, vms: usize) {
         for number in 0..vms {
-            let vm = fleet.spawn(number).await;
-            fleet.vms.push(vm);
+            let vm = self.spawn(number).await;
+            self.vms.push(vm);
         }
         for number in 0..vms {
-            fleet.wait_until_ready(number).await;
+            self.wait_until_ready(number).await;
         }
-        fleet
     }
 
-    async fn spawn(&self, number: usize) -> Vm {
+    /// Starts a VM again whose process has ended.
+    pub async fn restart(&mut self, number: usize) {
+        self.vms[number] = self.spawn(number).await;
+    }
+
+    async fn spawn(&mut self, number: usize) -> Vm {
+        self.starts += 1;
         let name = format!("vm-{number}");
         let any = "127.0.0.1:0";
         let seeds: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.addresses["peers"]).collect();
@@ -107,13 +129,13 @@
             "vm": name, "data_centre": "dc-1", "caller_address": any,
             "readiness_address": any, "directory_address": any, "peer_address": any,
             "seed_addresses": seeds, "metrics_address": any,
-            "store_address": self.store.addresses[number], "cpu_share": 0.5,
+            "store_address": self.store_addresses[number], "cpu_share": 0.5,
             "keep_addresses_s": 2, "keep_batches_ms": 120_000, "stop_grace_s": 4.0,
             "order_gap_ms": 500,
         });
         let file = self.dir.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("the settings are written");
-        let log = self.dir.join(format!("{name}-{}.log", self.vms.len()));
+        let log = self.dir.join(format!("{name}-{}.log", self.starts));
         let output = File::create(&log).expect("the log is made");
         let child = Command::new(env!("CARGO_BIN_EXE_chicoryreach"))
             .args(["serve", "--settings"])
@@ -160,22 +182,7 @@
         id: &str,
         body: Bytes,
     ) -> Option<Answer> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"))
-            .header("host", HOST)
-            .header("x-request-id", id)
-            .header("x-deadline-ms", "5000")
-            .body(Full::new(body))
-            .expect("the request is valid");
-        match self.http.exchange(address, request, CALL_MS).await {
-            Ok(body) => Some(Answer { status: 200, body }),
-            Err(HttpError::Status(status, body)) => Some(Answer {
-                status: status.as_u16(),
-                body,
-            }),
-            Err(_) => None,
-        }
+        call(&self.http, method, address, path, id, body).await
     }
 
     /// Sends a request without a body.
@@ -251,9 +258,14 @@
 
     /// Sends a signal to a VM's process.
     pub fn signal(&self, number: usize, signal: Signal) {
+        assert!(self.try_signal(number, signal), "the process has ended");
+    }
+
+    /// Sends a signal to a VM's process, unless it has ended.
+    pub fn try_signal(&self, number: usize, signal: Signal) -> bool {
         let id = i32::try_from(self.vms[number].child.id()).expect("an id");
         let pid = Pid::from_raw(id).expect("a process");
-        kill_process(pid, signal).expect("the process exists");
+        kill_process(pid, signal).is_ok()
     }
 
     /// Returns whether a VM's process still runs.
@@ -298,6 +310,33 @@
     }
 }
 
+/// Sends a request; none where the answer was not whole.
+pub async fn call(
+    http: &HttpClient,
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    body: Bytes,
+) -> Option<Answer> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("host", HOST)
+        .header("x-request-id", id)
+        .header("x-deadline-ms", "5000")
+        .body(Full::new(body))
+        .expect("the request is valid");
+    match http.exchange(address, request, CALL_MS).await {
+        Ok(body) => Some(Answer { status: 200, body }),
+        Err(HttpError::Status(status, body)) => Some(Answer {
+            status: status.as_u16(),
+            body,
+        }),
+        Err(_) => None,
+    }
+}
+
 /// Returns a configuration with a plain route and one for batches.
 pub fn config(version: u64) -> Value {
     json!({
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -5,5 +5,6 @@
 
 mod process_serve {
     mod answers;
+    mod soak;
     mod vms;
 }
