--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -43,6 +43,8 @@
     pub vms: Vec<Vm>,
     /// Where each VM reaches the store.
     pub store_addresses: Vec<SocketAddr>,
+    /// The logs outlive the value.
+    pub keeps_logs: bool,
     /// How many processes were started.
     starts: usize,
     http: HttpClient,
@@ -98,6 +100,7 @@
             models,
             plain,
             vms: Vec::new(),
+            keeps_logs: false,
             starts: 0,
             http: HttpClient::new(),
             dir,
@@ -306,7 +309,11 @@
             let _ = vm.child.kill();
             let _ = vm.child.wait();
         }
-        let _ = fs::remove_dir_all(&self.dir);
+        if self.keeps_logs {
+            println!("logs: {}", self.dir.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
--- a/tests/process_serve/soak/runs.rs
+++ b/tests/process_serve/soak/runs.rs
@@ -107,8 +107,10 @@
     }
     let healed = Instant::now();
     world.hand_in("last", 0).await;
+    let accepted_ms = healed.elapsed().as_millis();
     let last = world.read_all("last", 1, false).await;
     check_batch(&world, "last", &last);
+    let whole_ms = healed.elapsed().as_millis();
     let mut steady = 0;
     let mut number = 1_000_000;
     while steady < STEADY_CALLS && healed.elapsed() < 2 * RECOVERED {
@@ -121,7 +123,10 @@
     }
     let recovered = healed.elapsed();
     if recovered > RECOVERED {
-        world.breaks(format!("recovered after {recovered:?}"));
+        world.breaks(format!(
+            "recovered after {recovered:?}: last batch accepted after {accepted_ms} ms, \
+             whole after {whole_ms} ms"
+        ));
     }
     world.is_over.store(true, Ordering::SeqCst);
     trainer.await.expect("the trainer ends");
@@ -136,6 +141,9 @@
     }
     world.check_traces().await;
     let broken = lock(&world.broken).clone();
+    if !broken.is_empty() {
+        world.keep_logs().await;
+    }
     println!(
         "seed {seed}: {} batches, {served} of {sent} calls served, recovered in {} ms, {} broken; {:?}",
         accepted.len(),
--- a/tests/process_serve/soak/world.rs
+++ b/tests/process_serve/soak/world.rs
@@ -225,6 +225,11 @@
         self.is_over.load(Ordering::SeqCst)
     }
 
+    /// Leaves the VMs' logs where they are, and says where.
+    pub async fn keep_logs(&self) {
+        self.fleet.lock().await.keeps_logs = true;
+    }
+
     /// Checks what samplers and logs saw over the whole run.
     pub async fn check_traces(&self) {
         let fleet = self.fleet.lock().await;
