--- a/tests/loads/four_models_on_many_samplers.rs
+++ b/tests/loads/four_models_on_many_samplers.rs
@@ -9,7 +9,7 @@
 };
 use rstest::rstest;
 
-use super::support::pool;
+use super::support::{end_loads, pool};
 
 const ENDPOINTS: usize = 44;
 const LOAD_MS: u64 = 930;
@@ -59,16 +59,7 @@
             let fewest = seen.fewest_usable.entry(model.clone()).or_insert(ENDPOINTS);
             *fewest = able.count().min(*fewest);
         }
-        let done: Vec<Name> = sent
-            .iter()
-            .filter(|(_, order)| order.until_ms <= now_ms)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in done {
-            let order = sent.remove(&id).expect("listed above");
-            let endpoint = pool.get_mut(&id).expect("listed");
-            endpoint.record.weights.insert(order.model, order.version);
-        }
+        end_loads(&mut pool, &mut sent, now_ms);
         for entry in moves(&pool, &named, &sent, now_ms) {
             seen.loads += 1;
             let order = Sent {
--- a/tests/loads/new_weights_every_step.rs
+++ b/tests/loads/new_weights_every_step.rs
@@ -9,7 +9,7 @@
     weights::{Move, Named, Sent, moves},
 };
 
-use super::support::pool;
+use super::support::{end_loads, pool};
 
 const ENDPOINTS: usize = 9;
 const LOAD_MS: u64 = 930;
@@ -60,16 +60,7 @@
                 seen.fewest_usable = seen.fewest_usable.min(able.count());
             }
         }
-        let done: Vec<Name> = sent
-            .iter()
-            .filter(|(_, order)| order.until_ms <= now_ms)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in done {
-            let order = sent.remove(&id).expect("listed above");
-            let endpoint = pool.get_mut(&id).expect("listed");
-            endpoint.record.weights.insert(order.model, order.version);
-        }
+        end_loads(&mut pool, &mut sent, now_ms);
         for entry in decide(&pool, &named, &sent, now_ms) {
             seen.loads += 1;
             let order = Sent {
--- a/tests/loads/support.rs
+++ b/tests/loads/support.rs
@@ -7,6 +7,7 @@
     Name,
     batch::SampleSpec,
     pool::{EndpointRecord, EndpointStage, Pool},
+    weights::Sent,
 };
 use rand::{Rng, rngs::SmallRng};
 
@@ -43,6 +44,18 @@
     pool
 }
 
+/// Lets the loads end that are over by now.
+pub fn end_loads(pool: &mut Pool, sent: &mut BTreeMap<Name, Sent>, now_ms: u64) {
+    sent.retain(|id, order| {
+        let is_over = order.until_ms <= now_ms;
+        if is_over {
+            let weights = &mut pool.get_mut(id).expect("listed").record.weights;
+            weights.insert(order.model.clone(), order.version);
+        }
+        !is_over
+    });
+}
+
 /// Draws the length of a sample: most are short, a tenth is five times longer.
 pub fn events(rng: &mut SmallRng) -> u32 {
     let base = rng.random_range(3..30);
