--- a/src/core/weights/moves.rs
+++ b/src/core/weights/moves.rs
@@ -50,9 +50,9 @@
 
 /// Returns the orders to send now.
 ///
-/// Of a model, only its part of the endpoints is moved. One within the allowed lag serves, and stays as it is where enough
-/// others have the newest version: each endpoint then loads every second
-/// version only, and never all of them at once.
+/// Of a model, only its part of the endpoints is moved. One within the allowed
+/// lag serves, and stays as it is where enough others have the newest version:
+/// each endpoint then loads every second version only, and never all at once.
 ///
 /// # Examples
 ///
