--- a/tests/process_serve/answers.rs
+++ b/tests/process_serve/answers.rs
@@ -79,31 +79,55 @@
     assert_eq!(runs.len(), 7 + 3);
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_ended_batch_stops_what_runs_for_it_at_every_vm() {
+/// Ends a batch of long samples at a VM while two shares of it run.
+async fn end_while_running() -> Fleet {
     let long = SamplerSettings {
         events: 2_000,
         ..SAMPLERS
     };
     let fleet = Fleet::start(3, long).await;
     fleet.hand_in(0, "b1", 60, 1).await;
-    let active = || fleet.models.iter().map(Sampler::active).sum::<u32>();
     let deadline = Instant::now() + PATIENCE;
-    while active() < 20 {
-        assert!(Instant::now() < deadline, "{} run", active());
+    while active(&fleet) < 20 {
+        assert!(Instant::now() < deadline, "{} run", active(&fleet));
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let reader = fleet.vms[2].addresses["callers"];
     let end = fleet.call(Method::DELETE, reader, "/v1/lots/b1", "x", Bytes::new());
     assert_eq!(end.await.expect("an answer").status, 200);
-    // Until then a VM that has not heard of the end may fill the places that
-    // another has just given up.
-    tokio::time::sleep(CANCEL).await;
-    assert_eq!(active(), 0, "some still run");
+    fleet
+}
+
+fn active(fleet: &Fleet) -> u32 {
+    fleet.models.iter().map(Sampler::active).sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_ended_batch_stops_what_runs_for_it_at_every_vm() {
+    let fleet = end_while_running().await;
+    let ended = Instant::now();
+    while active(&fleet) > 0 {
+        assert!(ended.elapsed() < CANCEL, "{} still run", active(&fleet));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     let runs = fleet.sample_runs().len();
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(fleet.sample_runs().len(), runs, "runs began after the end");
-    assert_eq!(active(), 0, "some run again");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_runs_for_an_ended_batch_from_the_bound_on() {
+    let fleet = end_while_running().await;
+    tokio::time::sleep(CANCEL).await;
+    assert_eq!(active(&fleet), 0, "some still run");
+    let runs = fleet.sample_runs().len();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(
+        fleet.sample_runs().len(),
+        runs,
+        "runs began after the bound"
+    );
+    assert_eq!(active(&fleet), 0, "some run again");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
