Log the content of runs that break off, and whether their endpoint ended

What callers saw: nothing that told repeats of one request apart from others. Cause: a failed attempt was logged with its request id only, and that is new each time the request comes; nothing said whether the endpoint had ended.

Now each line of a failed run carries a fingerprint of host, path and body, and a run whose response breaks off is followed by one connection to the endpoint: it accepts, refuses or is silent. The connection is kept for the next request. Counted in broken_runs_total{endpoint}. No decision depends on it yet.

--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Response, StatusCode, body::Frame, header};
 
 use super::{
+    crash,
     front::CallerRequest,
     http_client::{ExchangeError, Reply, WholeReply},
     response::{Body, full_body},
@@ -17,6 +18,7 @@
     core::{
         Name,
         pool::EndpointRequirements,
+        quarantine::content_fingerprint,
         retry::RetryReason,
         routes::{Route, RouteKind},
     },
@@ -90,6 +92,7 @@
     let wait_ms = patience_ms.min(route.timeout_ms);
     let answer_by_ms = (request.started_ms + wait_ms).saturating_sub(ANSWER_MARGIN_MS);
     let caller_deadline_ms = request.started_ms + patience_ms;
+    let content = content_fingerprint(&request.head.host, &request.head.target, &request.body);
     let draw = rand::Rng::random(&mut *lock(&server.rng));
     let service = route.pick_service(draw).cloned().ok_or_else(|| {
         Refusal::new(
@@ -117,6 +120,7 @@
             route,
             request,
             endpoint,
+            &content,
             caller_deadline_ms,
         ))
     };
@@ -132,7 +136,9 @@
             Some((endpoint, result)) = running.next() => {
                 match result {
                     Ok(response) => return Ok(response),
-                    Err(error) => record_failure(server, request, &endpoint, error, &mut state),
+                    Err(error) => {
+                        record_failure(server, request, &content, &endpoint, error, &mut state);
+                    }
                 }
                 let may_retry = is_idempotent || !state.may_have_run;
                 if may_retry && now_ms() < answer_by_ms
@@ -191,6 +197,7 @@
 fn record_failure(
     server: &Server,
     request: &CallerRequest,
+    content: &Name,
     endpoint: &Name,
     error: AttemptError,
     state: &mut ForwardState,
@@ -207,7 +214,7 @@
     };
     server.metrics.on_retry(reason);
     let age_ms = now_ms() - request.started_ms;
-    tracing::info!(id, %endpoint, %reason, detail = message, ran, age_ms,
+    tracing::info!(id, %content, %endpoint, %reason, detail = message, ran, age_ms,
         sent = state.attempts_started, "attempt failed");
     state.may_have_run |= ran;
     state.message = message;
@@ -230,9 +237,10 @@
     route: &Arc<Route>,
     request: &CallerRequest,
     endpoint: Name,
+    content: &Name,
     caller_deadline_ms: u64,
 ) -> Attempt {
-    let (server, route) = (server.clone(), route.clone());
+    let (server, route, content) = (server.clone(), route.clone(), content.clone());
     let (head, headers, body) = (
         request.head.clone(),
         request.headers.clone(),
@@ -246,6 +254,7 @@
             headers: forwardable_headers(&headers),
             host: &head.host,
             id: &id,
+            content: &content,
             body,
             caller_deadline_ms,
         };
@@ -261,6 +270,7 @@
     headers: hyper::HeaderMap,
     host: &'a str,
     id: &'a Name,
+    content: &'a Name,
     body: Bytes,
     caller_deadline_ms: u64,
 }
@@ -292,9 +302,11 @@
         outgoing.body,
     )
     .map_err(not_sent)?;
-    let in_flight = server.track_request(endpoint);
-    let result = server.http.send(address, request).await;
-    let reply = result.map_err(|error| record_exchange_error(server, endpoint, &error))?;
+    let in_flight = server.track_request(endpoint, outgoing.content);
+    let reply = match server.http.send(address, request).await {
+        Ok(reply) => reply,
+        Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
+    };
     let head = parse_answer_head(outgoing.id, reply.status, &reply.headers);
     record_answer_head(server, endpoint, &head);
     if head.is_not_run {
@@ -314,18 +326,26 @@
     }
     let is_stream = matches!(route.kind, RouteKind::Stream | RouteKind::ResumableStream);
     if is_stream && reply.status.is_success() {
-        return Ok(stream_response(reply, in_flight));
+        return Ok(stream_response(server, outgoing.id, reply, in_flight));
     }
-    let reply = reply.read_whole().await;
-    let reply = reply.map_err(|error| record_exchange_error(server, endpoint, &error))?;
+    let reply = match reply.read_whole().await {
+        Ok(reply) => reply,
+        Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
+    };
     record_success(server, route, &in_flight);
     checked_response(reply, head.stamp.is_some())
 }
 
-fn record_exchange_error(server: &Server, endpoint: &Name, error: &ExchangeError) -> AttemptError {
-    if let Some(known) = lock(&server.pool).get_mut(endpoint) {
+async fn on_exchange_error(
+    server: &Arc<Server>,
+    in_flight: &InFlight,
+    id: &str,
+    error: &ExchangeError,
+) -> AttemptError {
+    if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
         known.on_failure(now_ms());
     }
+    crash::on_broken_run(server, in_flight, id, error).await;
     match error {
         ExchangeError::NotSent(message) => {
             AttemptError::NotRun(RetryReason::ConnectFailed, message.clone())
@@ -390,20 +410,32 @@
 
 /// Returns a response that forwards a stream as it is received, and that fails
 /// where the stream fails.
-fn stream_response(reply: Reply, in_flight: InFlight) -> Response<Body> {
+fn stream_response(
+    server: &Arc<Server>,
+    id: &Name,
+    reply: Reply,
+    in_flight: InFlight,
+) -> Response<Body> {
     let mut headers = forwardable_headers(&reply.headers);
     headers.remove(header::CONTENT_LENGTH);
     let status = reply.status;
     let source = Some((reply, in_flight));
-    let frames = futures_util::stream::unfold(source, |source| async move {
-        let (mut reply, in_flight) = source?;
-        match reply.next_bytes().await {
-            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((reply, in_flight)))),
-            Ok(None) => {
-                reply.release_connection().await;
-                None
+    let (server, id) = (server.clone(), id.clone());
+    let frames = futures_util::stream::unfold(source, move |source| {
+        let (server, id) = (server.clone(), id.clone());
+        async move {
+            let (mut reply, in_flight) = source?;
+            match reply.next_bytes().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((reply, in_flight)))),
+                Ok(None) => {
+                    reply.release_connection().await;
+                    None
+                }
+                Err(error) => {
+                    crash::on_broken_run(&server, &in_flight, &id, &error).await;
+                    Some((Err(error), None))
+                }
             }
-            Err(error) => Some((Err(error), None)),
         }
     });
     let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -17,6 +18,7 @@
 };
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
+use strum::{Display, EnumIter, IntoStaticStr};
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use super::lock;
@@ -50,6 +52,20 @@
     }
 }
 
+/// Whether the other side accepts connections.
+#[derive(
+    Clone, Copy, Debug, Display, EnumIter, Eq, Hash, IntoStaticStr, Ord, PartialEq, PartialOrd,
+)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Reachability {
+    /// It accepts connections.
+    Accepts,
+    /// Its machine answers, but nothing listens at the address.
+    Refuses,
+    /// It does not answer.
+    Silent,
+}
+
 /// A client that pools connections and sends one request at a time on each.
 ///
 /// Its errors tell whether the other side may have processed the request.
@@ -149,6 +165,26 @@
         }
     }
 
+    /// Opens a connection, and keeps it for the next request.
+    pub(crate) async fn check_reachability(
+        &self,
+        address: SocketAddr,
+        timeout_ms: u64,
+    ) -> Reachability {
+        let limit = Duration::from_millis(timeout_ms);
+        match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => {
+                match start_http(address, stream).await {
+                    Ok(connection) => self.store_idle(address, connection, &HeaderMap::new()),
+                    Err(error) => tracing::debug!(%address, %error, "connection not kept"),
+                }
+                Reachability::Accepts
+            }
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reachability::Refuses,
+            Ok(Err(_)) | Err(_) => Reachability::Silent,
+        }
+    }
+
     async fn exchange(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -310,6 +346,11 @@
             ))
         })?
         .map_err(|error| not_sent(format!("cannot connect to {address}: {error}")))?;
+    start_http(address, stream).await
+}
+
+async fn start_http(address: SocketAddr, stream: TcpStream) -> Result<Connection, ExchangeError> {
+    let not_sent = |message: String| ExchangeError::NotSent(message);
     // With Nagle's algorithm a small request waits for the other side's
     // acknowledgement.
     stream
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -10,6 +10,7 @@
 };
 use strum::IntoEnumIterator;
 
+use super::http_client::Reachability;
 use crate::{core::retry::RetryReason, error::ErrorKind};
 
 type Labels = Vec<(&'static str, &'static str)>;
@@ -25,6 +26,7 @@
     registry: Registry,
     refusals: Family<Labels, Counter>,
     retries: Family<Labels, Counter>,
+    broken_runs: Family<Labels, Counter>,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -45,6 +47,7 @@
             registry: Registry::with_prefix("chicoryreach"),
             refusals: Family::default(),
             retries: Family::default(),
+            broken_runs: Family::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -70,6 +73,12 @@
                 .get_or_create(&vec![("reason", reason.into())])
                 .inc_by(0);
         }
+        for reachability in Reachability::iter() {
+            let broken_runs = &metrics.broken_runs;
+            broken_runs
+                .get_or_create(&vec![("endpoint", reachability.into())])
+                .inc_by(0);
+        }
         metrics
     }
 
@@ -77,6 +86,11 @@
         let registry = &mut self.registry;
         registry.register("refusals", "Refusals by kind", self.refusals.clone());
         registry.register("retries", "Retries by reason", self.retries.clone());
+        registry.register(
+            "broken_runs",
+            "Runs that broke off, by whether their endpoint accepts connections",
+            self.broken_runs.clone(),
+        );
         let counters = [
             ("requests", "Requests of callers", &self.requests),
             (
@@ -144,6 +158,13 @@
             .inc();
     }
 
+    pub(crate) fn on_broken_run(&self, reachability: Reachability) {
+        let broken_runs = &self.broken_runs;
+        broken_runs
+            .get_or_create(&vec![("endpoint", reachability.into())])
+            .inc();
+    }
+
     pub(crate) fn to_text(&self) -> String {
         let mut text = String::new();
         // Writing to a string cannot fail.
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -8,6 +8,7 @@
 mod accept;
 mod claims;
 mod clean;
+mod crash;
 mod directory;
 mod fleet;
 mod follow;
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
 
 use super::{
+    crash,
     fleet::record_weights_version,
     forward::record_answer_head,
     http_client::{ExchangeError, Reply},
@@ -76,7 +77,7 @@
     let reply = match wait_for_head(job, sent, &reservation.in_flight, may_move).await {
         HeadWait::Received(result) => match *result {
             Ok(reply) => reply,
-            Err(error) => return on_exchange_error(server, &endpoint, &error),
+            Err(error) => return on_exchange_error(job, &reservation.in_flight, &error).await,
         },
         HeadWait::SlowStart => return RunEnd::Moved(RunVerdict::Silent),
         HeadWait::TimedOut => return on_head_timeout(server, &endpoint, address),
@@ -197,7 +198,7 @@
         let bytes = match next.await {
             Ok(Ok(Some(bytes))) => Some(bytes),
             Ok(Ok(None)) => break,
-            Ok(Err(error)) => return on_exchange_error(server, &in_flight.endpoint, &error),
+            Ok(Err(error)) => return on_exchange_error(job, in_flight, &error).await,
             Err(_) => None,
         };
         for event in parser.push(&bytes.unwrap_or_default()) {
@@ -259,10 +260,11 @@
     headers
 }
 
-fn on_exchange_error(server: &Server, endpoint: &Name, error: &ExchangeError) -> RunEnd {
-    if let Some(known) = lock(&server.pool).get_mut(endpoint) {
+async fn on_exchange_error(job: &SampleJob, in_flight: &InFlight, error: &ExchangeError) -> RunEnd {
+    if let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint) {
         known.on_failure(now_ms());
     }
+    crash::on_broken_run(&job.server, in_flight, &job.sample.id, error).await;
     let reason = match error {
         ExchangeError::NotSent(_) => RetryReason::ConnectFailed,
         ExchangeError::Incomplete(_) => RetryReason::AnswerCut,
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -50,6 +50,8 @@
     /// When the sample expires, by the platform's clock.
     pub(crate) expires_platform_ms: u64,
     pub(crate) sample: SampleSpec,
+    /// The fingerprint of the sample's content.
+    pub(crate) content: Name,
     /// The multiple of the usual silence that its runs may take to start.
     pub(crate) start_wait_factor: u64,
     /// The endpoints that its share prefers.
@@ -118,7 +120,7 @@
                 return Err(ReservationError::TimeOver);
             }
             if let Some(endpoint) = self.choose_endpoint(&route, avoid) {
-                let in_flight = self.server.track_request(&endpoint);
+                let in_flight = self.server.track_request(&endpoint, &self.content);
                 return Ok(Reservation { route, in_flight });
             }
             // With no other endpoint free, those that failed before are tried.
@@ -257,8 +259,8 @@
         };
         self.avoid.insert(endpoint.clone());
         self.job.server.metrics.on_retry(reason);
-        tracing::info!(batch = %self.job.batch, sample = %self.job.sample.id, %endpoint, %reason,
-            detail, after_event = self.text.last_event(), "run ended early");
+        tracing::info!(batch = %self.job.batch, sample = %self.job.sample.id,
+            content = %self.job.content, %endpoint, %reason, detail, after_event = self.text.last_event(), "run ended early");
         self.failures >= max_failures
     }
 }
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -5,10 +5,13 @@
 use hyper::{HeaderMap, Method, StatusCode};
 
 use super::{
-    forward::record_answer_head, metrics::elapsed_seconds, sample::SampleJob, state::lock,
+    crash, forward::record_answer_head, metrics::elapsed_seconds, sample::SampleJob, state::lock,
 };
 use crate::{
-    core::{Name, batch::ScoreCall, pool::EndpointRequirements, retry::RetryReason, routes::Route},
+    core::{
+        Name, batch::ScoreCall, pool::EndpointRequirements, quarantine::content_fingerprint,
+        retry::RetryReason, routes::Route,
+    },
     daemon::now_ms,
     platform::{RequestHeaders, build_request, parse_answer_head},
 };
@@ -39,6 +42,7 @@
 pub(crate) async fn score_sample(job: &SampleJob, call: &ScoreCall) -> Option<Name> {
     let server = &job.server;
     let started_ms = now_ms();
+    let content = content_fingerprint(&call.host, &call.path, &call.body);
     let mut failures = 0;
     let mut avoid = BTreeSet::new();
     loop {
@@ -55,7 +59,7 @@
             tokio::time::sleep(Duration::from_millis(SCORE_RETRY_DELAY_MS)).await;
             continue;
         };
-        match call_endpoint(job, call, &route, &endpoint).await {
+        match call_endpoint(job, call, &content, &route, &endpoint).await {
             CallEnd::Scored(score) => {
                 let score_s = elapsed_seconds(started_ms, now_ms());
                 server.metrics.score_seconds.observe(score_s);
@@ -71,7 +75,7 @@
             }
             CallEnd::Retry(reason, message) => {
                 server.metrics.on_retry(reason);
-                tracing::info!(sample = %job.sample.id, call = %call.id, %endpoint, %reason,
+                tracing::info!(sample = %job.sample.id, call = %call.id, %content, %endpoint, %reason,
                     detail = message, "score call ended early");
                 tokio::time::sleep(Duration::from_millis(SCORE_RETRY_DELAY_MS)).await;
             }
@@ -98,6 +102,7 @@
 async fn call_endpoint(
     job: &SampleJob,
     call: &ScoreCall,
+    content: &Name,
     route: &Route,
     endpoint: &Name,
 ) -> CallEnd {
@@ -131,7 +136,7 @@
         Ok(request) => request,
         Err(message) => return CallEnd::Retry(RetryReason::AnswerInvalid, message),
     };
-    let in_flight = server.track_request(endpoint);
+    let in_flight = server.track_request(endpoint, content);
     let deadline_ms = now_ms() + timeout_ms;
     let reply = server
         .http
@@ -144,6 +149,7 @@
             if let Some(known) = lock(&server.pool).get_mut(endpoint) {
                 known.on_failure(now_ms());
             }
+            crash::on_broken_run(server, &in_flight, &call.id, &error).await;
             return CallEnd::Retry(RetryReason::AnswerCut, error.to_string());
         }
     };
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -15,6 +15,7 @@
     Name,
     batch::{BatchSpec, SampleSpec, run_order, share_of_group, start_wait_factor},
     pool::EndpointSlice,
+    quarantine::content_fingerprint,
 };
 
 /// How long to wait before a failed read of the store is retried, in
@@ -70,6 +71,7 @@
             model: spec.model.clone(),
             min_weights_version: spec.min_weights_version,
             expires_platform_ms,
+            content: content_fingerprint(&spec.host, &missing[index].path, &missing[index].body),
             sample: missing[index].clone(),
             start_wait_factor: start_wait_factor(missing[index].length_hint, longest_hint),
             slice: EndpointSlice { share, share_count },
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -94,7 +94,7 @@
 
     /// Counts a request as in flight at an endpoint until the returned guard is
     /// dropped.
-    pub(crate) fn track_request(self: &Arc<Self>, endpoint: &Name) -> InFlight {
+    pub(crate) fn track_request(self: &Arc<Self>, endpoint: &Name, content: &Name) -> InFlight {
         let mut service = Name::from("");
         if let Some(known) = lock(&self.pool).get_mut(endpoint) {
             known.load.in_flight += 1;
@@ -104,6 +104,7 @@
             server: self.clone(),
             endpoint: endpoint.clone(),
             service,
+            content: content.clone(),
             started_ms: now_ms(),
         }
     }
@@ -114,6 +115,8 @@
     server: Arc<Server>,
     pub(crate) endpoint: Name,
     pub(crate) service: Name,
+    /// The fingerprint of the request's content.
+    pub(crate) content: Name,
     pub(crate) started_ms: u64,
 }
 
