Reproduce requests that crash samplers without bound, listed as known red

Stand-ins of samplers can now crash on a body: all connections close, nothing listens for a while, then they come back under a later start.

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -7,6 +7,6 @@
 
 pub use self::{
     row_store::{Row, RowStore},
-    sampler::{AnswerFault, Sampler, SamplerSettings},
+    sampler::{AnswerFault, RunStart, Sampler, SamplerSettings},
     store_server::{StoreServer, StoreWriter},
 };
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -4,9 +4,9 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
@@ -18,7 +18,7 @@
     body::{Frame, Incoming},
 };
 use serde_json::{Value, json};
-use tokio::task::JoinHandle;
+use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
 
 use super::{StoreServer, StoreWriter};
 use crate::http::{Answer, bind, bytes_answer, json_answer, read_bytes, serve, status_answer};
@@ -74,13 +74,32 @@
     /// The name and weights version of the loaded model.
     model: Mutex<Option<(String, u64)>>,
     orders: Mutex<Vec<Value>>,
-    /// The ids of requests, in the order in which they started to run.
-    run_request_ids: Mutex<Vec<String>>,
+    /// The requests that started to run, in order.
+    runs: Mutex<Vec<RunStart>>,
     active_streams: AtomicU32,
     /// The faults of the next answers, of which the last one is used first.
     answer_faults: Mutex<Vec<AnswerFault>>,
     /// The ids of requests that fail whenever they run.
     failing_request_ids: Mutex<BTreeSet<String>>,
+    /// The bodies of requests that crash the sampler as soon as they run.
+    crashing_bodies: Mutex<BTreeSet<Bytes>>,
+    /// How long the sampler is down after a crash, in milliseconds.
+    restart_ms: AtomicU64,
+    /// The times of its crashes.
+    crashes: Mutex<Vec<Instant>>,
+    is_up: AtomicBool,
+    crash_requested: Notify,
+}
+
+/// The start of a run of a request.
+#[derive(Clone, Debug)]
+pub struct RunStart {
+    /// The id of the request.
+    pub id: String,
+    /// The body of the request.
+    pub body: Bytes,
+    /// When the sampler began to run it.
+    pub at: Instant,
 }
 
 impl Sampler {
@@ -108,15 +127,17 @@
             settings,
             model: Mutex::new(model.map(|model| (model.to_owned(), 1))),
             orders: Mutex::default(),
-            run_request_ids: Mutex::default(),
+            runs: Mutex::default(),
             active_streams: AtomicU32::new(0),
             answer_faults: Mutex::default(),
             failing_request_ids: Mutex::default(),
+            crashing_bodies: Mutex::default(),
+            restart_ms: AtomicU64::new(DEFAULT_RESTART_MS),
+            crashes: Mutex::default(),
+            is_up: AtomicBool::new(true),
+            crash_requested: Notify::new(),
         });
-        let shared_for_handler = shared.clone();
-        let task = tokio::spawn(serve(listener, move |request| {
-            handle(shared_for_handler.clone(), request)
-        }));
+        let task = tokio::spawn(run_and_restart(shared.clone(), listener));
         shared.register();
         Ok(Self {
             id: id.to_owned(),
@@ -128,7 +149,39 @@
     /// Returns the ids of the requests that ran, in the order of their start.
     #[must_use]
     pub fn run_request_ids(&self) -> Vec<String> {
-        lock(&self.shared.run_request_ids).clone()
+        let runs = lock(&self.shared.runs);
+        runs.iter().map(|run| run.id.clone()).collect()
+    }
+
+    /// Returns the starts of the runs of requests with this body.
+    #[must_use]
+    pub fn runs_of(&self, body: &[u8]) -> Vec<RunStart> {
+        let runs = lock(&self.shared.runs);
+        runs.iter()
+            .filter(|run| *run.body == *body)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the times of the sampler's crashes.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<Instant> {
+        lock(&self.shared.crashes).clone()
+    }
+
+    /// Makes requests with this body crash the sampler as soon as they run.
+    pub fn crash_on(&self, body: &[u8]) {
+        lock(&self.shared.crashing_bodies).insert(Bytes::copy_from_slice(body));
+    }
+
+    /// Sets how long the sampler is down after a crash.
+    pub fn set_restart_ms(&self, restart_ms: u64) {
+        self.shared.restart_ms.store(restart_ms, Ordering::Relaxed);
+    }
+
+    /// Crashes the sampler, whatever runs on it.
+    pub fn crash(&self) {
+        self.shared.crash();
     }
 
     /// Returns the number of open streams.
@@ -154,17 +207,57 @@
     }
 }
 
+/// How long a sampler is down after a crash unless a test sets another time, in
+/// milliseconds.
+const DEFAULT_RESTART_MS: u64 = 1_000;
+/// The start of the first incarnation, in milliseconds since the Unix epoch.
+const FIRST_START_UNIX_MS: u64 = 1_700_000_000_000;
+
+/// Serves requests; closes all connections at a crash and restarts after a while
+/// under the same id and address.
+async fn run_and_restart(shared: Arc<Shared>, first_listener: TcpListener) {
+    let mut listener = first_listener;
+    loop {
+        let handler_shared = shared.clone();
+        let handler = move |request| handle(handler_shared.clone(), request);
+        tokio::select! {
+            () = serve(listener, handler) => return,
+            () = shared.crash_requested.notified() => {}
+        }
+        let down_ms = shared.restart_ms.load(Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(down_ms)).await;
+        listener = loop {
+            match TcpListener::bind(shared.address).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        };
+        lock(&shared.orders).clear();
+        shared.is_up.store(true, Ordering::SeqCst);
+        shared.register();
+    }
+}
+
 impl Shared {
+    fn crash(&self) {
+        if self.is_up.swap(false, Ordering::SeqCst) {
+            lock(&self.crashes).push(Instant::now());
+            self.crash_requested.notify_one();
+        }
+    }
+
     /// Writes the sampler's entry to the store, at the start and after each
     /// change of weights.
     fn register(&self) {
+        let restarts = u64::try_from(lock(&self.crashes).len()).unwrap_or(u64::MAX);
+        let started_unix_ms = FIRST_START_UNIX_MS + restarts * 1_000;
         let models: Vec<Value> = lock(&self.model)
             .iter()
             .map(|(name, version)| json!({"name": name, "version": version, "adapters": []}))
             .collect();
         let entry = json!({"service": self.service, "address": self.address, "zone": "dc-1",
             "slots": 8, "version": "v1", "state": "ready", "cold_ms": 0, "models": models,
-            "seq": 4, "born": 1_700_000_000_000_u64, "stage": "both"});
+            "seq": 4, "born": started_unix_ms, "stage": "both"});
         let entry = STANDARD.encode(entry.to_string());
         self.store.put("servers", &self.id, entry);
     }
@@ -244,7 +337,16 @@
         Ok(body) => body,
         Err(answer) => return answer,
     };
-    lock(&shared.run_request_ids).push(id.clone());
+    lock(&shared.runs).push(RunStart {
+        id: id.clone(),
+        body: body.clone(),
+        at: Instant::now(),
+    });
+    if lock(&shared.crashing_bodies).contains(&body) {
+        shared.crash();
+        // The connection closes before any answer is sent.
+        std::future::pending::<()>().await;
+    }
     let fault = lock(&shared.answer_faults).pop();
     if lock(&shared.failing_request_ids).contains(&id) {
         let answer = status_answer(StatusCode::INTERNAL_SERVER_ERROR, "failed");
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -6,5 +6,6 @@
 mod process_serve {
     mod batches_under_vm_and_store_faults;
     mod invalid_answers_and_ended_batches;
+    mod requests_that_crash_samplers;
     mod soak;
 }
--- /dev/null
+++ b/tests/process_serve/requests_that_crash_samplers.rs
@@ -0,0 +1,240 @@
+//! Guards against requests that crash sampler after sampler, each time that they
+//! come again, and against refusals of harmless requests that ran beside them.
+//!
+//! Stand-ins of samplers end as soon as they run a certain body, and start again
+//! after a while.
+
+use std::time::{Duration, Instant};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use hyper::Method;
+use rstest::rstest;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use standins::fleet::Sampler;
+
+use crate::fleet::{Answer, Fleet, SAMPLER_SETTINGS, WAIT_TIMEOUT, batch_body};
+
+/// The body that crashes each sampler that runs it.
+const CULPRIT: &[u8] = b"culprit";
+/// The users' bounds: this long after the third crash, at most
+/// [`MAX_LATE_RETRIES`] more runs may be sent.
+const CONTACT: Duration = Duration::from_secs(3);
+const MAX_LATE_RETRIES: usize = 3;
+const CRASHES_BEFORE_BOUND: usize = 3;
+/// How long the culprit keeps coming.
+const RESEND_DURATION: Duration = Duration::from_secs(9);
+const RESEND_INTERVAL: Duration = Duration::from_millis(120);
+
+/// What the culprit did at the samplers of a test.
+#[derive(Debug)]
+struct Damage {
+    crashes: usize,
+    /// The runs that began later than the users' bound allows.
+    late_runs: usize,
+}
+
+impl Damage {
+    fn of(samplers: &[Sampler]) -> Self {
+        let mut crashes: Vec<Instant> = samplers.iter().flat_map(Sampler::crashes).collect();
+        crashes.sort();
+        let runs = samplers.iter().flat_map(|s| s.runs_of(CULPRIT));
+        let is_late = |at: Instant| {
+            let third = crashes.get(CRASHES_BEFORE_BOUND - 1);
+            third.is_some_and(|third| at > *third + CONTACT)
+        };
+        Self {
+            crashes: crashes.len(),
+            late_runs: runs.filter(|run| is_late(run.at)).count(),
+        }
+    }
+
+    fn assert_bounded(&self) {
+        println!("{self:?}");
+        assert!(self.crashes >= CRASHES_BEFORE_BOUND, "{self:?}");
+        assert!(self.late_runs <= MAX_LATE_RETRIES, "{self:?}");
+    }
+}
+
+/// Starts VMs and samplers that all crash on the culprit.
+async fn start_fleet(vms: usize) -> Fleet {
+    let mut fleet = Fleet::start(vms, SAMPLER_SETTINGS).await;
+    fleet.keeps_logs = std::env::var_os("KEEP_LOGS").is_some();
+    for sampler in fleet.model_samplers.iter().chain(&fleet.plain_samplers) {
+        sampler.crash_on(CULPRIT);
+    }
+    fleet
+}
+
+async fn send(fleet: &Fleet, vm: usize, id: &str, body: &'static [u8]) -> Option<Answer> {
+    let callers = fleet.vms[vm].addresses["callers"];
+    let body = Bytes::from_static(body);
+    fleet
+        .call(Method::POST, callers, "/slips/1", id, body)
+        .await
+}
+
+/// Sends the culprit again and again, to one VM after the other.
+async fn resend_culprit(fleet: &Fleet, name: &str, duration: Duration) {
+    let ends_at = Instant::now() + duration;
+    let mut number = 0;
+    while Instant::now() < ends_at {
+        let id = format!("{name}-{number}");
+        send(fleet, number % fleet.vms.len(), &id, CULPRIT).await;
+        number += 1;
+        tokio::time::sleep(RESEND_INTERVAL).await;
+    }
+}
+
+/// Guards against a caller's request that crashes samplers for as long as it comes
+/// again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_callers_request_that_crashes_samplers_stops_reaching_them() {
+    let fleet = start_fleet(3).await;
+    resend_culprit(&fleet, "again", RESEND_DURATION).await;
+    Damage::of(&fleet.plain_samplers).assert_bounded();
+}
+
+/// Guards against copies that come to all VMs at once, each with its own count.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn simultaneous_copies_are_counted_together() {
+    let fleet = start_fleet(3).await;
+    let ends_at = Instant::now() + RESEND_DURATION;
+    let mut round = 0;
+    while Instant::now() < ends_at {
+        let ids: Vec<String> = (0..9).map(|copy| format!("copy-{round}-{copy}")).collect();
+        let copies = ids.iter().enumerate();
+        let sends = copies.map(|(copy, id)| send(&fleet, copy % 3, id, CULPRIT));
+        futures_util::future::join_all(sends).await;
+        round += 1;
+        tokio::time::sleep(4 * RESEND_INTERVAL).await;
+    }
+    Damage::of(&fleet.plain_samplers).assert_bounded();
+}
+
+/// Guards against crashes that are forgotten when the VMs that saw them end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_are_remembered_after_all_vms_were_killed() {
+    let mut fleet = start_fleet(3).await;
+    resend_culprit(&fleet, "before", Duration::from_secs(4)).await;
+    for vm in 0..3 {
+        fleet.signal(vm, Signal::KILL);
+    }
+    for vm in 0..3 {
+        while fleet.is_running(vm) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        fleet.restart(vm).await;
+    }
+    resend_culprit(&fleet, "after", RESEND_DURATION).await;
+    Damage::of(&fleet.plain_samplers).assert_bounded();
+}
+
+/// Guards against a VM that is turned away by the store and so learns of no crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_the_store_refuses_learns_of_crashes() {
+    let fleet = start_fleet(3).await;
+    fleet.store.refuse_vms([2]);
+    resend_culprit(&fleet, "refused", RESEND_DURATION).await;
+    Damage::of(&fleet.plain_samplers).assert_bounded();
+}
+
+/// Submits a batch until it is accepted.
+async fn submit(fleet: &Fleet, body: &Value) {
+    let callers = fleet.vms[0].addresses["callers"];
+    let body = Bytes::from(body.to_string());
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let answer = fleet.call(Method::POST, callers, "/lots/b1", "b1", body.clone());
+        if answer.await.is_some_and(|answer| answer.status == 200) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "the batch is not accepted");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Submits a batch and returns what is listed after a while.
+async fn run_batch_with_culprit(fleet: &Fleet, body: &Value) -> Vec<Value> {
+    let callers = fleet.vms[0].addresses["callers"];
+    submit(fleet, body).await;
+    tokio::time::sleep(RESEND_DURATION).await;
+    let page = fleet.get(callers, "/v1/lots/b1?after=0", "reader").await;
+    let page: Value = serde_json::from_slice(&page.expect("an answer").body).expect("JSON");
+    page["results"].as_array().expect("a list").clone()
+}
+
+/// Guards against an item of a batch that crashes samplers until it expires, and
+/// against an item that is given up before.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_item_that_crashes_samplers_stops_reaching_them(#[values(false, true)] is_score: bool) {
+    let fleet = start_fleet(3).await;
+    let mut body = batch_body("b1", 12, 1);
+    let culprit = json!(STANDARD.encode(CULPRIT));
+    let item = &mut body["requests"][5];
+    if is_score {
+        item["scorer"]["body"] = culprit;
+    } else {
+        item["body"] = culprit;
+    }
+    let results = run_batch_with_culprit(&fleet, &body).await;
+    let samplers = if is_score {
+        &fleet.plain_samplers
+    } else {
+        &fleet.model_samplers
+    };
+    Damage::of(samplers).assert_bounded();
+    assert_eq!(results.len(), 11, "all other items are listed");
+    assert!(results.iter().all(|result| result["state"] == "done"));
+}
+
+/// Guards against an item that is counted anew by the VM that takes its share over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_item_that_crashes_samplers_is_remembered_by_the_next_owner() {
+    let mut fleet = start_fleet(3).await;
+    let mut body = batch_body("b1", 12, 1);
+    body["requests"][5]["body"] = json!(STANDARD.encode(CULPRIT));
+    submit(&fleet, &body).await;
+    for vm in 0..3 {
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        fleet.signal(vm, Signal::KILL);
+        while fleet.is_running(vm) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        fleet.restart(vm).await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    Damage::of(&fleet.model_samplers).assert_bounded();
+}
+
+/// Guards against refusals of requests that ran where samplers ended by themselves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn harmless_requests_are_served_although_samplers_end_under_them() {
+    let fleet = Fleet::start(2, SAMPLER_SETTINGS).await;
+    let mut refused = 0;
+    let mut served = 0;
+    for round in 0..8 {
+        for call in 0..12 {
+            let id = format!("call-{round}-{call}");
+            if call == 3 {
+                let sampler = &fleet.plain_samplers[round % 3];
+                sampler.set_restart_ms(300);
+                let during = send(&fleet, round % 2, &id, b"popular");
+                let crash = async {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    sampler.crash();
+                };
+                let (answer, ()) = futures_util::future::join(during, crash).await;
+                served += usize::from(answer.is_some_and(|answer| answer.status == 200));
+                continue;
+            }
+            let answer = send(&fleet, call % 2, &id, b"popular").await;
+            let status = answer.map(|answer| answer.status);
+            served += usize::from(status == Some(200));
+            refused += usize::from(status != Some(200));
+        }
+    }
+    assert_eq!((served, refused), (96, 0));
+}
