--- a/src/core/pool/pool.rs
+++ b/src/core/pool/pool.rs
@@ -27,32 +27,39 @@
 impl Pool {
     /// Adds an endpoint or updates its description.
     ///
-    /// What was observed of an endpoint before a restart is discarded.
-    pub fn on_listed(&mut self, record: EndpointRecord) {
+    /// What was observed of an endpoint before a restart is discarded; returns its
+    /// description before the restart.
+    pub fn on_listed(&mut self, record: EndpointRecord) -> Option<EndpointRecord> {
         match self.endpoints.get_mut(&record.id) {
             Some(known) if known.record.started_unix_ms == record.started_unix_ms => {
                 let newer = merge_weights(&known.record, record);
                 known.record = newer;
                 known.remove_at_ms = None;
+                None
             }
             _ => {
                 let id = record.id.clone();
-                self.endpoints.insert(id, PoolEndpoint::new(record));
+                let replaced = self.endpoints.insert(id, PoolEndpoint::new(record));
+                replaced.map(|replaced| replaced.record)
             }
         }
     }
 
-    /// Removes an endpoint that the platform no longer lists.
+    /// Removes an endpoint that the platform no longer lists, and returns its
+    /// description.
     ///
     /// Shortly after an outage of the platform, the endpoint is kept for a grace
     /// period instead: an entry that expired during the outage may be listed
     /// again.
-    pub fn on_unlisted(&mut self, now_ms: u64, id: &str) {
+    pub fn on_unlisted(&mut self, now_ms: u64, id: &str) -> Option<EndpointRecord> {
         if now_ms >= self.grace_ends_at_ms {
-            self.endpoints.remove(id);
-        } else if let Some(endpoint) = self.endpoints.get_mut(id) {
+            let removed = self.endpoints.remove(id);
+            return removed.map(|removed| removed.record);
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.remove_at_ms = Some(self.grace_ends_at_ms);
         }
+        None
     }
 
     /// Starts the grace period after an outage of the platform.
@@ -61,17 +68,27 @@
     }
 
     /// Replaces the list: adds or updates the endpoints of `records`, and treats
-    /// all others as no longer listed.
-    pub fn on_all_listed(&mut self, now_ms: u64, records: Vec<EndpointRecord>) {
+    /// all others as no longer listed. Returns the descriptions of endpoints that
+    /// were removed or have restarted.
+    pub fn on_all_listed(
+        &mut self,
+        now_ms: u64,
+        records: Vec<EndpointRecord>,
+    ) -> Vec<EndpointRecord> {
         let listed: std::collections::BTreeSet<Name> =
             records.iter().map(|record| record.id.clone()).collect();
         let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
-        for id in missing.cloned().collect::<Vec<_>>() {
-            self.on_unlisted(now_ms, &id);
-        }
-        for record in records {
-            self.on_listed(record);
-        }
+        let missing: Vec<Name> = missing.cloned().collect();
+        let mut gone: Vec<EndpointRecord> = missing
+            .iter()
+            .filter_map(|id| self.on_unlisted(now_ms, id))
+            .collect();
+        gone.extend(
+            records
+                .into_iter()
+                .filter_map(|record| self.on_listed(record)),
+        );
+        gone
     }
 
     /// Removes the endpoints that were not listed again within the grace period,
--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -1,12 +1,17 @@
 //! Quarantine of request contents that crash the endpoints on which they run.
 
 mod content;
+mod late_retries;
 mod quarantine;
+mod row;
+mod unanswered;
 
 pub use self::{
     content::content_fingerprint,
+    late_retries::{LATE_RETRY_DELAY_MS, LateRetryPolicy, MAX_LATE_RETRIES},
     quarantine::{
         BLAME_DURATION_MS, CRASH_REPORT_WAIT_MS, MAX_CRASHES, MAX_SHARED_CRASHES, Permit,
         Quarantine, RunEnd,
     },
+    row::{QuarantineRow, claim_key},
 };
--- a/src/core/quarantine/quarantine.rs
+++ b/src/core/quarantine/quarantine.rs
@@ -3,6 +3,11 @@
     sync::Arc,
 };
 
+use super::{
+    LateRetryPolicy, QuarantineRow,
+    late_retries::LateRetries,
+    unanswered::{UnansweredRun, UnansweredRuns},
+};
 use crate::{
     core::{
         Name,
@@ -20,12 +25,15 @@
 /// endpoint that crashed.
 pub const CRASH_REPORT_WAIT_MS: u64 = 500;
 /// How long a content is blamed for a crash.
-pub const BLAME_DURATION_MS: u64 = 3_600_000;
+pub const BLAME_DURATION_MS: u64 = 24 * 3_600_000;
 /// A run that started within this time after a crash is assumed to have been sent
 /// to the incarnation that crashed.
 const SAME_CRASH_WINDOW_MS: u64 = 100;
 /// The maximum number of crashes that are kept.
-const MAX_KEPT_CRASHES: usize = 256;
+const MAX_KEPT_CRASHES: usize = 512;
+/// For how long the completion of a run counts in favour of its content, in
+/// milliseconds.
+const COMPLETION_KEEP_MS: u64 = 10_000;
 
 /// Whether and how a content may run now.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,6 +50,20 @@
     Wait,
     /// The content must not run.
     Quarantined,
+    /// The content may run once more on an endpoint that is not in `avoid`, if this
+    /// VM claims the late retry with this number.
+    Claim {
+        /// The endpoints on which suspects run.
+        avoid: BTreeSet<Name>,
+        /// The number of the late retry, from 1.
+        number: u32,
+    },
+    /// The content must not run before this time.
+    Held {
+        /// When another late retry may be claimed, or when the content is no longer
+        /// blamed.
+        until_ms: u64,
+    },
 }
 
 /// How a run at an endpoint ended.
@@ -52,6 +74,13 @@
     Complete,
     /// The run ended in any other way.
     Incomplete,
+    /// The run ended without an answer, and its endpoint may have crashed.
+    Unanswered {
+        /// The endpoint's incarnation to which it was sent.
+        incarnation: u64,
+        /// When it started.
+        started_ms: u64,
+    },
 }
 
 /// Detects request contents that crash endpoints, and quarantines them.
@@ -65,7 +94,13 @@
 /// same endpoint in every crash, further trials distinguish them, up to
 /// [`MAX_SHARED_CRASHES`].
 ///
-/// A single content crashes at most
+/// With [`LateRetryPolicy::Claimed`], a content that has crashed [`MAX_CRASHES`]
+/// endpoints is held instead, and all VMs together run it at most
+/// [`MAX_LATE_RETRIES`](super::MAX_LATE_RETRIES) more times until it completes.
+/// A content that has completed on this VM within the last ten seconds is not
+/// held.
+///
+/// Otherwise, a single content crashes at most
 /// `in_flight + (MAX_SHARED_CRASHES - 1) + (daemons - 1)` endpoints within
 /// [`BLAME_DURATION_MS`], regardless of the daemons to which its callers send
 /// it. `in_flight` is the number of endpoints on which it ran when its first
@@ -96,6 +131,12 @@
     running: BTreeMap<Name, BTreeMap<Arc<str>, u32>>,
     /// The last crash of each endpoint that this daemon observed itself.
     observed: BTreeMap<Name, ObservedCrash>,
+    late_retry_policy: LateRetryPolicy,
+    late_retries: LateRetries,
+    unanswered: UnansweredRuns,
+    /// When a run of each content last completed on this daemon.
+    completed_ms: BTreeMap<Arc<str>, u64>,
+    completions_pruned_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -121,6 +162,15 @@
 }
 
 impl Quarantine {
+    /// Creates a quarantine without crashes.
+    #[must_use]
+    pub fn new(late_retry_policy: LateRetryPolicy) -> Self {
+        Self {
+            late_retry_policy,
+            ..Self::default()
+        }
+    }
+
     /// Returns whether and how a content may run now.
     #[must_use]
     pub fn permit(&self, now_ms: u64, fingerprint: &Arc<str>) -> Permit {
@@ -131,8 +181,19 @@
         if blame.crashes == 0 || now_ms >= blame.last_at_ms + BLAME_DURATION_MS {
             return Permit::Unrestricted;
         }
+        if blame.crashes >= MAX_CRASHES
+            && self.late_retry_policy == LateRetryPolicy::Claimed
+            && !self.has_completed_since(fingerprint, now_ms.saturating_sub(COMPLETION_KEEP_MS))
+        {
+            return self.late_permit(now_ms, fingerprint, blame);
+        }
         let has_waited_for_reports = now_ms >= blame.last_at_ms + CRASH_REPORT_WAIT_MS;
+        let has_claims = self.late_retry_policy == LateRetryPolicy::Claimed;
         match blame.crashes {
+            _ if has_claims && self.is_running(fingerprint) => Permit::Wait,
+            _ if has_claims => Permit::Trial {
+                avoid: self.endpoints_of_suspects(),
+            },
             MAX_SHARED_CRASHES.. => Permit::Quarantined,
             MAX_CRASHES.. if !has_waited_for_reports => Permit::Wait,
             MAX_CRASHES.. if blame.is_sole_suspect => Permit::Quarantined,
@@ -143,6 +204,42 @@
         }
     }
 
+    /// Returns whether a content that has crashed [`MAX_CRASHES`] endpoints may run
+    /// again.
+    fn late_permit(&self, now_ms: u64, fingerprint: &Arc<str>, blame: Blame) -> Permit {
+        match self.late_retries.next(fingerprint, blame.last_at_ms) {
+            Some(next) if now_ms >= next.ready_at_ms => Permit::Claim {
+                avoid: self.endpoints_of_suspects(),
+                number: next.number,
+            },
+            Some(next) => Permit::Held {
+                until_ms: next.ready_at_ms,
+            },
+            None => Permit::Held {
+                until_ms: blame.last_at_ms + BLAME_DURATION_MS,
+            },
+        }
+    }
+
+    /// Records that a VM has claimed a late retry of a content.
+    pub fn on_claim(&mut self, at_ms: u64, fingerprint: &Arc<str>, number: u32) {
+        self.late_retries.on_claim(at_ms, fingerprint, number);
+    }
+
+    /// Returns the number of crashes for which a content is blamed.
+    #[must_use]
+    pub fn crash_count(&self, fingerprint: &Arc<str>) -> u32 {
+        let blame = self.blame.get(fingerprint);
+        blame.map_or(0, |blame| blame.crashes)
+    }
+
+    /// Returns the number of contents that have crashed [`MAX_CRASHES`] endpoints.
+    #[must_use]
+    pub fn quarantined_count(&self) -> usize {
+        let blame = self.blame.values();
+        blame.filter(|blame| blame.crashes >= MAX_CRASHES).count()
+    }
+
     /// Records that a run of a content starts at an endpoint.
     pub fn on_start(&mut self, endpoint: &Name, fingerprint: &Arc<str>, now_ms: u64) {
         self.expire(now_ms);
@@ -156,6 +253,7 @@
     /// members.
     pub fn on_end(
         &mut self,
+        now_ms: u64,
         endpoint: &Name,
         fingerprint: &Arc<str>,
         end: RunEnd,
@@ -171,7 +269,25 @@
                 self.running.remove(endpoint);
             }
         }
-        if end != RunEnd::Complete || !self.blame.contains_key(fingerprint) {
+        match end {
+            RunEnd::Complete => self.record_completion(now_ms, fingerprint),
+            RunEnd::Incomplete => return None,
+            RunEnd::Unanswered {
+                incarnation,
+                started_ms,
+            } => {
+                if !self.has_completed_since(fingerprint, started_ms) {
+                    self.unanswered.push(UnansweredRun {
+                        endpoint: endpoint.clone(),
+                        incarnation,
+                        fingerprint: fingerprint.clone(),
+                        ended_ms: now_ms,
+                    });
+                }
+                return None;
+            }
+        }
+        if !self.blame.contains_key(fingerprint) {
             return None;
         }
         let crashes = self.crashes.iter();
@@ -186,9 +302,29 @@
 
     /// Applies a clearance: its content is no longer blamed for its crashes.
     pub fn on_clearance(&mut self, clearance: Clearance) {
+        self.add_clearance(clearance);
+        self.assign_blame();
+    }
+
+    fn add_clearance(&mut self, clearance: Clearance) {
+        self.late_retries.forget(&clearance.fingerprint);
         let cleared = self.cleared.entry(clearance.fingerprint).or_default();
         cleared.extend(clearance.crashes);
-        self.assign_blame();
+    }
+
+    fn record_completion(&mut self, now_ms: u64, fingerprint: &Arc<str>) {
+        self.unanswered.forget(fingerprint);
+        self.completed_ms.insert(fingerprint.clone(), now_ms);
+        if now_ms >= self.completions_pruned_ms + COMPLETION_KEEP_MS {
+            self.completions_pruned_ms = now_ms;
+            self.completed_ms
+                .retain(|_, completed_ms| *completed_ms + COMPLETION_KEEP_MS > now_ms);
+        }
+    }
+
+    fn has_completed_since(&self, fingerprint: &Arc<str>, since_ms: u64) -> bool {
+        let completed_ms = self.completed_ms.get(fingerprint);
+        completed_ms.is_some_and(|completed_ms| *completed_ms >= since_ms.max(1))
     }
 
     /// Records that an endpoint crashed during a run that this daemon started at
@@ -222,16 +358,101 @@
             };
             self.observed.insert(endpoint.clone(), observed);
         }
-        let fingerprints = self.running.get(endpoint).into_iter().flatten();
+        let unanswered = self.unanswered.take(now_ms, endpoint, incarnation);
+        let running = self.running.get(endpoint).into_iter().flatten();
         let report = CrashReport {
             endpoint: endpoint.clone(),
             incarnation,
-            fingerprints: fingerprints
+            fingerprints: running
                 .map(|(fingerprint, _)| fingerprint.clone())
+                .chain(unanswered)
                 .collect(),
         };
         self.on_report(now_ms, report.clone());
-        report
+        self.known_report(report)
+    }
+
+    /// Records that an endpoint is gone without having announced it, or that it has
+    /// started anew, and returns the report to send to the other members if runs
+    /// of this daemon ended there without an answer.
+    pub fn on_endpoint_gone(
+        &mut self,
+        now_ms: u64,
+        endpoint: &Name,
+        incarnation: u64,
+    ) -> Option<CrashReport> {
+        let fingerprints = self.unanswered.take(now_ms, endpoint, incarnation);
+        if fingerprints.is_empty() {
+            return None;
+        }
+        let report = CrashReport {
+            endpoint: endpoint.clone(),
+            incarnation,
+            fingerprints,
+        };
+        self.on_report(now_ms, report.clone());
+        Some(self.known_report(report))
+    }
+
+    /// Returns a report with all that is known of the same crash.
+    fn known_report(&self, report: CrashReport) -> CrashReport {
+        let known = self.crashes.iter().find(|crash| {
+            crash.id.endpoint == report.endpoint && crash.id.incarnation == report.incarnation
+        });
+        match known {
+            Some(crash) => CrashReport {
+                fingerprints: crash.fingerprints.iter().cloned().collect(),
+                ..report
+            },
+            None => report,
+        }
+    }
+
+    /// Returns what the other members have to know at once about a crash: the
+    /// crashes of its contents that are blamed for more than one.
+    #[must_use]
+    pub fn reports_of_repeats(&self, report: &CrashReport) -> Vec<CrashReport> {
+        let is_repeat = |fingerprint: &&Arc<str>| self.crash_count(fingerprint) > 1;
+        let repeats: BTreeSet<&Arc<str>> = report.fingerprints.iter().filter(is_repeat).collect();
+        let ran = |crash: &Crash| -> Vec<Arc<str>> {
+            let fingerprints = crash.fingerprints.iter();
+            fingerprints
+                .filter(|fingerprint| repeats.contains(fingerprint))
+                .cloned()
+                .collect()
+        };
+        let reports = self.crashes.iter().map(|crash| CrashReport {
+            endpoint: crash.id.endpoint.clone(),
+            incarnation: crash.id.incarnation,
+            fingerprints: ran(crash),
+        });
+        reports
+            .filter(|report| !report.fingerprints.is_empty())
+            .collect()
+    }
+
+    /// Applies rows of other VMs, each with the time of what it tells by the local
+    /// clock.
+    pub fn on_rows<I>(&mut self, now_ms: u64, rows: I)
+    where
+        I: IntoIterator<Item = (QuarantineRow, u64)>,
+    {
+        self.expire(now_ms);
+        // A claim after a clearance must not be forgotten with the earlier claims.
+        let mut rows: Vec<(QuarantineRow, u64)> = rows.into_iter().collect();
+        rows.sort_by_key(|(_, at_ms)| *at_ms);
+        for (row, at_ms) in rows {
+            match row {
+                QuarantineRow::Crash { report, .. } => self.add_report(at_ms, report),
+                QuarantineRow::Claim {
+                    fingerprint,
+                    number,
+                    ..
+                } => self.on_claim(at_ms, &fingerprint, number),
+                QuarantineRow::Cleared { clearance, .. } => self.add_clearance(clearance),
+            }
+        }
+        self.assign_blame();
     }
 
     /// Records a report of a crash.
@@ -239,41 +460,74 @@
     /// Reports of the same crash by several members are merged.
     pub fn on_report(&mut self, now_ms: u64, report: CrashReport) {
         self.expire(now_ms);
+        self.add_report(now_ms, report);
+        self.assign_blame();
+    }
+
+    fn add_report(&mut self, at_ms: u64, report: CrashReport) {
         let id = CrashId {
             endpoint: report.endpoint,
             incarnation: report.incarnation,
         };
+        for fingerprint in &report.fingerprints {
+            if self.has_completed_since(fingerprint, at_ms + 1) {
+                let cleared = self.cleared.entry(fingerprint.clone()).or_default();
+                cleared.insert(id.clone());
+            }
+        }
         let known = self.crashes.iter_mut().find(|crash| crash.id == id);
         if let Some(crash) = known {
             crash.fingerprints.extend(report.fingerprints);
-        } else {
-            self.crashes.push(Crash {
-                id,
-                at_ms: now_ms,
-                fingerprints: report.fingerprints.into_iter().collect(),
-            });
-            let excess = self.crashes.len().saturating_sub(MAX_KEPT_CRASHES);
-            self.crashes.drain(..excess);
+            return;
+        }
+        let position = self.crashes.partition_point(|crash| crash.at_ms <= at_ms);
+        let crash = Crash {
+            id,
+            at_ms,
+            fingerprints: report.fingerprints.into_iter().collect(),
+        };
+        self.crashes.insert(position, crash);
+        if self.crashes.len() > MAX_KEPT_CRASHES {
+            self.drop_oldest_crash();
         }
-        self.assign_blame();
+    }
+
+    /// Removes the oldest crash for which no quarantined content is blamed, or the
+    /// oldest one.
+    fn drop_oldest_crash(&mut self) {
+        let is_quarantined = |ran: &Arc<str>| self.crash_count(ran) >= MAX_CRASHES;
+        let mut crashes = self.crashes.iter();
+        let oldest = crashes.position(|crash| !crash.fingerprints.iter().any(is_quarantined));
+        self.crashes.remove(oldest.unwrap_or(0));
+        self.forget_unknown_crashes();
     }
 
     /// Removes the crashes that are older than [`BLAME_DURATION_MS`].
     fn expire(&mut self, now_ms: u64) {
-        let before = self.crashes.len();
-        self.crashes
-            .retain(|crash| now_ms < crash.at_ms + BLAME_DURATION_MS);
-        if self.crashes.len() < before {
-            let crashes = &self.crashes;
-            let is_known = |id: &CrashId| crashes.iter().any(|crash| crash.id == *id);
-            self.cleared.retain(|_, cleared| {
-                cleared.retain(is_known);
-                !cleared.is_empty()
-            });
+        let is_old = |crash: &Crash| now_ms >= crash.at_ms + BLAME_DURATION_MS;
+        // Crashes are sorted by time.
+        let old = self.crashes.partition_point(is_old);
+        if old > 0 {
+            self.crashes.drain(..old);
+            self.forget_unknown_crashes();
             self.assign_blame();
         }
     }
 
+    fn forget_unknown_crashes(&mut self) {
+        let crashes = &self.crashes;
+        let is_known = |id: &CrashId| crashes.iter().any(|crash| crash.id == *id);
+        self.cleared.retain(|_, cleared| {
+            cleared.retain(is_known);
+            !cleared.is_empty()
+        });
+        let has_run = |content: &Arc<str>| {
+            let mut crashes = crashes.iter();
+            crashes.any(|crash| crash.fingerprints.contains(content))
+        };
+        self.late_retries.retain(has_run);
+    }
+
     /// Recomputes the blame from all crashes, in the order in which they became
     /// known.
     fn assign_blame(&mut self) {
@@ -303,7 +557,9 @@
         running.any(|running| running.contains_key(fingerprint))
     }
 
-    fn endpoints_of_suspects(&self) -> BTreeSet<Name> {
+    /// Returns the endpoints on which contents run that are blamed for crashes.
+    #[must_use]
+    pub fn endpoints_of_suspects(&self) -> BTreeSet<Name> {
         let has_suspect = |running: &BTreeMap<Arc<str>, u32>| {
             running.keys().any(|ran| self.blame.contains_key(ran))
         };
--- a/src/daemon/crash.rs
+++ b/src/daemon/crash.rs
@@ -21,11 +21,12 @@
         retry::RetryReason,
     },
     error::{ErrorKind, Refusal},
-    wire::{engine::Load, peers::CrashNotice},
+    wire::{
+        engine::Load,
+        peers::{CRASH_NOTICE_PATH, CrashNotice},
+    },
 };
 
-/// The path at which members receive notices of crashes.
-pub(crate) const CRASH_NOTICE_PATH: &str = "/peer/crash";
 const CRASH_PROBE_TIMEOUT_MS: u64 = 250;
 const CRASH_NOTICE_TIMEOUT_MS: u64 = 300;
 const MAX_CRASH_NOTICE_BYTES: usize = 1024 * 1024;
@@ -73,7 +74,9 @@
         Permit::Unrestricted => (avoid.clone(), false),
         Permit::Trial { avoid: suspects } => (avoid | &suspects, true),
         Permit::Wait => return Ok(EndpointChoice::Wait),
-        Permit::Quarantined => return Err(quarantined_refusal()),
+        Permit::Quarantined | Permit::Claim { .. } | Permit::Held { .. } => {
+            return Err(quarantined_refusal());
+        }
     };
     let Some((endpoint, settings)) = dispatch::choose_endpoint(daemon, service, route, &avoid)
     else {
@@ -160,7 +163,7 @@
             return;
         }
         let mut quarantine = lock(&self.daemon.quarantine);
-        let clearance = quarantine.on_end(&self.endpoint, &self.fingerprint, self.end);
+        let clearance = quarantine.on_end(now_ms(), &self.endpoint, &self.fingerprint, self.end);
         drop(quarantine);
         if let Some(clearance) = clearance {
             tokio::spawn(notify_members(
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -14,7 +14,7 @@
 use crate::{
     error::{ErrorKind, Refusal},
     settings::Settings,
-    wire::peers::{MemberRecord, MemberState},
+    wire::peers::{CRASH_NOTICE_PATH, MemberRecord, MemberState},
 };
 
 const REQUEST_ID_EXPIRY_INTERVAL_MS: u64 = 1_000;
@@ -102,7 +102,7 @@
             at_most_once::OUTCOME_QUERY_PATH,
             post(at_most_once::answer_outcome_query),
         )
-        .at(crash::CRASH_NOTICE_PATH, post(crash::receive_notice))
+        .at(CRASH_NOTICE_PATH, post(crash::receive_notice))
         .at("/peer/gossip", post(peers::answer_gossip))
         .at("/peer/probe", post(peers::answer_probe))
         .at("/peer/synchronise", post(peers::answer_synchronise))
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -58,6 +58,9 @@
     ConfigTooOld,
     /// The content of the request has crashed endpoints before.
     Quarantined,
+    /// The content of the request has crashed endpoints and is held until the
+    /// stated time.
+    ContentHeld,
     /// The request may have run, but its answer was lost.
     OutcomeUnknown,
     /// All attempts that the limits allow have failed.
--- a/src/error/response.rs
+++ b/src/error/response.rs
@@ -49,7 +49,9 @@
             Self::DeadlinePassed => (504, true, RetryAdvice::Never),
             Self::TimedOut => (504, false, RetryAdvice::Never),
             Self::Overloaded => (429, true, RetryAdvice::Later),
-            Self::NoEndpoint | Self::PlatformUnavailable => (503, true, RetryAdvice::Later),
+            Self::NoEndpoint | Self::PlatformUnavailable | Self::ContentHeld => {
+                (503, true, RetryAdvice::Later)
+            }
             Self::NotConfirmed => (503, false, RetryAdvice::Later),
             Self::Draining | Self::ConfigTooOld => (503, true, RetryAdvice::Elsewhere),
             Self::Quarantined => (422, false, RetryAdvice::Never),
--- a/src/server/clean.rs
+++ b/src/server/clean.rs
@@ -4,6 +4,7 @@
 
 use super::{
     claims::BATCH_TABLE,
+    crash_rows::{self, CRASH_POINTER_KEY},
     listing::LISTING_TABLE,
     progress::SAVED_TEXT_TABLE,
     state::{Server, lock},
@@ -30,9 +31,23 @@
                 Err(error) => tracing::warn!(%batch, %error, "batch not deleted yet"),
             }
         }
+        if is_chosen(&server, CRASH_POINTER_KEY)
+            && let Err(error) =
+                crash_rows::delete_excess_rows(&server, MAX_DELETED_ROWS_PER_TX).await
+        {
+            tracing::warn!(%error, "old rows of crashes not deleted yet");
+        }
     }
 }
 
+/// Returns whether this VM is the one of all live VMs that cleans up after a name.
+fn is_chosen(server: &Server, name: &str) -> bool {
+    let members = lock(&server.members);
+    let live: Vec<Name> = members.live_vms().map(|(vm, _)| vm.clone()).collect();
+    let chosen = rendezvous::choose(&live, name, 1);
+    chosen.first() == Some(&server.settings.vm)
+}
+
 /// Returns the batches that this VM is to delete, with their objects.
 fn due_batches(server: &Server) -> Vec<(Name, Name)> {
     let Some((earliest_ms, _)) = server.store.clock_bounds_ms() else {
--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -3,18 +3,27 @@
 use std::sync::Arc;
 
 use super::{
-    http_client::ExchangeError,
+    crash_rows,
+    http_client::{ExchangeError, Reachability},
     state::{InFlight, Server, lock},
 };
+use crate::{
+    core::{
+        Name,
+        pool::{EndpointRecord, EndpointStage},
+    },
+    daemon::now_ms,
+};
 
 /// How long an endpoint may take to accept a connection after a run broke off
-/// there, in milliseconds.
-const REACHABILITY_TIMEOUT_MS: u64 = 250;
+/// there, in milliseconds: the run's retry waits for it.
+const REACHABILITY_TIMEOUT_MS: u64 = 100;
 
-/// Checks the endpoint of a run that brought no complete response, and logs what
-/// the check showed.
+/// Checks the endpoint of a run that brought no complete response, and reports a
+/// crash if nothing listens there any more.
 ///
-/// A request that was not sent has not run, so there is nothing to check.
+/// If the endpoint still accepts connections or is silent, it may have crashed
+/// nevertheless; [`on_endpoint_gone`] tells later.
 pub(crate) async fn on_broken_run(
     server: &Arc<Server>,
     in_flight: &InFlight,
@@ -22,6 +31,7 @@
     error: &ExchangeError,
 ) {
     if matches!(error, ExchangeError::NotSent(_)) {
+        in_flight.mark_incomplete();
         return;
     }
     let endpoint = &in_flight.endpoint;
@@ -31,6 +41,7 @@
     let Some(record) = listed else {
         tracing::info!(id, content = %in_flight.content, %endpoint,
             "run broke off: its endpoint is no longer listed");
+        in_flight.mark_incomplete();
         return;
     };
     let reachability = server
@@ -39,5 +50,36 @@
         .await;
     server.metrics.on_broken_run(reachability);
     tracing::info!(id, content = %in_flight.content, %endpoint, %reachability,
-        incarnation = record.started_unix_ms, stage = %record.stage, %error, "run broke off");
+        incarnation = in_flight.incarnation, stage = %record.stage, %error, "run broke off");
+    if record.stage == EndpointStage::Leaving {
+        in_flight.mark_incomplete();
+    } else if reachability == Reachability::Refuses {
+        let report = lock(&server.quarantine).on_crash(
+            now_ms(),
+            endpoint,
+            in_flight.incarnation,
+            in_flight.started_ms,
+        );
+        in_flight.mark_incomplete();
+        crash_rows::publish_crash(server, report, "refuses connections").await;
+    }
+}
+
+/// Reports a crash if runs ended without an answer at an endpoint that is no longer
+/// listed or has started anew.
+///
+/// An endpoint that has announced to leave has not crashed.
+pub(crate) fn on_endpoint_gone(server: &Arc<Server>, before: &EndpointRecord) {
+    if before.stage == EndpointStage::Leaving {
+        return;
+    }
+    let endpoint: &Name = &before.id;
+    let report =
+        lock(&server.quarantine).on_endpoint_gone(now_ms(), endpoint, before.started_unix_ms);
+    if let Some(report) = report {
+        let server = server.clone();
+        tokio::spawn(async move {
+            crash_rows::publish_crash(&server, report, "no longer listed as it was").await;
+        });
+    }
 }
--- a/src/server/fleet.rs
+++ b/src/server/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::{
+    crash,
     follow::{TableLayout, TableUpdate, follow_table},
     state::{Server, lock},
 };
@@ -74,27 +75,31 @@
     let on_update = |server: &Arc<Server>, update: TableUpdate| {
         let now_ms = now_ms();
         let mut pool = lock(&server.pool);
+        let mut gone: Vec<EndpointRecord> = Vec::new();
         match update {
             TableUpdate::All(rows) => {
                 let records: Vec<EndpointRecord> = rows.iter().filter_map(decode_record).collect();
                 tracing::info!(listed = records.len(), "endpoints read");
-                pool.on_all_listed(now_ms, records);
+                gone = pool.on_all_listed(now_ms, records);
             }
             TableUpdate::Changed(rows) => {
                 for row in &rows {
                     if let Some(record) = decode_record(row) {
                         tracing::info!(endpoint = %record.id, stage = %record.stage,
                             weights = ?record.weights, "endpoint listed");
-                        pool.on_listed(record);
+                        gone.extend(pool.on_listed(record));
                     } else {
                         tracing::info!(endpoint = %row.key, "endpoint no longer listed");
-                        pool.on_unlisted(now_ms, &row.key);
+                        gone.extend(pool.on_unlisted(now_ms, &row.key));
                     }
                 }
             }
             TableUpdate::Recovered => pool.on_platform_back(now_ms),
         }
         drop(pool);
+        for before in gone {
+            crash::on_endpoint_gone(server, &before);
+        }
         server.pool_changed.notify_waiters();
     };
     follow_table(server, SAMPLER_TABLE, TableLayout::OnePart, on_update).await;
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Response, StatusCode, body::Frame, header};
 
 use super::{
+    content_runs::{self, StartOutcome},
     crash,
     front::CallerRequest,
     http_client::{ExchangeError, Reply, WholeReply},
@@ -56,6 +57,16 @@
 
 type Attempt = BoxFuture<'static, (Name, Result<Response<Body>, AttemptError>)>;
 
+/// What all attempts of a request have in common.
+struct Forwarding<'a> {
+    server: &'a Arc<Server>,
+    route: &'a Arc<Route>,
+    request: &'a CallerRequest,
+    service: Name,
+    content: Name,
+    caller_deadline_ms: u64,
+}
+
 /// The state of a request across its attempts.
 struct ForwardState {
     /// The number of attempts that were started.
@@ -68,6 +79,8 @@
     error_response: Option<Response<Body>>,
     /// Why the last attempt failed.
     message: String,
+    /// Until when the content is held, if it is.
+    held_until_ms: Option<u64>,
 }
 
 /// Forwards a caller's request and returns the response of an endpoint.
@@ -80,7 +93,8 @@
 ///
 /// Returns `NoEndpoint` if the route has no service or its service no endpoint
 /// that accepts requests, `Overloaded` if all endpoints are full or no attempt
-/// ran the request, `AttemptsExhausted` if all attempts failed without an error
+/// ran the request, `ContentHeld` if its content has crashed endpoints,
+/// `AttemptsExhausted` if all attempts failed without an error
 /// response and one may have run the request, and `TimedOut` if no endpoint
 /// answers before the deadline.
 pub(crate) async fn forward_request(
@@ -92,7 +106,6 @@
     let wait_ms = patience_ms.min(route.timeout_ms);
     let answer_by_ms = (request.started_ms + wait_ms).saturating_sub(ANSWER_MARGIN_MS);
     let caller_deadline_ms = request.started_ms + patience_ms;
-    let content = content_fingerprint(&request.head.host, &request.head.target, &request.body);
     let draw = rand::Rng::random(&mut *lock(&server.rng));
     let service = route.pick_service(draw).cloned().ok_or_else(|| {
         Refusal::new(
@@ -100,34 +113,25 @@
             format!("route {} has no service", route.name),
         )
     })?;
+    let forwarding = Forwarding {
+        server,
+        route,
+        request,
+        service,
+        content: content_fingerprint(&request.head.host, &request.head.target, &request.body),
+        caller_deadline_ms,
+    };
     let mut state = ForwardState {
         attempts_started: 0,
         tried: BTreeSet::new(),
         may_have_run: false,
         error_response: None,
         message: String::new(),
+        held_until_ms: None,
     };
+    let first = forwarding.start_first(&mut state, answer_by_ms).await?;
     let mut running: FuturesUnordered<Attempt> = FuturesUnordered::new();
-    let start = |state: &mut ForwardState, max_occupancy: f64| -> Option<Attempt> {
-        if state.attempts_started >= route.max_attempts {
-            return None;
-        }
-        let endpoint = choose_endpoint(server, &service, &state.tried, max_occupancy)?;
-        state.attempts_started += 1;
-        state.tried.insert(endpoint.clone());
-        Some(attempt(
-            server,
-            route,
-            request,
-            endpoint,
-            &content,
-            caller_deadline_ms,
-        ))
-    };
-    match start(&mut state, ATTEMPT_MAX_OCCUPANCY) {
-        Some(first) => running.push(first),
-        None => return Err(no_endpoint_refusal(server, &service)),
-    }
+    running.push(first);
     let is_idempotent = route.kind == RouteKind::Idempotent;
     let mut hedge_at_ms = now_ms() + route.target_latency_ms * HEDGE_PERCENT / 100;
     loop {
@@ -136,13 +140,11 @@
             Some((endpoint, result)) = running.next() => {
                 match result {
                     Ok(response) => return Ok(response),
-                    Err(error) => {
-                        record_failure(server, request, &content, &endpoint, error, &mut state);
-                    }
+                    Err(error) => forwarding.record_failure(&endpoint, error, &mut state),
                 }
                 let may_retry = is_idempotent || !state.may_have_run;
                 if may_retry && now_ms() < answer_by_ms
-                    && let Some(next) = start(&mut state, ATTEMPT_MAX_OCCUPANCY) {
+                    && let Some(next) = forwarding.start_next(&mut state, ATTEMPT_MAX_OCCUPANCY) {
                     running.push(next);
                 }
                 if running.is_empty() {
@@ -152,12 +154,13 @@
             () = sleep_until(hedge_at_ms), if may_hedge => {
                 // A request is hedged at most once.
                 hedge_at_ms = u64::MAX / 2;
-                if let Some(hedge) = start(&mut state, HEDGE_MAX_OCCUPANCY) {
+                if let Some(hedge) = forwarding.start_next(&mut state, HEDGE_MAX_OCCUPANCY) {
                     server.metrics.on_retry(RetryReason::AnswerStalled);
                     running.push(hedge);
                 }
             }
             () = sleep_until(answer_by_ms) => {
+                let service = &forwarding.service;
                 let message =
                     format!("no endpoint of service {service} answered before the deadline");
                 return Err(Refusal::new(ErrorKind::TimedOut, message));
@@ -194,30 +197,89 @@
     }
 }
 
-fn record_failure(
-    server: &Server,
-    request: &CallerRequest,
-    content: &Name,
-    endpoint: &Name,
-    error: AttemptError,
-    state: &mut ForwardState,
-) {
-    let id = request.head.request_id.as_deref().unwrap_or("-");
-    let (reason, message, ran) = match error {
-        AttemptError::NotRun(reason, message) => (reason, message, false),
-        AttemptError::MayHaveRun(reason, message) => (reason, message, true),
-        AttemptError::ErrorResponse(response) => {
-            let message = format!("endpoint answered {}", response.status());
-            state.error_response = Some(*response);
-            (RetryReason::AnswerInvalid, message, true)
+impl Forwarding<'_> {
+    /// Starts the first attempt.
+    async fn start_first(
+        &self,
+        state: &mut ForwardState,
+        answer_by_ms: u64,
+    ) -> Result<Attempt, Refusal> {
+        let choose = |avoid: &BTreeSet<Name>| {
+            choose_endpoint(self.server, &self.service, avoid, ATTEMPT_MAX_OCCUPANCY)
+        };
+        let wait_until_ms = answer_by_ms.min(now_ms() + self.route.target_latency_ms);
+        let started =
+            content_runs::start(self.server, &self.content, wait_until_ms, choose).await?;
+        let in_flight = started.ok_or_else(|| no_endpoint_refusal(self.server, &self.service))?;
+        Ok(self.attempt(state, in_flight))
+    }
+
+    /// Starts a retry or a hedged request, unless there is no attempt left, no
+    /// endpoint accepts it, or the content may crash endpoints.
+    fn start_next(&self, state: &mut ForwardState, max_occupancy: f64) -> Option<Attempt> {
+        if state.attempts_started >= self.route.max_attempts {
+            return None;
         }
-    };
-    server.metrics.on_retry(reason);
-    let age_ms = now_ms() - request.started_ms;
-    tracing::info!(id, %content, %endpoint, %reason, detail = message, ran, age_ms,
-        sent = state.attempts_started, "attempt failed");
-    state.may_have_run |= ran;
-    state.message = message;
+        let choose = |suspects: &BTreeSet<Name>| {
+            let avoid = &state.tried | suspects;
+            choose_endpoint(self.server, &self.service, &avoid, max_occupancy)
+        };
+        match content_runs::try_start(self.server, &self.content, choose) {
+            StartOutcome::Started(in_flight) => Some(self.attempt(state, in_flight)),
+            StartOutcome::Held { until_ms } => {
+                state.held_until_ms = Some(until_ms);
+                None
+            }
+            StartOutcome::NoEndpoint | StartOutcome::Wait | StartOutcome::Unclaimed(_) => None,
+        }
+    }
+
+    fn attempt(&self, state: &mut ForwardState, in_flight: InFlight) -> Attempt {
+        state.attempts_started += 1;
+        state.tried.insert(in_flight.endpoint.clone());
+        let (server, route) = (self.server.clone(), self.route.clone());
+        let (head, headers, body) = (
+            self.request.head.clone(),
+            self.request.headers.clone(),
+            self.request.body.clone(),
+        );
+        let caller_deadline_ms = self.caller_deadline_ms;
+        Box::pin(async move {
+            let id = head.request_id.clone().unwrap_or_default();
+            let endpoint = in_flight.endpoint.clone();
+            let outgoing = EndpointRequest {
+                method: head.method.clone(),
+                path: &head.target,
+                headers: forwardable_headers(&headers),
+                host: &head.host,
+                id: &id,
+                body,
+                caller_deadline_ms,
+            };
+            let result = send_to_endpoint(&server, &route, in_flight, outgoing).await;
+            (endpoint, result)
+        })
+    }
+
+    fn record_failure(&self, endpoint: &Name, error: AttemptError, state: &mut ForwardState) {
+        let (request, content) = (self.request, &self.content);
+        let id = request.head.request_id.as_deref().unwrap_or("-");
+        let (reason, message, ran) = match error {
+            AttemptError::NotRun(reason, message) => (reason, message, false),
+            AttemptError::MayHaveRun(reason, message) => (reason, message, true),
+            AttemptError::ErrorResponse(response) => {
+                let message = format!("endpoint answered {}", response.status());
+                state.error_response = Some(*response);
+                (RetryReason::AnswerInvalid, message, true)
+            }
+        };
+        self.server.metrics.on_retry(reason);
+        let age_ms = now_ms() - request.started_ms;
+        tracing::info!(id, %content, %endpoint, %reason, detail = message, ran, age_ms,
+            sent = state.attempts_started, "attempt failed");
+        state.may_have_run |= ran;
+        state.message = message;
+    }
 }
 
 fn outcome_of_failed_attempts(state: ForwardState) -> Result<Response<Body>, Refusal> {
@@ -229,37 +291,10 @@
     } else {
         ErrorKind::Overloaded
     };
-    Err(Refusal::new(kind, state.message))
-}
-
-fn attempt(
-    server: &Arc<Server>,
-    route: &Arc<Route>,
-    request: &CallerRequest,
-    endpoint: Name,
-    content: &Name,
-    caller_deadline_ms: u64,
-) -> Attempt {
-    let (server, route, content) = (server.clone(), route.clone(), content.clone());
-    let (head, headers, body) = (
-        request.head.clone(),
-        request.headers.clone(),
-        request.body.clone(),
-    );
-    Box::pin(async move {
-        let id = head.request_id.clone().unwrap_or_default();
-        let outgoing = EndpointRequest {
-            method: head.method.clone(),
-            path: &head.target,
-            headers: forwardable_headers(&headers),
-            host: &head.host,
-            id: &id,
-            content: &content,
-            body,
-            caller_deadline_ms,
-        };
-        let result = send_to_endpoint(&server, &route, &endpoint, outgoing).await;
-        (endpoint, result)
+    let refusal = Refusal::new(kind, state.message);
+    Err(match state.held_until_ms {
+        Some(until_ms) => refusal.with_retry_at(until_ms),
+        None => refusal,
     })
 }
 
@@ -270,7 +305,6 @@
     headers: hyper::HeaderMap,
     host: &'a str,
     id: &'a Name,
-    content: &'a Name,
     body: Bytes,
     caller_deadline_ms: u64,
 }
@@ -278,10 +312,14 @@
 async fn send_to_endpoint(
     server: &Arc<Server>,
     route: &Route,
-    endpoint: &Name,
+    in_flight: InFlight,
     outgoing: EndpointRequest<'_>,
 ) -> Result<Response<Body>, AttemptError> {
-    let not_sent = |message: String| AttemptError::NotRun(RetryReason::ConnectFailed, message);
+    let endpoint = &in_flight.endpoint;
+    let not_sent = |message: String| {
+        in_flight.mark_incomplete();
+        AttemptError::NotRun(RetryReason::ConnectFailed, message)
+    };
     let address = lock(&server.pool)
         .get(endpoint)
         .map(|known| known.record.address)
@@ -302,7 +340,6 @@
         outgoing.body,
     )
     .map_err(not_sent)?;
-    let in_flight = server.track_request(endpoint, outgoing.content);
     let reply = match server.http.send(address, request).await {
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
@@ -310,6 +347,7 @@
     let head = parse_answer_head(outgoing.id, reply.status, &reply.headers);
     record_answer_head(server, endpoint, &head);
     if head.is_not_run {
+        in_flight.mark_incomplete();
         let message = format!("endpoint refused with {}", reply.status);
         reply.drain_refusal().await;
         return Err(AttemptError::NotRun(RetryReason::EndpointRefused, message));
@@ -318,6 +356,7 @@
         || head.is_encoded
         || (reply.status.is_success() && head.stamp.is_none())
     {
+        in_flight.mark_incomplete();
         let message = "answer is to another request, encoded or unsigned".to_owned();
         return Err(AttemptError::MayHaveRun(
             RetryReason::AnswerInvalid,
@@ -332,6 +371,7 @@
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
+    in_flight.mark_complete();
     record_success(server, route, &in_flight);
     checked_response(reply, head.stamp.is_some())
 }
@@ -428,6 +468,7 @@
             match reply.next_bytes().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((reply, in_flight)))),
                 Ok(None) => {
+                    in_flight.mark_complete();
                     reply.release_connection().await;
                     None
                 }
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    accept, directory, forward, read_batch, relay,
+    accept, crash_rows, directory, forward, read_batch, relay,
     response::{Body, empty_response, full_body, json_response, refusal_response},
     state::Server,
 };
@@ -26,6 +26,7 @@
         CallerHead, is_address_query, is_readiness_check, parse_address_query, parse_batch_call,
         parse_caller_head,
     },
+    wire::peers::CRASH_NOTICE_PATH,
 };
 
 /// Which kind of requests a listener serves.
@@ -44,6 +45,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
 /// The largest request body until a configuration is known, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// The largest body of a notice of crashes, in bytes.
+const MAX_CRASH_NOTICE_BYTES: usize = 1024 * 1024;
 /// The delay after a connection could not be accepted, in milliseconds: if too
 /// many files are open, other connections may close meanwhile.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
@@ -152,6 +155,16 @@
         ListenerKind::Metrics if method == Method::GET => {
             Response::new(full_body(server.metrics.to_text()))
         }
+        ListenerKind::Peers if method == Method::POST && path == CRASH_NOTICE_PATH => {
+            let body = Limited::new(request.into_body(), MAX_CRASH_NOTICE_BYTES);
+            match body.collect().await {
+                Ok(body) => crash_rows::receive_notices(&server, &body.to_bytes()),
+                Err(error) => {
+                    tracing::debug!(%error, "body of a notice of crashes not read");
+                    empty_response(StatusCode::BAD_REQUEST)
+                }
+            }
+        }
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::state::{Server, lock};
+use super::{
+    crash_rows::{self, CRASH_POINTER_KEY},
+    state::{Server, lock},
+};
 use crate::{
     core::{Name, leader_lease::LeaderLeaseRow, roster::VmRow},
     daemon::now_ms,
@@ -76,6 +79,8 @@
             }
             let leader_lease = rows.rows.iter().find(|row| &*row.key == LEADER_LEASE_KEY);
             on_leader_lease_row(server, leader_lease);
+            let pointer = rows.rows.iter().find(|row| &*row.key == CRASH_POINTER_KEY);
+            crash_rows::on_pointer_row(server, pointer.map_or(0, |row| row.version));
             server.batches_changed.notify_one();
         }
         Err(error) => tracing::debug!(%error, "rows of VMs not read"),
@@ -84,7 +89,7 @@
 
 fn decode_vm_row(row: &Row) -> Option<(Name, VmRow, u64)> {
     let bytes = row.bytes.as_ref()?;
-    if &*row.key == LEADER_LEASE_KEY {
+    if [LEADER_LEASE_KEY, CRASH_POINTER_KEY].contains(&&*row.key) {
         return None;
     }
     match rmp_serde::from_slice(bytes) {
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -33,6 +33,8 @@
     pub(crate) samples_dead: Counter,
     pub(crate) shares_claimed: Counter,
     pub(crate) orders: Counter,
+    pub(crate) endpoint_crashes: Counter,
+    pub(crate) quarantined_contents: Gauge,
     pub(crate) log_lines_dropped: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) request_seconds: Histogram,
@@ -54,6 +56,8 @@
             samples_dead: Counter::default(),
             shares_claimed: Counter::default(),
             orders: Counter::default(),
+            endpoint_crashes: Counter::default(),
+            quarantined_contents: Gauge::default(),
             log_lines_dropped: Gauge::default(),
             config_version: Gauge::default(),
             request_seconds: latency(),
@@ -110,6 +114,11 @@
                 &self.shares_claimed,
             ),
             ("orders", "Orders sent to endpoints", &self.orders),
+            (
+                "endpoint_crashes",
+                "Crashes of endpoints under requests of this VM",
+                &self.endpoint_crashes,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
@@ -124,6 +133,11 @@
             "The configuration version in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "quarantined_contents",
+            "Contents that have crashed three endpoints",
+            self.quarantined_contents.clone(),
+        );
         let histograms = [
             (
                 "request_seconds",
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -8,7 +8,9 @@
 mod accept;
 mod claims;
 mod clean;
+mod content_runs;
 mod crash;
+mod crash_rows;
 mod directory;
 mod fleet;
 mod follow;
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    claims, clean, fleet,
+    claims, clean, crash_rows, fleet,
     front::{ListenerKind, serve},
     members, orders,
     state::Server,
@@ -59,6 +59,8 @@
     tokio::spawn(claims::follow_batches(server.clone()));
     tokio::spawn(claims::claim_shares(server.clone()));
     tokio::spawn(members::run_heartbeat(server.clone()));
+    tokio::spawn(crash_rows::follow_rows(server.clone()));
+    tokio::spawn(crash_rows::write_rows(server.clone()));
     tokio::spawn(orders::run_orders(server.clone()));
     tokio::spawn(expire_periodically(server.clone(), dropped_lines));
     tokio::spawn(clean::delete_old_batches(server.clone()));
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -47,7 +47,9 @@
     let listed_address = lock(&server.pool)
         .get(&endpoint)
         .map(|known| known.record.address);
+    let in_flight = &reservation.in_flight;
     let Some(address) = listed_address else {
+        in_flight.mark_incomplete();
         return RunEnd::Refused("endpoint is no longer listed".to_owned());
     };
     let remaining_ms = match server.store.clock_bounds_ms() {
@@ -71,19 +73,25 @@
     );
     let request = match request {
         Ok(request) => request,
-        Err(message) => return RunEnd::Refused(message),
+        Err(message) => {
+            in_flight.mark_incomplete();
+            return RunEnd::Refused(message);
+        }
     };
     let sent = pin!(server.http.send(address, request));
-    let reply = match wait_for_head(job, sent, &reservation.in_flight, may_move).await {
+    let reply = match wait_for_head(job, sent, in_flight, may_move).await {
         HeadWait::Received(result) => match *result {
             Ok(reply) => reply,
-            Err(error) => return on_exchange_error(job, &reservation.in_flight, &error).await,
+            Err(error) => return on_exchange_error(job, in_flight, &error).await,
         },
         HeadWait::SlowStart => return RunEnd::Moved(RunVerdict::Silent),
         HeadWait::TimedOut => return on_head_timeout(server, &endpoint, address),
     };
     let head = parse_answer_head(&job.sample.id, reply.status, &reply.headers);
     record_answer_head(server, &endpoint, &head);
+    if !reply.status.is_success() {
+        in_flight.mark_incomplete();
+    }
     if head.is_not_run {
         let message = format!("endpoint refused with {}", reply.status);
         reply.drain_refusal().await;
@@ -97,7 +105,9 @@
     }
     match reply.status {
         status if status.is_success() => {}
-        PERMANENT_FAILURE_STATUS => return RunEnd::PermanentFailure,
+        PERMANENT_FAILURE_STATUS => {
+            return RunEnd::PermanentFailure;
+        }
         StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::Failed,
         status => {
             return RunEnd::Broken(
@@ -112,8 +122,9 @@
     if let Err(error) = text.on_run_start(head.weights_version) {
         return on_text_error(&error);
     }
-    let end = read_events(job, reply, &reservation.in_flight, text, may_move).await;
+    let end = read_events(job, reply, in_flight, text, may_move).await;
     if matches!(end, RunEnd::Complete) {
+        in_flight.mark_complete();
         job.unsaved_texts.remove(&job.sample.id);
     }
     end
@@ -229,8 +240,8 @@
         }
     }
     if parser.is_inside_event() {
-        let message = "answer ended inside an event".to_owned();
-        return RunEnd::Broken(RetryReason::AnswerCut, message);
+        let error = ExchangeError::Incomplete("answer ended inside an event".to_owned());
+        return on_exchange_error(job, in_flight, &error).await;
     }
     reply.release_connection().await;
     let events = text.last_event().unwrap_or(0).saturating_sub(event_before);
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
+    content_runs::{self, StartOutcome},
     metrics::elapsed_seconds,
     progress::UnsavedTexts,
     run_once::run_once,
@@ -34,6 +35,9 @@
 /// The occupancy below which an endpoint is sent a run. A run that is queued at
 /// one endpoint cannot start at another that becomes free sooner.
 const MAX_RUN_OCCUPANCY: f64 = 1.0;
+/// How often the quarantine is asked again whether a sample may run, in
+/// milliseconds.
+pub(super) const HELD_CHECK_INTERVAL_MS: u64 = 250;
 /// How often one sample may move to a faster endpoint.
 const MAX_MOVES: u32 = 4;
 /// The occupancy below which a sample may move to an endpoint.
@@ -73,6 +77,8 @@
 pub(crate) enum ReservationError {
     RouteGone,
     TimeOver,
+    /// The sample's content may crash endpoints and must not run now.
+    Held,
 }
 
 /// How one run ended.
@@ -98,11 +104,34 @@
     /// # Errors
     ///
     /// `RouteGone` if no route leads to the sample's host and path, `TimeOver` if
-    /// the sample has expired.
+    /// the sample has expired, and `Held` if it has to wait for longer than other
+    /// samples.
     pub(crate) async fn reserve_first_endpoint(&self) -> Result<Reservation, ReservationError> {
         self.reserve_endpoint(&BTreeSet::new()).await
     }
 
+    /// Waits for a slot until the sample expires, even if it is held.
+    async fn reserve_when_permitted(
+        &self,
+        avoid: &BTreeSet<Name>,
+    ) -> Result<Reservation, ReservationError> {
+        let mut is_logged = false;
+        loop {
+            let reserved = self.reserve_endpoint(avoid).await;
+            if !matches!(reserved, Err(ReservationError::Held)) {
+                return reserved;
+            }
+            if !is_logged {
+                let until_ms = content_runs::held_until_ms(&self.server, &self.content);
+                tracing::info!(batch = %self.batch, sample = %self.sample.id,
+                    content = %self.content, held_ms = until_ms.saturating_sub(now_ms()),
+                    "sample held: its content has crashed endpoints");
+                is_logged = true;
+            }
+            tokio::time::sleep(Duration::from_millis(HELD_CHECK_INTERVAL_MS)).await;
+        }
+    }
+
     async fn reserve_endpoint(
         &self,
         avoid: &BTreeSet<Name>,
@@ -119,8 +148,21 @@
             if self.is_expired() {
                 return Err(ReservationError::TimeOver);
             }
-            if let Some(endpoint) = self.choose_endpoint(&route, avoid) {
-                let in_flight = self.server.track_request(&endpoint, &self.content);
+            let choose =
+                |suspects: &BTreeSet<Name>| self.choose_endpoint(&route, &(avoid | suspects));
+            let in_flight = match content_runs::try_start(&self.server, &self.content, choose) {
+                StartOutcome::Started(in_flight) => Some(in_flight),
+                StartOutcome::NoEndpoint => None,
+                StartOutcome::Unclaimed(number) => {
+                    let claimed =
+                        content_runs::claim_and_start(&self.server, &self.content, number, choose);
+                    Some(claimed.await.ok_or(ReservationError::Held)?)
+                }
+                StartOutcome::Wait | StartOutcome::Held { .. } => {
+                    return Err(ReservationError::Held);
+                }
+            };
+            if let Some(in_flight) = in_flight {
                 return Ok(Reservation { route, in_flight });
             }
             // With no other endpoint free, those that failed before are tried.
@@ -278,6 +320,10 @@
     while !runs.is_complete {
         let reservation = match next_reservation {
             Ok(reservation) => reservation,
+            Err(ReservationError::Held) => {
+                next_reservation = runs.job.reserve_when_permitted(&runs.avoid).await;
+                continue;
+            }
             Err(reason) => {
                 tracing::info!(batch = %runs.job.batch, sample = %runs.job.sample.id, ?reason,
                     "given up");
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -5,7 +5,12 @@
 use hyper::{HeaderMap, Method, StatusCode};
 
 use super::{
-    crash, forward::record_answer_head, metrics::elapsed_seconds, sample::SampleJob, state::lock,
+    content_runs::{self, StartOutcome},
+    crash,
+    forward::record_answer_head,
+    metrics::elapsed_seconds,
+    sample::{HELD_CHECK_INTERVAL_MS, SampleJob},
+    state::{InFlight, lock},
 };
 use crate::{
     core::{
@@ -54,12 +59,25 @@
                 "sample not scored");
             return None;
         };
-        let Some(endpoint) = choose_endpoint(job, &route, &avoid) else {
+        let choose = |suspects: &BTreeSet<Name>| choose_endpoint(job, &route, &(&avoid | suspects));
+        let in_flight = match content_runs::try_start(server, &content, choose) {
+            StartOutcome::Started(in_flight) => Some(in_flight),
+            StartOutcome::Unclaimed(number) => {
+                content_runs::claim_and_start(server, &content, number, choose).await
+            }
+            StartOutcome::NoEndpoint | StartOutcome::Wait => None,
+            StartOutcome::Held { .. } => {
+                tokio::time::sleep(Duration::from_millis(HELD_CHECK_INTERVAL_MS)).await;
+                continue;
+            }
+        };
+        let Some(in_flight) = in_flight else {
             avoid.clear();
             tokio::time::sleep(Duration::from_millis(SCORE_RETRY_DELAY_MS)).await;
             continue;
         };
-        match call_endpoint(job, call, &content, &route, &endpoint).await {
+        let endpoint = in_flight.endpoint.clone();
+        match call_endpoint(job, call, &route, in_flight).await {
             CallEnd::Scored(score) => {
                 let score_s = elapsed_seconds(started_ms, now_ms());
                 server.metrics.score_seconds.observe(score_s);
@@ -102,15 +120,16 @@
 async fn call_endpoint(
     job: &SampleJob,
     call: &ScoreCall,
-    content: &Name,
     route: &Route,
-    endpoint: &Name,
+    in_flight: InFlight,
 ) -> CallEnd {
     let server = &job.server;
+    let endpoint = &in_flight.endpoint;
     let address = lock(&server.pool)
         .get(endpoint)
         .map(|known| known.record.address);
     let Some(address) = address else {
+        in_flight.mark_incomplete();
         return CallEnd::Retry(
             RetryReason::ConnectFailed,
             "endpoint is no longer listed".to_owned(),
@@ -134,9 +153,11 @@
     );
     let request = match request {
         Ok(request) => request,
-        Err(message) => return CallEnd::Retry(RetryReason::AnswerInvalid, message),
+        Err(message) => {
+            in_flight.mark_incomplete();
+            return CallEnd::Retry(RetryReason::AnswerInvalid, message);
+        }
     };
-    let in_flight = server.track_request(endpoint, content);
     let deadline_ms = now_ms() + timeout_ms;
     let reply = server
         .http
@@ -155,6 +176,11 @@
     };
     let head = parse_answer_head(&call.id, reply.status, &reply.headers);
     record_answer_head(server, endpoint, &head);
+    if head.is_not_run {
+        in_flight.mark_incomplete();
+    } else {
+        in_flight.mark_complete();
+    }
     let is_valid = head.is_for_request && !head.is_encoded && !head.is_not_run;
     match (reply.status, head.stamp) {
         (status, Some(stamp)) if is_valid && status.is_success() => {
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
 };
@@ -9,9 +9,21 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, watch};
 
-use super::{claims::Batches, http_client::ExchangeClient, metrics::Metrics};
+use super::{
+    claims::Batches,
+    crash_rows::{self, CrashRows},
+    http_client::ExchangeClient,
+    metrics::Metrics,
+};
 use crate::{
-    core::{Name, leader_lease::LeaderLease, pool::Pool, roster::Roster, routes::RouteTable},
+    core::{
+        Name,
+        leader_lease::LeaderLease,
+        pool::Pool,
+        quarantine::{LateRetryPolicy, Quarantine, RunEnd},
+        roster::Roster,
+        routes::RouteTable,
+    },
     daemon::now_ms,
     platform::Store,
     settings::VmSettings,
@@ -34,6 +46,13 @@
     /// Notified when batches or members have changed.
     pub(crate) batches_changed: Notify,
     pub(crate) leader_lease: Mutex<LeaderLease>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) crash_rows: Mutex<CrashRows>,
+    /// Notified when rows of crashes have to be written or notices to be sent.
+    pub(crate) crash_rows_unwritten: Notify,
+    /// The version of the row that tells of changes to the rows of crashes; `None`
+    /// until the rows of VMs are read.
+    pub(crate) crash_pointer: watch::Sender<Option<u64>>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     pub(crate) is_draining: AtomicBool,
@@ -63,6 +82,10 @@
             batches: Mutex::default(),
             batches_changed: Notify::new(),
             leader_lease: Mutex::new(LeaderLease::new(vm, incarnation, settings.order_gap_ms)),
+            quarantine: Mutex::new(Quarantine::new(LateRetryPolicy::Claimed)),
+            crash_rows: Mutex::default(),
+            crash_rows_unwritten: Notify::new(),
+            crash_pointer: watch::Sender::new(None),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             is_draining: AtomicBool::new(false),
@@ -82,9 +105,13 @@
 
     /// Returns whether callers may be directed to this VM.
     ///
-    /// It must have a configuration and the list of VMs, and not be draining.
+    /// It must have a configuration, the list of VMs and the rows of crashes, and not
+    /// be draining.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.routes().version() > 0 && lock(&self.members).has_been_read()
+        !self.is_draining()
+            && self.routes().version() > 0
+            && lock(&self.members).has_been_read()
+            && crash_rows::have_been_read(self)
     }
 
     /// Returns whether the arguments name this incarnation of this VM.
@@ -92,20 +119,24 @@
         vm == &*self.settings.vm && incarnation == self.incarnation
     }
 
-    /// Counts a request as in flight at an endpoint until the returned guard is
-    /// dropped.
+    /// Counts a run as in flight at an endpoint until the returned guard is dropped;
+    /// its start must have been recorded in the quarantine.
     pub(crate) fn track_request(self: &Arc<Self>, endpoint: &Name, content: &Name) -> InFlight {
         let mut service = Name::from("");
+        let mut incarnation = 0;
         if let Some(known) = lock(&self.pool).get_mut(endpoint) {
             known.load.in_flight += 1;
             service = known.record.service.clone();
+            incarnation = known.record.started_unix_ms;
         }
         InFlight {
             server: self.clone(),
             endpoint: endpoint.clone(),
             service,
             content: content.clone(),
+            incarnation,
             started_ms: now_ms(),
+            end: OnceLock::new(),
         }
     }
 }
@@ -117,7 +148,24 @@
     pub(crate) service: Name,
     /// The fingerprint of the request's content.
     pub(crate) content: Name,
+    /// The endpoint's incarnation, as it was listed at the start.
+    pub(crate) incarnation: u64,
     pub(crate) started_ms: u64,
+    /// How the run ended; without a value, it ended without an answer.
+    end: OnceLock<RunEnd>,
+}
+
+impl InFlight {
+    /// Records that the endpoint completed the run.
+    pub(crate) fn mark_complete(&self) {
+        // The first record of the end counts.
+        let _ = self.end.set(RunEnd::Complete);
+    }
+
+    /// Records that the run did not start, or ended without any sign of a crash.
+    pub(crate) fn mark_incomplete(&self) {
+        let _ = self.end.set(RunEnd::Incomplete);
+    }
 }
 
 impl Drop for InFlight {
@@ -125,6 +173,16 @@
         if let Some(known) = lock(&self.server.pool).get_mut(&self.endpoint) {
             known.load.in_flight = known.load.in_flight.saturating_sub(1);
         }
+        let unanswered = RunEnd::Unanswered {
+            incarnation: self.incarnation,
+            started_ms: self.started_ms,
+        };
+        let end = self.end.get().copied().unwrap_or(unanswered);
+        let cleared =
+            lock(&self.server.quarantine).on_end(now_ms(), &self.endpoint, &self.content, end);
+        if let Some(clearance) = cleared {
+            crash_rows::publish_clearance(&self.server, clearance);
+        }
         self.server.pool_changed.notify_one();
     }
 }
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -109,6 +109,9 @@
     pub first_bucket: usize,
 }
 
+/// The path at which VMs receive notices of crashes.
+pub const CRASH_NOTICE_PATH: &str = "/peer/crash";
+
 /// One crash of an endpoint, and the requests that were running there.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
--- a/tests/worlds/quarantine.rs
+++ b/tests/worlds/quarantine.rs
@@ -157,7 +157,7 @@
                 self.sim.schedule_at(now_ms + 10, Event::Send(caller));
                 return;
             }
-            Permit::Quarantined => {
+            Permit::Quarantined | Permit::Claim { .. } | Permit::Held { .. } => {
                 self.on_refused(caller, number);
                 return;
             }
@@ -211,6 +211,7 @@
     fn end_run(&mut self, run: &Run, end: RunEnd) {
         let quarantine = &mut self.daemons[run.daemon];
         let cleared = quarantine.on_end(
+            self.sim.now_ms,
             &endpoint_name(run.endpoint),
             &content_name(run.content),
             end,
@@ -222,7 +223,7 @@
         // failure and resends.
         let response_ms = match end {
             RunEnd::Complete => 1,
-            RunEnd::Incomplete => self.body.network.max_delay_ms + 1,
+            RunEnd::Incomplete | RunEnd::Unanswered { .. } => self.body.network.max_delay_ms + 1,
         };
         self.sim
             .schedule_at(self.sim.now_ms + response_ms, Event::Send(run.caller));
