Tell seeds of crashes too, and show the exchange at the planned size

Cause: a VM told only those VMs whose rows it had read, and one that had just started had read its own row only.

--- a/crates/standins/src/fleet/store_server.rs
+++ b/crates/standins/src/fleet/store_server.rs
@@ -99,7 +99,7 @@
     }
 }
 
-/// Writes rows without a condition.
+/// Writes and removes rows without a condition.
 #[derive(Clone, Debug)]
 pub struct StoreWriter(Arc<Shared>);
 
@@ -109,6 +109,12 @@
         self.0.lock().store.put(table, name, value);
         self.0.changed.notify_waiters();
     }
+
+    /// Removes a row and notifies the clients that follow its table.
+    pub fn remove(&self, table: &str, name: &str) {
+        self.0.lock().store.remove(table, name);
+        self.0.changed.notify_waiters();
+    }
 }
 
 impl Shared {
--- a/src/server/crash_rows.rs
+++ b/src/server/crash_rows.rs
@@ -4,7 +4,12 @@
 //! A row of the table of VMs, which each VM reads with every heartbeat, tells when
 //! the rows of crashes have changed; without crashes they cost no call.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -390,11 +395,12 @@
         }
     };
     let own_address = server.settings.peer_address;
-    let addresses: Vec<SocketAddr> = lock(&server.members)
+    let mut addresses: BTreeSet<SocketAddr> = lock(&server.members)
         .live_vms()
         .map(|(_, row)| row.peer_address)
-        .filter(|address| *address != own_address)
         .collect();
+    addresses.extend(&server.settings.seed_addresses);
+    addresses.remove(&own_address);
     let mut sends: FuturesUnordered<_> = addresses
         .into_iter()
         .map(|address| send_notice(&server, address, body.clone()))
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -7,6 +7,7 @@
     mod cut_streams_resume_whole;
     mod frequent_weights_leave_samplers_usable;
     mod longest_samples_start_first;
+    mod many_vms_count_crashes_together;
     mod models_share_samplers_by_tokens;
     mod one_leader_despite_frozen_vms;
     mod presence_of_starting_and_silent_vms;
--- /dev/null
+++ b/tests/loads/many_vms_count_crashes_together.rs
@@ -0,0 +1,364 @@
+//! Contents that crash samplers come to many VMs at the planned size, among
+//! harmless ones: the runs after the third crash stay bounded, harmless contents
+//! are served, and the exchange between VMs is affordable.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chicoryreach::{
+    core::{
+        Name,
+        quarantine::{
+            LATE_RETRY_DELAY_MS, LateRetryPolicy, MAX_CRASHES, Permit, Quarantine, QuarantineRow,
+            RunEnd,
+        },
+    },
+    wire::peers::CrashReport,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+
+const VMS: usize = 360;
+const SAMPLERS: usize = 2_600;
+const TICK_MS: u64 = 10;
+/// The users' bounds: this long after the third crash, at most
+/// [`MAX_LATE_RETRIES`] more runs may be sent.
+const CONTACT_MS: u64 = 3_000;
+const MAX_LATE_RETRIES: usize = 3;
+/// The users' bound on the control traffic of a daemon, in bytes a second.
+const MAX_CONTROL_BYTES_PER_S: usize = 15_000;
+const HEARTBEAT_MS: u64 = 1_000;
+/// How long a notice from VM to VM takes, in milliseconds.
+const NOTICE_DELAY_MS: u64 = 10;
+const RESTART_MS: u64 = 2_000;
+const RESEND_INTERVAL_MS: u64 = 100;
+/// The requests of callers a second over all VMs.
+const REQUESTS_PER_S: u64 = 1_300;
+const POPULAR_CONTENTS: u64 = 20;
+/// The bytes around a row in an answer of the store, and around a notice.
+const ROW_FRAME_BYTES: usize = 90;
+const NOTICE_FRAME_BYTES: usize = 160;
+
+struct Run {
+    vm: usize,
+    content: Name,
+    sampler: usize,
+    started_ms: u64,
+    ends_at_ms: u64,
+}
+
+struct Vm {
+    quarantine: Quarantine,
+    rows_read: usize,
+}
+
+#[derive(Default)]
+struct Culprit {
+    crashes: Vec<u64>,
+    runs: Vec<u64>,
+}
+
+struct World {
+    now_ms: u64,
+    rng: SmallRng,
+    vms: Vec<Vm>,
+    up_at_ms: Vec<u64>,
+    incarnations: Vec<u64>,
+    runs: Vec<Run>,
+    /// The rows in the store, in the order in which they were written.
+    rows: Vec<(QuarantineRow, u64)>,
+    row_bytes: usize,
+    claims: BTreeSet<(Name, u32)>,
+    notices: Vec<(u64, Vec<CrashReport>)>,
+    /// The bytes that each VM has received.
+    received_bytes: usize,
+    culprits: BTreeMap<Name, Culprit>,
+    served: usize,
+    /// When each harmless content was refused first and last.
+    refused: BTreeMap<Name, (u64, u64)>,
+    next_content: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let vm = || Vm {
+            quarantine: Quarantine::new(LateRetryPolicy::Claimed),
+            rows_read: 0,
+        };
+        Self {
+            now_ms: 1_000_000,
+            rng: SmallRng::seed_from_u64(seed),
+            vms: (0..VMS).map(|_| vm()).collect(),
+            up_at_ms: vec![0; SAMPLERS],
+            incarnations: vec![1; SAMPLERS],
+            runs: Vec::new(),
+            rows: Vec::new(),
+            row_bytes: 0,
+            claims: BTreeSet::new(),
+            notices: Vec::new(),
+            received_bytes: 0,
+            culprits: BTreeMap::new(),
+            served: 0,
+            refused: BTreeMap::new(),
+            next_content: 0,
+        }
+    }
+
+    /// Advances by one tick, with the requests of harmless contents.
+    fn tick(&mut self) {
+        self.now_ms += TICK_MS;
+        let requests = self
+            .rng
+            .random_range(0..=2 * REQUESTS_PER_S * TICK_MS / 1_000);
+        for _ in 0..requests {
+            let content = if self.rng.random_bool(0.2) {
+                format!("popular-{}", self.rng.random_range(0..POPULAR_CONTENTS))
+            } else {
+                self.next_content += 1;
+                format!("single-{}", self.next_content)
+            };
+            let duration_ms = self.rng.random_range(20..400);
+            self.send(&content.into(), duration_ms);
+        }
+        self.deliver_notices();
+        for vm in 0..VMS {
+            let phase_ms = HEARTBEAT_MS * vm as u64 / VMS as u64 / TICK_MS * TICK_MS;
+            if self.now_ms % HEARTBEAT_MS == phase_ms {
+                self.read_rows(vm);
+            }
+        }
+        self.end_due_runs();
+    }
+
+    /// Sends a content to a VM drawn at random.
+    fn send(&mut self, content: &Name, duration_ms: u64) {
+        let vm = self.rng.random_range(0..VMS);
+        let now_ms = self.now_ms;
+        let avoid = match self.vms[vm].quarantine.permit(now_ms, content) {
+            Permit::Unrestricted => BTreeSet::new(),
+            Permit::Trial { avoid } => avoid,
+            Permit::Claim { avoid, number } => {
+                let is_claimed = self.claims.insert((content.clone(), number));
+                self.vms[vm].quarantine.on_claim(now_ms, content, number);
+                if !is_claimed {
+                    return self.record_refusal(content);
+                }
+                let row = QuarantineRow::Claim {
+                    fingerprint: content.clone(),
+                    number,
+                    at_platform_ms: now_ms,
+                };
+                self.write_row(row);
+                avoid
+            }
+            Permit::Wait => return,
+            Permit::Held { .. } | Permit::Quarantined => return self.record_refusal(content),
+        };
+        let sampler = self.rng.random_range(0..SAMPLERS);
+        if self.up_at_ms[sampler] > now_ms || avoid.contains(&sampler_name(sampler)) {
+            return;
+        }
+        let quarantine = &mut self.vms[vm].quarantine;
+        quarantine.on_start(&sampler_name(sampler), content, now_ms);
+        if let Some(culprit) = self.culprits.get_mut(content) {
+            culprit.runs.push(now_ms);
+        }
+        self.runs.push(Run {
+            vm,
+            content: content.clone(),
+            sampler,
+            started_ms: now_ms,
+            ends_at_ms: now_ms + duration_ms,
+        });
+    }
+
+    fn record_refusal(&mut self, content: &Name) {
+        if !self.culprits.contains_key(content) {
+            let now_ms = self.now_ms;
+            let refused = self.refused.entry(content.clone()).or_insert((now_ms, 0));
+            refused.1 = now_ms;
+        }
+    }
+
+    fn end_due_runs(&mut self) {
+        let now_ms = self.now_ms;
+        let due: Vec<Run> = self
+            .runs
+            .extract_if(.., |run| run.ends_at_ms <= now_ms)
+            .collect();
+        for run in due {
+            if let Some(culprit) = self.culprits.get_mut(&run.content) {
+                culprit.crashes.push(now_ms);
+                self.runs.push(Run {
+                    ends_at_ms: u64::MAX,
+                    ..run
+                });
+                self.crash(self.runs[self.runs.len() - 1].sampler);
+            } else if self.up_at_ms[run.sampler] <= now_ms {
+                self.served += 1;
+                self.end(&run, RunEnd::Complete);
+            }
+        }
+    }
+
+    fn end(&mut self, run: &Run, end: RunEnd) {
+        let quarantine = &mut self.vms[run.vm].quarantine;
+        let sampler = sampler_name(run.sampler);
+        let cleared = quarantine.on_end(self.now_ms, &sampler, &run.content, end);
+        if let Some(clearance) = cleared.filter(|c| c.crashes.len() >= MAX_CRASHES as usize) {
+            let row = QuarantineRow::Cleared {
+                clearance,
+                at_platform_ms: self.now_ms,
+            };
+            self.write_row(row);
+        }
+    }
+
+    /// Ends a sampler under all runs; each VM with a run there reports it.
+    fn crash(&mut self, sampler: usize) {
+        self.up_at_ms[sampler] = self.now_ms + RESTART_MS;
+        let broken: Vec<Run> = self
+            .runs
+            .extract_if(.., |run| run.sampler == sampler)
+            .collect();
+        let vms: BTreeSet<usize> = broken.iter().map(|run| run.vm).collect();
+        for vm in vms {
+            let quarantine = &mut self.vms[vm].quarantine;
+            let started_ms = broken.iter().filter(|run| run.vm == vm);
+            let started_ms = started_ms.map(|run| run.started_ms).min().unwrap_or(0);
+            let incarnation = self.incarnations[sampler];
+            let name = sampler_name(sampler);
+            let report = quarantine.on_crash(self.now_ms, &name, incarnation, started_ms);
+            let repeats = quarantine.reports_of_repeats(&report);
+            if !repeats.is_empty() {
+                self.notices.push((self.now_ms + NOTICE_DELAY_MS, repeats));
+            }
+            let row = QuarantineRow::Crash {
+                report,
+                at_platform_ms: self.now_ms,
+            };
+            self.write_row(row);
+        }
+        for run in &broken {
+            self.end(run, RunEnd::Incomplete);
+        }
+        self.incarnations[sampler] += 1_000;
+    }
+
+    fn write_row(&mut self, row: QuarantineRow) {
+        let bytes = rmp_serde::to_vec_named(&row).expect("the row can be encoded");
+        let key = row.key("front-dc-01-1");
+        self.row_bytes += bytes.len().div_ceil(3) * 4 + key.len() + ROW_FRAME_BYTES;
+        self.rows.push((row, self.now_ms));
+    }
+
+    fn read_rows(&mut self, vm: usize) {
+        let vm = &mut self.vms[vm];
+        let new = self.rows[vm.rows_read..].to_vec();
+        vm.rows_read = self.rows.len();
+        if !new.is_empty() {
+            vm.quarantine.on_rows(self.now_ms, new);
+        }
+    }
+
+    fn deliver_notices(&mut self) {
+        let now_ms = self.now_ms;
+        let due: Vec<_> = self
+            .notices
+            .extract_if(.., |(at_ms, _)| *at_ms <= now_ms)
+            .collect();
+        for (_, reports) in due {
+            let bytes = rmp_serde::to_vec(&reports).expect("the notice can be encoded");
+            self.received_bytes += bytes.len() + NOTICE_FRAME_BYTES;
+            for vm in &mut self.vms {
+                for report in &reports {
+                    vm.quarantine.on_report(now_ms, report.clone());
+                }
+            }
+        }
+    }
+
+    fn late_runs(&self) -> usize {
+        let late = self.culprits.values().map(|culprit| {
+            let third = culprit.crashes.get(2);
+            let is_late = |at_ms: &&u64| third.is_some_and(|third| **at_ms > third + CONTACT_MS);
+            culprit.runs.iter().filter(is_late).count()
+        });
+        late.max().unwrap_or(0)
+    }
+
+    /// Returns the longest time between the first and the last refusal of a harmless
+    /// content, in milliseconds.
+    fn longest_refusal_ms(&self) -> u64 {
+        let spans = self.refused.values().map(|(first, last)| last - first);
+        spans.max().unwrap_or(0)
+    }
+}
+
+fn sampler_name(number: usize) -> Name {
+    format!("i-{number:08x}").into()
+}
+
+/// Guards against counts that VMs keep each for itself, and against an exchange that
+/// costs more than the control traffic of a daemon may.
+#[test]
+fn one_culprit_a_second_stays_bounded_and_affordable() {
+    const SECONDS: u64 = 20;
+    let mut world = World::new(1);
+    for tick in 0..SECONDS * 1_000 / TICK_MS {
+        let at_ms = tick * TICK_MS;
+        if at_ms.is_multiple_of(1_000) {
+            let name = format!("culprit-{at_ms}").into();
+            world.culprits.insert(name, Culprit::default());
+        }
+        if at_ms.is_multiple_of(RESEND_INTERVAL_MS) {
+            for culprit in world.culprits.keys().cloned().collect::<Vec<_>>() {
+                world.send(&culprit, TICK_MS);
+            }
+        }
+        world.tick();
+    }
+    let seconds = usize::try_from(SECONDS).expect("few");
+    let bytes_per_s = (world.row_bytes + world.received_bytes) / seconds;
+    let crashes: Vec<usize> = world.culprits.values().map(|c| c.crashes.len()).collect();
+    println!(
+        "{} culprits, crashes {crashes:?}, late runs at most {}, {} served, {} harmless contents \
+         refused, {} rows, {bytes_per_s} bytes/s a VM",
+        crashes.len(),
+        world.late_runs(),
+        world.served,
+        world.refused.len(),
+        world.rows.len(),
+    );
+    assert!(world.late_runs() <= MAX_LATE_RETRIES);
+    assert!(bytes_per_s <= MAX_CONTROL_BYTES_PER_S, "{bytes_per_s}");
+    assert_eq!(world.refused.len(), 0, "{:?}", world.refused);
+}
+
+/// Guards against harmless contents that stay refused after a data centre was lost
+/// three times within seconds.
+#[rstest]
+fn harmless_contents_come_free_after_data_centres_were_lost(#[values(1, 2, 3)] seed: u64) {
+    const LOST_SAMPLERS: usize = SAMPLERS / 9;
+    let mut world = World::new(seed);
+    for tick in 0..12_000 / TICK_MS {
+        if tick.is_multiple_of(100) && (100..=300).contains(&tick) {
+            let first = LOST_SAMPLERS * usize::try_from(tick / 100).expect("few");
+            for sampler in first..first + LOST_SAMPLERS {
+                world.crash(sampler);
+            }
+        }
+        world.tick();
+    }
+    println!(
+        "seed {seed}: {} served, {} harmless contents refused, for {} ms at most, {} rows",
+        world.served,
+        world.refused.len(),
+        world.longest_refusal_ms(),
+        world.rows.len()
+    );
+    // Two late retries, the second after twice the delay, and a heartbeat.
+    let max_ms = 3 * LATE_RETRY_DELAY_MS + HEARTBEAT_MS;
+    assert!(world.longest_refusal_ms() <= max_ms, "{:?}", world.refused);
+    let all = world.served + world.refused.len();
+    assert!(world.refused.len() * 1_000 <= all, "{:?}", world.refused);
+}
--- a/tests/process_serve/requests_that_crash_samplers.rs
+++ b/tests/process_serve/requests_that_crash_samplers.rs
@@ -140,6 +140,41 @@
     Damage::of(&fleet.plain_samplers).assert_bounded();
 }
 
+/// Guards against counts that need the store: while it is away, VMs tell each other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_are_counted_together_while_the_store_is_away() {
+    let fleet = start_fleet(3).await;
+    // After two heartbeats each VM has read the rows of all others.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.store.refuse_vms([0, 1, 2]);
+    resend_culprit(&fleet, "away", RESEND_DURATION).await;
+    Damage::of(&fleet.plain_samplers).assert_bounded();
+}
+
+/// Guards against samplers that go silent under a request, so that only the list of
+/// samplers tells that they have ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_under_which_samplers_go_silent_stops_reaching_them() {
+    let fleet = start_fleet(3).await;
+    for sampler in &fleet.plain_samplers {
+        sampler.go_silent_when_down();
+    }
+    let sends = (0..3).map(|vm| {
+        let fleet = &fleet;
+        async move {
+            let ends_at = Instant::now() + 3 * RESEND_DURATION;
+            let mut number = 0;
+            while Instant::now() < ends_at {
+                send(fleet, vm, &format!("silent-{vm}-{number}"), CULPRIT).await;
+                number += 1;
+                tokio::time::sleep(RESEND_INTERVAL).await;
+            }
+        }
+    });
+    futures_util::future::join_all(sends).await;
+    Damage::of(&fleet.plain_samplers).assert_bounded();
+}
+
 /// Submits a batch until it is accepted.
 async fn submit(fleet: &Fleet, body: &Value) {
     let callers = fleet.vms[0].addresses["callers"];
