Take no new connection shortly before the exit, and wait for the last callers

Cause, as far as a run shows it: a VM closes its connections 1.5 s before it exits, but went on accepting. On a new connection the end of service and the first request raced in a select without order, so at random the request was passed on, and cut by the exit.

Now the listener for callers closes with the connections, so that later callers are refused at once and turn to another VM; and while a caller's connection is open at the exit, the process waits for it until 0.3 s before it is killed.

--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -1,6 +1,11 @@
 //! Serves the connections of callers, the platform and other VMs.
 
-use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    pin::pin,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use http_body_util::{BodyExt, Limited};
 use hyper::{
@@ -60,10 +65,17 @@
     pub(crate) started_ms: u64,
 }
 
-/// Accepts connections for as long as the process runs.
+/// Accepts connections for as long as the process runs, those of callers until it
+/// closes connections: a request on a later one could be cut by the exit.
 pub(crate) async fn serve(server: Arc<Server>, listener: TcpListener, kind: ListenerKind) {
+    let mut close = server.close_connections.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            _ = close.wait_for(|close| *close), if kind == ListenerKind::Callers => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_connection(server.clone(), stream, kind));
             }
@@ -97,6 +109,7 @@
         .header_read_timeout(Duration::from_millis(idle_ms))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    let _open = (kind == ListenerKind::Callers).then(|| OpenConnection::new(&server));
     tokio::select! {
         result = connection.as_mut() => {
             if let Err(error) = result {
@@ -114,6 +127,22 @@
     }
 }
 
+/// Counts a caller's connection as open until it is dropped.
+struct OpenConnection(Arc<Server>);
+
+impl OpenConnection {
+    fn new(server: &Arc<Server>) -> Self {
+        server.caller_connections.fetch_add(1, Ordering::SeqCst);
+        Self(server.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.caller_connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 async fn respond(
     server: Arc<Server>,
     request: Request<Incoming>,
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -1,4 +1,8 @@
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use tokio::{
     net::TcpListener,
@@ -16,9 +20,14 @@
     settings::VmSettings,
 };
 
-/// How long before the end of the grace period the process exits, in
+/// How long before the end of the grace period the process exits if no caller waits
+/// any more, in milliseconds.
+const EXIT_MARGIN_MS: u64 = 1_200;
+/// How long before the end of the grace period the process exits in any case, in
 /// milliseconds: it is killed when the period is over.
-const KILL_MARGIN_MS: u64 = 1_200;
+const KILL_MARGIN_MS: u64 = 300;
+/// How often to check whether callers still wait at the end, in milliseconds.
+const LAST_CALLERS_CHECK_INTERVAL_MS: u64 = 10;
 /// How long before it exits the process closes connections, in milliseconds:
 /// by then callers have refreshed their list of VMs.
 const CONNECTION_CLOSE_LEAD_MS: u64 = 1_500;
@@ -132,11 +141,10 @@
 async fn shut_down(server: &Arc<Server>) {
     let grace_ms = Duration::from_secs_f64(server.settings.stop_grace_s).as_millis();
     let grace_ms = u64::try_from(grace_ms).unwrap_or(u64::MAX);
-    let end_ms = now_ms() + grace_ms.saturating_sub(KILL_MARGIN_MS);
+    let killed_at_ms = now_ms() + grace_ms;
+    let end_ms = killed_at_ms.saturating_sub(EXIT_MARGIN_MS);
     tracing::info!(end_ms, "stop: leaving");
-    server
-        .is_draining
-        .store(true, std::sync::atomic::Ordering::SeqCst);
+    server.is_draining.store(true, Ordering::SeqCst);
     tokio::join!(
         members::delete_own_row(server),
         claims::release_all_shares(server)
@@ -144,7 +152,12 @@
     sleep_until(end_ms.saturating_sub(CONNECTION_CLOSE_LEAD_MS)).await;
     server.close_connections.send_replace(true);
     sleep_until(end_ms).await;
-    tracing::info!("stop: exiting");
+    let last_ms = killed_at_ms.saturating_sub(KILL_MARGIN_MS);
+    let open_connections = || server.caller_connections.load(Ordering::SeqCst);
+    while open_connections() > 0 && now_ms() < last_ms {
+        tokio::time::sleep(Duration::from_millis(LAST_CALLERS_CHECK_INTERVAL_MS)).await;
+    }
+    tracing::info!(open_connections = open_connections(), "stop: exiting");
 }
 
 /// Removes expired idle connections and endpoints, and reports dropped log lines.
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -2,7 +2,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
@@ -56,6 +56,8 @@
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     pub(crate) is_draining: AtomicBool,
+    /// The number of open connections of callers.
+    pub(crate) caller_connections: AtomicUsize,
     /// Becomes true at shutdown: each connection closes after the request in
     /// progress.
     pub(crate) close_connections: watch::Sender<bool>,
@@ -89,6 +91,7 @@
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             is_draining: AtomicBool::new(false),
+            caller_connections: AtomicUsize::new(0),
             close_connections: watch::Sender::new(false),
             settings,
         }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -44,7 +44,8 @@
     pub vms: Vec<Vm>,
     /// The address at which each VM reaches the store.
     pub store_addresses: Vec<SocketAddr>,
-    /// Whether the logs are kept when this value is dropped.
+    /// Whether the logs are kept when this value is dropped; the variable
+    /// `KEEP_LOGS` sets it from the start.
     pub keeps_logs: bool,
     /// The number of processes started so far.
     start_count: usize,
@@ -101,7 +102,7 @@
             model_samplers,
             plain_samplers,
             vms: Vec::new(),
-            keeps_logs: false,
+            keeps_logs: std::env::var_os("KEEP_LOGS").is_some(),
             start_count: 0,
             http: HttpClient::new(),
             dir,
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -8,4 +8,5 @@
     mod invalid_answers_and_ended_batches;
     mod requests_that_crash_samplers;
     mod soak;
+    mod stops_cut_no_request;
 }
--- a/tests/process_serve/requests_that_crash_samplers.rs
+++ b/tests/process_serve/requests_that_crash_samplers.rs
@@ -59,8 +59,7 @@
 
 /// Starts VMs and samplers that all crash on the culprit.
 async fn start_fleet(vms: usize) -> Fleet {
-    let mut fleet = Fleet::start(vms, SAMPLER_SETTINGS).await;
-    fleet.keeps_logs = std::env::var_os("KEEP_LOGS").is_some();
+    let fleet = Fleet::start(vms, SAMPLER_SETTINGS).await;
     for sampler in fleet.model_samplers.iter().chain(&fleet.plain_samplers) {
         sampler.crash_on(CULPRIT);
     }
--- /dev/null
+++ b/tests/process_serve/stops_cut_no_request.rs
@@ -0,0 +1,83 @@
+//! Guards against requests that a stopping VM passes on and then gives up.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rstest::rstest;
+use rustix::process::Signal;
+use standins::fleet::{Sampler, SamplerSettings};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::Instant,
+};
+
+use crate::fleet::{Fleet, HOST, SAMPLER_SETTINGS};
+
+/// How long a VM may take to stop, as the fleet sets it.
+const STOP_GRACE: Duration = Duration::from_secs(4);
+const REQUESTS: u32 = 40;
+const WORK_MS: u64 = 300;
+
+/// Sends a request at a time, on an open connection or a new one, and returns all
+/// that comes back.
+async fn send_at(
+    callers: SocketAddr,
+    open: Option<TcpStream>,
+    at: Instant,
+    id: String,
+) -> (String, String) {
+    tokio::time::sleep_until(at).await;
+    let connection = match open {
+        Some(open) => Ok(open),
+        None => TcpStream::connect(callers).await,
+    };
+    let Ok(mut connection) = connection else {
+        return (id, String::new());
+    };
+    let request = format!(
+        "GET /slips/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 2000\r\n\r\n"
+    );
+    // Errors mean that the VM has closed the connection.
+    let _ = connection.write_all(request.as_bytes()).await;
+    let mut answer = Vec::new();
+    let _ = tokio::time::timeout(STOP_GRACE, connection.read_to_end(&mut answer)).await;
+    (id, String::from_utf8_lossy(&answer).into_owned())
+}
+
+/// Guards against requests that arrive just before a stopping VM exits, on
+/// connections that were opened before or that are new.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_vm_answers_each_request_that_it_passes_on(
+    #[values(false, true)] is_connection_new: bool,
+) {
+    let slow = SamplerSettings {
+        work_ms: WORK_MS,
+        ..SAMPLER_SETTINGS
+    };
+    let fleet = Fleet::start(1, slow).await;
+    let callers = fleet.vms[0].addresses["callers"];
+    let stopped_at = Instant::now();
+    let mut sends = Vec::new();
+    for number in 0..REQUESTS {
+        let open = if is_connection_new {
+            None
+        } else {
+            Some(TcpStream::connect(callers).await.expect("it connects"))
+        };
+        let at = stopped_at + STOP_GRACE * number / REQUESTS;
+        let id = format!("stop-{number}");
+        sends.push(tokio::spawn(send_at(callers, open, at, id)));
+    }
+    fleet.signal(0, Signal::TERM);
+    let mut given_up = Vec::new();
+    for send in sends {
+        let (id, answer) = send.await.expect("the task ends");
+        let is_whole = answer.starts_with("HTTP/1.1 ") && answer.contains("\r\n\r\n");
+        let has_run = |sampler: &Sampler| sampler.run_request_ids().contains(&id);
+        if !is_whole && fleet.plain_samplers.iter().any(has_run) {
+            given_up.push(id);
+        }
+    }
+    assert_eq!(given_up, Vec::<String>::new());
+}
