Let the soak send a request that crashes samplers, and crash samplers by itself

Nothing in the soak ended a sampler, so no seed could show repeats of a request under which samplers end, alone or beside faults of VMs and of the store.

Now each run has a caller that sends such a request every 150 ms to one VM after the other, and up to three samplers that end by themselves, drawn from a second generator, so that the faults of a seed stay what they were. The check is the users' bound, from the last fault on: at most 3 runs later than 3 s after it and after the third crash.

Another test holds the first two entries of the rule: attempts of a route, and the time passed on with a retry, with the users' slack of 0.5 s.

--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -103,6 +103,8 @@
     pub body: Bytes,
     /// When the sampler began to run it.
     pub at: Instant,
+    /// How long the sampler may take, in milliseconds.
+    pub deadline_ms: Option<u64>,
 }
 
 impl Sampler {
@@ -360,6 +362,7 @@
 async fn handle_run(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
     let id = header(&request, "x-request-id").unwrap_or_default();
     let after = header(&request, "last-event-id").and_then(|text| text.parse().ok());
+    let deadline_ms = header(&request, "x-deadline-ms").and_then(|text| text.parse().ok());
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let body = match read_bytes(request).await {
@@ -370,6 +373,7 @@
         id: id.clone(),
         body: body.clone(),
         at: Instant::now(),
+        deadline_ms,
     });
     if lock(&shared.crashing_bodies).contains(&body) {
         shared.crash();
--- a/tests/process_serve/requests_that_crash_samplers.rs
+++ b/tests/process_serve/requests_that_crash_samplers.rs
@@ -12,16 +12,16 @@
 use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use standins::fleet::Sampler;
+use standins::fleet::{AnswerFault, RunStart, Sampler};
 
 use crate::fleet::{Answer, Fleet, SAMPLER_SETTINGS, WAIT_TIMEOUT, batch_body};
 
 /// The body that crashes each sampler that runs it.
-const CULPRIT: &[u8] = b"culprit";
+pub const CULPRIT: &[u8] = b"culprit";
 /// The users' bounds: this long after the third crash, at most
 /// [`MAX_LATE_RETRIES`] more runs may be sent.
 const CONTACT: Duration = Duration::from_secs(3);
-const MAX_LATE_RETRIES: usize = 3;
+pub const MAX_LATE_RETRIES: usize = 3;
 const CRASHES_BEFORE_BOUND: usize = 3;
 /// How long the culprit keeps coming.
 const RESEND_DURATION: Duration = Duration::from_secs(9);
@@ -29,24 +29,31 @@
 
 /// What the culprit did at the samplers of a test.
 #[derive(Debug)]
-struct Damage {
-    crashes: usize,
+pub struct Damage {
+    pub crashes: usize,
     /// The runs that began later than the users' bound allows.
-    late_runs: usize,
+    pub late_runs: usize,
 }
 
 impl Damage {
     fn of(samplers: &[Sampler]) -> Self {
+        Self::of_calm_time(samplers, None)
+    }
+
+    /// Counts runs as late only after `calm_since`, if the VMs were disturbed before.
+    pub fn of_calm_time(samplers: &[Sampler], calm_since: Option<Instant>) -> Self {
+        let runs = samplers.iter().flat_map(|s| s.runs_of(CULPRIT));
+        let runs: Vec<Instant> = runs.map(|run| run.at).collect();
         let mut crashes: Vec<Instant> = samplers.iter().flat_map(Sampler::crashes).collect();
         crashes.sort();
-        let runs = samplers.iter().flat_map(|s| s.runs_of(CULPRIT));
-        let is_late = |at: Instant| {
-            let third = crashes.get(CRASHES_BEFORE_BOUND - 1);
-            third.is_some_and(|third| at > *third + CONTACT)
-        };
+        // Samplers may also crash by themselves.
+        crashes.retain(|crash| runs.iter().any(|run| is_same_time(*run, *crash)));
+        let third = crashes.get(CRASHES_BEFORE_BOUND - 1);
+        let bound_since = third.map(|third| calm_since.map_or(*third, |calm| calm.max(*third)));
+        let is_late = |at: &&Instant| bound_since.is_some_and(|since| **at > since + CONTACT);
         Self {
             crashes: crashes.len(),
-            late_runs: runs.filter(|run| is_late(run.at)).count(),
+            late_runs: runs.iter().filter(is_late).count(),
         }
     }
 
@@ -57,6 +64,11 @@
     }
 }
 
+/// Returns whether a crash followed the start of a run at once.
+fn is_same_time(run: Instant, crash: Instant) -> bool {
+    crash >= run && crash.duration_since(run) < Duration::from_millis(20)
+}
+
 /// Starts VMs and samplers that all crash on the culprit.
 async fn start_fleet(vms: usize) -> Fleet {
     let fleet = Fleet::start(vms, SAMPLER_SETTINGS).await;
@@ -243,6 +255,36 @@
     Damage::of(&fleet.model_samplers).assert_bounded();
 }
 
+/// Guards against retries beyond the attempts of the route, and against retries that
+/// are handed more time than their caller has left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_keep_to_the_attempts_and_the_time_of_the_caller() {
+    const ATTEMPTS: usize = 3;
+    const CALLER_DEADLINE_MS: u128 = 5_000;
+    // What the users allow.
+    const SLACK_MS: u128 = 500;
+    let fleet = Fleet::start(1, SAMPLER_SETTINGS).await;
+    for sampler in &fleet.plain_samplers {
+        sampler.inject_answer_faults(AnswerFault::Cut, 30);
+    }
+    for number in 0..10 {
+        let id = format!("cut-{number}");
+        let started = Instant::now();
+        send(&fleet, 0, &id, b"cut").await;
+        let samplers = fleet.plain_samplers.iter();
+        let runs: Vec<RunStart> = samplers
+            .flat_map(|sampler| sampler.runs_of(b"cut"))
+            .filter(|run| run.id == id)
+            .collect();
+        assert!((1..=ATTEMPTS).contains(&runs.len()), "{runs:?}");
+        for run in runs {
+            let deadline_ms = u128::from(run.deadline_ms.expect("a deadline is passed on"));
+            let ends_ms = run.at.duration_since(started).as_millis() + deadline_ms;
+            assert!(ends_ms <= CALLER_DEADLINE_MS + SLACK_MS, "{ends_ms}");
+        }
+    }
+}
+
 /// Guards against refusals of requests that ran where samplers ended by themselves.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn harmless_requests_are_served_although_samplers_end_under_them() {
--- a/tests/process_serve/soak/environment.rs
+++ b/tests/process_serve/soak/environment.rs
@@ -6,7 +6,7 @@
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -20,7 +20,10 @@
     fault_plan::{FaultKind, PlannedFault},
     proxy::{Proxy, ProxyFault},
 };
-use crate::fleet::{Answer, Fleet, batch_body, call};
+use crate::{
+    fleet::{Answer, Fleet, batch_body, call},
+    process_serve::requests_that_crash_samplers::{CULPRIT, Damage, MAX_LATE_RETRIES},
+};
 
 pub const VMS: usize = 4;
 /// The settings of samplers. A sample takes half a second, so that faults occur
@@ -58,6 +61,9 @@
 impl SoakEnvironment {
     pub async fn start() -> Self {
         let mut fleet = Fleet::start_without_vms(VMS, SAMPLER_SETTINGS).await;
+        for sampler in &fleet.plain_samplers {
+            sampler.crash_on(CULPRIT);
+        }
         let mut store_proxies = Vec::new();
         for address in fleet.store.addresses.clone() {
             store_proxies.push(Proxy::start(address).await);
@@ -99,6 +105,31 @@
         call(&self.http, method, address, path, id, body).await
     }
 
+    /// Crashes a sampler, which is down for a while.
+    pub async fn crash_sampler(&self, number: usize, downtime: Duration) {
+        let fleet = self.fleet.lock().await;
+        let samplers: Vec<_> = fleet
+            .model_samplers
+            .iter()
+            .chain(&fleet.plain_samplers)
+            .collect();
+        let sampler = samplers[number % samplers.len()];
+        let down_ms = downtime.as_millis();
+        sampler.set_restart_ms(u64::try_from(down_ms).expect("short"));
+        sampler.crash();
+    }
+
+    /// Checks how often the culprit ran long after its third crash and the last
+    /// fault, and returns what it did.
+    pub async fn check_culprit(&self, calm_since: Instant) -> Damage {
+        let fleet = self.fleet.lock().await;
+        let damage = Damage::of_calm_time(&fleet.plain_samplers, Some(calm_since));
+        if damage.late_runs > MAX_LATE_RETRIES {
+            self.record_violation(format!("the culprit ran too often: {damage:?}"));
+        }
+        damage
+    }
+
     /// Injects a fault, and ends it after its duration.
     pub async fn inject_fault(&self, planned: PlannedFault) {
         let vm = planned.vm;
--- a/tests/process_serve/soak/fault_plan.rs
+++ b/tests/process_serve/soak/fault_plan.rs
@@ -61,6 +61,27 @@
     pub duration: Duration,
 }
 
+/// A crash of a sampler by itself.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedCrash {
+    pub sampler: usize,
+    pub starts_after: Duration,
+    pub downtime: Duration,
+}
+
+/// Returns the crashes of samplers of a seed; there may be none.
+pub fn plan_crashes(seed: u64) -> Vec<PlannedCrash> {
+    // Its own generator, so that the faults of a seed stay what they were.
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    (0..rng.random_range(0..=3))
+        .map(|_| PlannedCrash {
+            sampler: rng.random_range(0..6),
+            starts_after: Duration::from_millis(rng.random_range(0..FAULT_WINDOW_MS)),
+            downtime: Duration::from_millis(rng.random_range(200..2_000)),
+        })
+        .collect()
+}
+
 /// Returns the faults of a seed, in order; they may overlap.
 pub fn plan_faults(seed: u64, vms: usize) -> Vec<PlannedFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/tests/process_serve/soak/promises.rs
+++ b/tests/process_serve/soak/promises.rs
@@ -19,11 +19,15 @@
 
 use super::{
     environment::{SAMPLES_PER_BATCH, SoakEnvironment, VMS, lock},
-    fault_plan::plan_faults,
+    fault_plan::{plan_crashes, plan_faults},
 };
+use crate::process_serve::requests_that_crash_samplers::CULPRIT;
 
 /// The time within which everything is served again after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+const CULPRIT_INTERVAL: Duration = Duration::from_millis(150);
+/// How long the culprit still comes after the last fault.
+const CULPRIT_CALM_DURATION: Duration = Duration::from_secs(6);
 const CALL_INTERVAL: Duration = Duration::from_millis(40);
 /// The number of calls served in a row that shows that callers are served again.
 const RECOVERED_CALL_COUNT: usize = 20;
@@ -60,6 +64,20 @@
     (sent, served)
 }
 
+/// Sends a request that crashes samplers again and again until the run ends.
+async fn run_culprit_caller(environment: Arc<SoakEnvironment>) {
+    let mut number = 0;
+    while !environment.is_over() {
+        let id = format!("culprit-{number}");
+        let body = Bytes::from_static(CULPRIT);
+        environment
+            .call(Method::POST, number % VMS, "/slips/culprit", &id, body)
+            .await;
+        number += 1;
+        tokio::time::sleep(CULPRIT_INTERVAL).await;
+    }
+}
+
 /// Submits batches and checks their results until the run ends.
 async fn run_trainer(environment: Arc<SoakEnvironment>) {
     let mut step = 0;
@@ -99,8 +117,19 @@
     let environment = Arc::new(SoakEnvironment::start().await);
     let callers = tokio::spawn(run_callers(environment.clone()));
     let trainer = tokio::spawn(run_trainer(environment.clone()));
+    let culprit = tokio::spawn(run_culprit_caller(environment.clone()));
     let faults = plan_faults(seed, VMS);
     let mut fault_tasks = tokio::task::JoinSet::new();
+    for crash in plan_crashes(seed) {
+        let environment = environment.clone();
+        fault_tasks.spawn(async move {
+            tokio::time::sleep(crash.starts_after).await;
+            environment
+                .crash_sampler(crash.sampler, crash.downtime)
+                .await;
+            tokio::time::sleep(crash.downtime).await;
+        });
+    }
     for fault in faults.clone() {
         let environment = environment.clone();
         fault_tasks.spawn(async move {
@@ -135,7 +164,10 @@
              complete after {complete_ms} ms"
         ));
     }
+    tokio::time::sleep(CULPRIT_CALM_DURATION.saturating_sub(faults_ended_at.elapsed())).await;
     environment.is_over.store(true, Ordering::SeqCst);
+    culprit.await.expect("the culprit's caller ends");
+    let damage = environment.check_culprit(faults_ended_at).await;
     trainer.await.expect("the trainer ends");
     let (sent, served) = callers.await.expect("the callers end");
     let accepted = lock(&environment.accepted_batches).clone();
@@ -155,7 +187,7 @@
         environment.keep_logs().await;
     }
     println!(
-        "seed {seed}: {} batches, {served} of {sent} calls served, recovered in {} ms, {} violations; {:?}",
+        "seed {seed}: {} batches, {served} of {sent} calls served, recovered in {} ms, {damage:?}, {} violations; {:?}",
         accepted.len(),
         recovered.as_millis(),
         violations.len(),
