--- a/src/server/content_runs.rs
+++ b/src/server/content_runs.rs
@@ -97,8 +97,9 @@
 ///
 /// # Errors
 ///
-/// Returns `ContentHeld` if the content must not run now, and `Overloaded` if a
-/// run in progress of the same content lasts until `wait_until_ms`.
+/// Returns `ContentHeld` if the content must not run now, `ConfigTooOld` if this VM
+/// has just started and cannot tell, and `Overloaded` if a run in progress of the
+/// same content lasts until `wait_until_ms`.
 pub(crate) async fn start<F>(
     server: &Arc<Server>,
     content: &Name,
@@ -108,6 +109,10 @@
 where
     F: Fn(&BTreeSet<Name>) -> Option<Name>,
 {
+    if !crash_rows::have_been_read(server) {
+        let message = "this VM has not read the rows of crashes yet";
+        return Err(Refusal::new(ErrorKind::ConfigTooOld, message));
+    }
     loop {
         match try_start(server, content, &choose) {
             StartOutcome::Started(in_flight) => return Ok(Some(in_flight)),
--- a/src/server/crash_rows.rs
+++ b/src/server/crash_rows.rs
@@ -48,6 +48,9 @@
 const MAX_UNWRITTEN_ROWS: usize = 500;
 /// The most rows that the store keeps; the oldest ones are deleted.
 const MAX_STORED_ROWS: usize = 2_000;
+/// The most notices that this VM sends within a second; further crashes become known
+/// through the store only.
+const MAX_NOTICES_PER_S: u32 = 10;
 /// How long a VM may take to answer a notice, in milliseconds.
 const NOTICE_TIMEOUT_MS: u64 = 300;
 /// How long a request waits until its crash is known to other VMs, in
@@ -65,6 +68,8 @@
     stored: BTreeMap<Name, u64>,
     /// Up to which version the rows have been read.
     read_version: Option<u64>,
+    /// The second that began at this time, and the notices sent in it.
+    notices: (u64, u32),
 }
 
 impl CrashRows {
@@ -79,6 +84,15 @@
         is_new
     }
 
+    /// Returns whether another notice may be sent now, and counts it.
+    fn count_notice(&mut self, now_ms: u64) -> bool {
+        if now_ms >= self.notices.0 + 1_000 {
+            self.notices = (now_ms, 0);
+        }
+        self.notices.1 += 1;
+        self.notices.1 <= MAX_NOTICES_PER_S
+    }
+
     /// Returns the keys of rows that are too old or too many.
     fn excess_keys(&self, earliest_platform_ms: u64, limit: usize) -> Vec<Name> {
         let mut by_age: Vec<(u64, &Name)> = self
@@ -387,6 +401,13 @@
 
 /// Sends notices to all other VMs at once.
 async fn notify_vms(server: Arc<Server>, notices: Vec<CrashNotice>) {
+    if !lock(&server.crash_rows).count_notice(now_ms()) {
+        tracing::info!(
+            notices = notices.len(),
+            "too many crashes to tell other VMs directly"
+        );
+        return;
+    }
     let body: Bytes = match rmp_serde::to_vec(&notices) {
         Ok(body) => body.into(),
         Err(error) => {
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::{Method, Response, StatusCode, body::Frame, header};
+use hyper::{Method, Response, StatusCode};
 
 use super::{
     content_runs::{self, StartOutcome},
@@ -14,6 +13,7 @@
     http_client::{ExchangeError, Reply, WholeReply},
     response::{Body, full_body},
     state::{InFlight, Server, lock},
+    stream::stream_response,
 };
 use crate::{
     core::{
@@ -448,43 +448,6 @@
     Ok(response)
 }
 
-/// Returns a response that forwards a stream as it is received, and that fails
-/// where the stream fails.
-fn stream_response(
-    server: &Arc<Server>,
-    id: &Name,
-    reply: Reply,
-    in_flight: InFlight,
-) -> Response<Body> {
-    let mut headers = forwardable_headers(&reply.headers);
-    headers.remove(header::CONTENT_LENGTH);
-    let status = reply.status;
-    let source = Some((reply, in_flight));
-    let (server, id) = (server.clone(), id.clone());
-    let frames = futures_util::stream::unfold(source, move |source| {
-        let (server, id) = (server.clone(), id.clone());
-        async move {
-            let (mut reply, in_flight) = source?;
-            match reply.next_bytes().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((reply, in_flight)))),
-                Ok(None) => {
-                    in_flight.mark_complete();
-                    reply.release_connection().await;
-                    None
-                }
-                Err(error) => {
-                    crash::on_broken_run(&server, &in_flight, &id, &error).await;
-                    Some((Err(error), None))
-                }
-            }
-        }
-    });
-    let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
-
 /// How long reading the body of a refusal may take, in milliseconds.
 const REFUSAL_BODY_TIMEOUT_MS: u64 = 50;
 
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -31,6 +31,7 @@
 mod score;
 mod share;
 mod state;
+mod stream;
 
 pub use self::run::run;
 pub(crate) use self::{
