Count a sample's failures over all owners of its share

Cause: the count of answers of 500 lived in the task that runs the sample, so the VM that took its share over counted anew. The users allow an item that fails at each run three times the attempts of its route.

Now each such answer is written to a row of the store before the next run, for runs and score calls, and the next owner of the share reads them. An answer that no run can mend (422) counts as all attempts. One write per such answer.

--- a/src/server/clean.rs
+++ b/src/server/clean.rs
@@ -5,6 +5,7 @@
 use super::{
     claims::BATCH_TABLE,
     crash_rows::{self, CRASH_POINTER_KEY},
+    failures::FAILURE_TABLE,
     listing::LISTING_TABLE,
     progress::SAVED_TEXT_TABLE,
     state::{Server, lock},
@@ -70,10 +71,10 @@
     due
 }
 
-/// Deletes a batch: first its listing and texts, then its object, and last the
+/// Deletes a batch: first its listing, texts and failures, then its object, and last the
 /// rows by which it is found.
 async fn delete_batch(server: &Server, batch: &Name, object: &str) -> Result<(), StoreError> {
-    for table in [LISTING_TABLE, SAVED_TEXT_TABLE, BATCH_TABLE] {
+    for table in [LISTING_TABLE, SAVED_TEXT_TABLE, FAILURE_TABLE, BATCH_TABLE] {
         if table == BATCH_TABLE {
             server.store.delete_object(object).await?;
         }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod crash_rows;
 mod directory;
+mod failures;
 mod fleet;
 mod follow;
 mod forward;
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -4,6 +4,7 @@
 
 use super::{
     content_runs::{self, StartOutcome},
+    failures::{self, FailedCall, PERMANENT_FAILURE_COUNT, SampleFailures},
     metrics::elapsed_seconds,
     progress::UnsavedTexts,
     run_once::run_once,
@@ -60,6 +61,8 @@
     pub(crate) start_wait_factor: u64,
     /// The endpoints that its share prefers.
     pub(crate) slice: EndpointSlice,
+    /// How often it has failed under earlier owners of its share.
+    pub(crate) failures: SampleFailures,
     /// The text that earlier runs generated, if it was saved.
     pub(crate) saved_text: Option<SavedText>,
     /// The texts of its share that are still to be saved.
@@ -256,13 +259,13 @@
         let (text, is_complete) =
             restored.unwrap_or_else(|| (SampleText::new(min_version, is_single_version), false));
         Self {
+            failures: job.failures.runs,
             job,
             text,
             is_complete,
             is_single_version,
             run_count: 0,
             moves: 0,
-            failures: 0,
             runs_without_progress: 0,
             avoid: BTreeSet::new(),
         }
@@ -275,7 +278,10 @@
                 self.is_complete = true;
                 return false;
             }
-            RunEnd::PermanentFailure => return true,
+            RunEnd::PermanentFailure => {
+                self.failures = PERMANENT_FAILURE_COUNT;
+                return true;
+            }
             RunEnd::Failed => {
                 self.failures += 1;
                 (
@@ -331,12 +337,23 @@
             }
         };
         let max_failures = reservation.route.max_attempts;
+        if runs.failures >= max_failures {
+            reservation.in_flight.mark_incomplete();
+            return runs.job.to_listed(ListedState::Dead, &runs.text, None);
+        }
         let endpoint = reservation.in_flight.endpoint.clone();
         runs.run_count += 1;
         let may_move = runs.moves < MAX_MOVES;
         let event_before = runs.text.last_event();
         let end = run_once(&runs.job, reservation, &mut runs.text, may_move).await;
-        if runs.on_run_end(&endpoint, end, max_failures) {
+        let failures_before = runs.failures;
+        let is_abandoned = runs.on_run_end(&endpoint, end, max_failures);
+        if runs.failures > failures_before {
+            let (job, count) = (&runs.job, runs.failures);
+            let sample = &job.sample.id;
+            failures::write_failures(&job.server, &job.batch, sample, FailedCall::Run, count).await;
+        }
+        if is_abandoned {
             return runs.job.to_listed(ListedState::Dead, &runs.text, None);
         }
         if runs.is_complete {
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -7,6 +7,7 @@
 use super::{
     content_runs::{self, StartOutcome},
     crash,
+    failures::{FailedCall, write_failures},
     forward::record_answer_head,
     metrics::elapsed_seconds,
     sample::{HELD_CHECK_INTERVAL_MS, SampleJob},
@@ -48,7 +49,7 @@
     let server = &job.server;
     let started_ms = now_ms();
     let content = content_fingerprint(&call.host, &call.path, &call.body);
-    let mut failures = 0;
+    let mut failures = job.failures.score_calls;
     let mut avoid = BTreeSet::new();
     loop {
         let route = server.routes().find(&call.host, &call.path).cloned();
@@ -59,6 +60,9 @@
                 "sample not scored");
             return None;
         };
+        if failures >= route.max_attempts {
+            return None;
+        }
         let choose = |suspects: &BTreeSet<Name>| choose_endpoint(job, &route, &(&avoid | suspects));
         let in_flight = match content_runs::try_start(server, &content, choose) {
             StartOutcome::Started(in_flight) => Some(in_flight),
@@ -87,9 +91,8 @@
                 failures += 1;
                 tracing::info!(sample = %job.sample.id, call = %call.id, %endpoint, failures,
                     "score call failed");
-                if failures >= route.max_attempts {
-                    return None;
-                }
+                let sample = &job.sample.id;
+                write_failures(server, &job.batch, sample, FailedCall::Score, failures).await;
             }
             CallEnd::Retry(reason, message) => {
                 server.metrics.on_retry(reason);
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -5,7 +5,7 @@
 use tokio::{sync::mpsc, task::JoinSet};
 
 use super::{
-    claims, listing,
+    claims, failures, listing,
     progress::{self, UnsavedTexts},
     read_batch,
     sample::{self, SampleJob},
@@ -44,6 +44,11 @@
         .filter(|sample| !listed.contains_key(&sample.id))
         .collect();
     let mut saved_texts = progress::read_saved_texts(&server, &batch, &missing, is_first).await;
+    let failures = if is_first {
+        BTreeMap::new()
+    } else {
+        failures::read_failures(&server, &batch).await
+    };
     tracing::info!(%batch, share, kept = saved_texts.len(), samples = missing.len(),
         listed = listed.len(), "share starts");
     let (finished_sender, finished_receiver) = mpsc::unbounded_channel();
@@ -75,6 +80,10 @@
             sample: missing[index].clone(),
             start_wait_factor: start_wait_factor(missing[index].length_hint, longest_hint),
             slice: EndpointSlice { share, share_count },
+            failures: failures
+                .get(&missing[index].id)
+                .copied()
+                .unwrap_or_default(),
             saved_text: saved_texts.remove(&missing[index].id),
             unsaved_texts: unsaved_texts.clone(),
         };
--- a/tests/process_serve/invalid_answers_and_ended_batches.rs
+++ b/tests/process_serve/invalid_answers_and_ended_batches.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use rstest::rstest;
+use rustix::process::Signal;
 use standins::fleet::{AnswerFault, Sampler, SamplerSettings};
 
 use crate::fleet::{Fleet, SAMPLER_SETTINGS, WAIT_TIMEOUT};
@@ -91,6 +92,48 @@
     assert_eq!(runs.len(), 7 + 3);
 }
 
+/// Guards against failures of a sample that each VM which takes its share over counts
+/// anew: the users allow three times the attempts of the route.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn failures_of_a_sample_are_counted_over_all_owners_of_its_share() {
+    const VMS: usize = 2;
+    const ATTEMPTS: usize = 3;
+    const OWNERS: usize = 5;
+    let mut fleet = Fleet::start(VMS, SAMPLER_SETTINGS).await;
+    for sampler in &fleet.model_samplers {
+        sampler.fail_request("b1-s3");
+    }
+    fleet.submit_batch(0, "b1", 4, 1).await;
+    let run_count = |fleet: &Fleet| {
+        let runs = fleet.sample_run_ids();
+        runs.iter().filter(|id| *id == "b1-s3").count()
+    };
+    for _ in 0..OWNERS {
+        // Each owner is killed when it has seen the sample fail as often as the route
+        // allows, before it can list the sample.
+        let deadline = Instant::now() + Duration::from_secs(6);
+        let runs_before = run_count(&fleet);
+        while run_count(&fleet) < runs_before + ATTEMPTS && Instant::now() < deadline {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fleet.store.refuse_vms(0..VMS);
+        for vm in 0..VMS {
+            fleet.signal(vm, Signal::KILL);
+        }
+        for vm in 0..VMS {
+            while fleet.is_running(vm) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            fleet.restart(vm).await;
+        }
+        fleet.store.refuse_vms([]);
+    }
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let runs = run_count(&fleet);
+    println!("{runs} runs");
+    assert!((ATTEMPTS..=3 * ATTEMPTS).contains(&runs), "{runs} runs");
+}
+
 /// Ends a batch of long samples through one VM while its two shares run.
 async fn start_and_end_batch() -> Fleet {
     let long = SamplerSettings {
