Log and count a crash once for each VM that had runs there

A second run that broke off in the same crash was logged and counted as another crash, since its row had a later time. The first row of a crash now decides; the later ones are written but not counted. Found by reading the diff; the tests of process_serve on crashes pass as before.

--- a/src/server/crash_rows.rs
+++ b/src/server/crash_rows.rs
@@ -73,9 +73,9 @@
 }
 
 impl CrashRows {
-    /// Adds a row to be written; returns whether it tells anything new.
+    /// Adds a row to be written; returns whether it is the first one with this key.
     fn add(&mut self, key: Name, row: QuarantineRow) -> bool {
-        let is_new = self.unwritten.get(&key) != Some(&row) && !self.stored.contains_key(&key);
+        let is_new = !self.unwritten.contains_key(&key) && !self.stored.contains_key(&key);
         self.unwritten.insert(key, row);
         while self.unwritten.len() > MAX_UNWRITTEN_ROWS {
             self.unwritten.pop_first();
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -105,9 +105,7 @@
     }
     match reply.status {
         status if status.is_success() => {}
-        PERMANENT_FAILURE_STATUS => {
-            return RunEnd::PermanentFailure;
-        }
+        PERMANENT_FAILURE_STATUS => return RunEnd::PermanentFailure,
         StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::Failed,
         status => {
             return RunEnd::Broken(
