Reproduce crashes of samplers that are counted too late or never

The stand-ins of samplers can hang or be unreachable for as long as they are listed and longer, and can answer under the id of another request. The simulation with silent samplers keeps its cases, bound and duration.

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -1,12 +1,16 @@
 //! Stand-ins that speak the published protocol of the users' platform: the store
 //! and samplers that register themselves in it.
 
+mod answer_fault;
+mod down;
 mod row_store;
 mod sampler;
 mod store_server;
 
 pub use self::{
+    answer_fault::AnswerFault,
+    down::WhenDown,
     row_store::{Row, RowStore},
-    sampler::{AnswerFault, RunStart, Sampler, SamplerSettings},
+    sampler::{RunStart, Sampler, SamplerSettings},
     store_server::{StoreServer, StoreWriter},
 };
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::BTreeSet,
     io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -20,8 +20,12 @@
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
 
-use super::{StoreServer, StoreWriter};
-use crate::http::{Answer, bind, bytes_answer, json_answer, read_bytes, serve, status_answer};
+use super::{
+    AnswerFault, StoreServer, StoreWriter, WhenDown,
+    answer_fault::truncate_body,
+    down::{fill_accept_queue, listen},
+};
+use crate::http::{Answer, bytes_answer, json_answer, read_bytes, serve, status_answer};
 
 /// The behaviour of a sampler.
 #[derive(Clone, Copy, Debug)]
@@ -36,25 +40,6 @@
     pub load_ms: u64,
 }
 
-/// The way in which an answer is invalid.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AnswerFault {
-    /// It names the id of another request.
-    Foreign,
-    /// It does not name the sampler that sent it.
-    Unstamped,
-    /// It claims a content encoding that the request did not ask for.
-    Encoded,
-    /// The connection breaks within the body.
-    Cut,
-    /// An event is sent twice. Applies to streams only.
-    Duplicated,
-    /// An event is left out. Applies to streams only.
-    Gap,
-    /// It names no weights version. Applies to streams only.
-    Versionless,
-}
-
 /// A sampler that registers itself in the store.
 #[derive(Debug)]
 pub struct Sampler {
@@ -83,9 +68,9 @@
     failing_request_ids: Mutex<BTreeSet<String>>,
     /// The bodies of requests that crash the sampler as soon as they run.
     crashing_bodies: Mutex<BTreeSet<Bytes>>,
-    /// Whether it goes silent at a crash, as if its machine had lost power, instead
-    /// of closing its connections.
-    is_silent_when_down: AtomicBool,
+    /// Whether it answers a request that crashes it, under the id of another one.
+    answers_before_crash: AtomicBool,
+    when_down: Mutex<WhenDown>,
     /// How long the sampler is down after a crash, in milliseconds.
     restart_ms: AtomicU64,
     /// The times of its crashes.
@@ -123,7 +108,8 @@
         settings: SamplerSettings,
         store: &StoreServer,
     ) -> io::Result<Self> {
-        let (listener, address) = bind().await?;
+        let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -137,7 +123,8 @@
             answer_faults: Mutex::default(),
             failing_request_ids: Mutex::default(),
             crashing_bodies: Mutex::default(),
-            is_silent_when_down: AtomicBool::new(false),
+            answers_before_crash: AtomicBool::new(false),
+            when_down: Mutex::default(),
             restart_ms: AtomicU64::new(DEFAULT_RESTART_MS),
             crashes: Mutex::default(),
             is_up: AtomicBool::new(true),
@@ -180,11 +167,16 @@
         lock(&self.shared.crashing_bodies).insert(Bytes::copy_from_slice(body));
     }
 
-    /// Makes the sampler go silent when it crashes, with its connections open, for
-    /// longer than it stays listed.
-    pub fn go_silent_when_down(&self) {
+    /// Sets what callers notice of the sampler after a crash.
+    pub fn set_when_down(&self, when_down: WhenDown) {
+        *lock(&self.shared.when_down) = when_down;
+    }
+
+    /// Makes the sampler send an answer to another request before a request crashes
+    /// it.
+    pub fn answer_before_crash(&self) {
         self.shared
-            .is_silent_when_down
+            .answers_before_crash
             .store(true, Ordering::Relaxed);
     }
 
@@ -230,6 +222,9 @@
 /// The start of the first incarnation, in milliseconds since the Unix epoch.
 const FIRST_START_UNIX_MS: u64 = 1_700_000_000_000;
 
+/// How long after the answer to another request a sampler crashes.
+const CRASH_AFTER_ANSWER: Duration = Duration::from_millis(20);
+
 /// Serves requests; closes all connections at a crash and restarts after a while
 /// under the same id and address.
 async fn run_and_restart(shared: Arc<Shared>, first_listener: TcpListener) {
@@ -242,15 +237,22 @@
             () = serving.as_mut() => return,
             () = shared.crash_requested.notified() => {}
         }
-        if shared.is_silent_when_down.load(Ordering::Relaxed) {
+        let when_down = *lock(&shared.when_down);
+        let waiting = match when_down {
+            WhenDown::Unreachable => fill_accept_queue(shared.address).await,
+            WhenDown::Refuses | WhenDown::Hangs => Vec::new(),
+        };
+        if when_down == WhenDown::Refuses {
+            drop(serving);
+            sleep_down_time(&shared).await;
+        } else {
             tokio::time::sleep(Duration::from_millis(LISTED_WHILE_SILENT_MS)).await;
             shared.store.remove("servers", &shared.id);
+            sleep_down_time(&shared).await;
+            drop((waiting, serving));
         }
-        drop(serving);
-        let down_ms = shared.restart_ms.load(Ordering::Relaxed);
-        tokio::time::sleep(Duration::from_millis(down_ms)).await;
         listener = loop {
-            match TcpListener::bind(shared.address).await {
+            match listen(shared.address) {
                 Ok(listener) => break listener,
                 Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
             }
@@ -261,6 +263,11 @@
     }
 }
 
+async fn sleep_down_time(shared: &Shared) {
+    let down_ms = shared.restart_ms.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(down_ms)).await;
+}
+
 impl Shared {
     /// Returns while the sampler is up, and never if it is down.
     async fn continue_if_up(&self) {
@@ -376,6 +383,15 @@
         deadline_ms,
     });
     if lock(&shared.crashing_bodies).contains(&body) {
+        if shared.answers_before_crash.load(Ordering::Relaxed) {
+            let crashing = shared.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(CRASH_AFTER_ANSWER).await;
+                crashing.crash();
+            });
+            let answer = bytes_answer(Bytes::from_static(b"late"));
+            return with_headers(&shared, answer, &id, Some(AnswerFault::Foreign));
+        }
         shared.crash();
         // The connection closes before any answer is sent.
         std::future::pending::<()>().await;
@@ -441,19 +457,6 @@
     answer
 }
 
-/// Breaks the connection after half of the body.
-async fn truncate_body(answer: Answer) -> Answer {
-    let (parts, body) = answer.into_parts();
-    let whole = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return status_answer(StatusCode::BAD_GATEWAY, &error.to_string()),
-    };
-    let half = whole.slice(..whole.len() / 2);
-    let broken = io::Error::from(io::ErrorKind::ConnectionReset);
-    let frames = stream::iter([Ok(Frame::data(half)), Err(broken)]);
-    Response::from_parts(parts, BodyExt::boxed(StreamBody::new(frames)))
-}
-
 /// Counts a stream as active until it is dropped.
 struct ActiveStreamGuard(Arc<Shared>);
 
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -375,6 +375,9 @@
             {"name": "slips", "host": HOST, "prefix": "/slips/", "kind": "safe",
              "timeout_ms": 2000, "target_latency_ms": 150, "priority": 2,
              "service": "slips", "attempts": 3},
+            {"name": "patient", "host": HOST, "prefix": "/patient/", "kind": "safe",
+             "timeout_ms": 9000, "target_latency_ms": 4000, "priority": 2,
+             "service": "slips", "attempts": 3},
             {"name": "lots", "host": HOST, "prefix": "/lots/", "kind": "rollout",
              "timeout_ms": 10_000, "target_latency_ms": 400, "priority": 1, "service": "lm",
              "attempts": 3, "queue_ttl_s": 40.0, "run_target_ms": 7500, "resumable": true}
--- a/tests/loads/many_vms_count_crashes_together.rs
+++ b/tests/loads/many_vms_count_crashes_together.rs
@@ -43,6 +43,9 @@
 const RESEND_INTERVAL_MS: u64 = 100;
 /// How long a caller waits for an answer, in milliseconds.
 const CALLER_DEADLINE_MS: u64 = 2_000;
+/// How long a caller waits that is still waiting when a silent sampler is no longer
+/// listed, in milliseconds.
+const PATIENT_CALLER_DEADLINE_MS: u64 = 8_000;
 /// How long a silent sampler stays listed, and until it has started again, in
 /// milliseconds.
 const LISTED_WHILE_SILENT_MS: u64 = 3_600;
@@ -83,6 +86,7 @@
     size: Size,
     /// Whether samplers go silent at a crash instead of closing connections.
     is_silent: bool,
+    caller_deadline_ms: u64,
     /// The samplers that went silent, and when.
     silent: Vec<(u64, usize)>,
     now_ms: u64,
@@ -114,6 +118,7 @@
         Self {
             size,
             is_silent: false,
+            caller_deadline_ms: CALLER_DEADLINE_MS,
             silent: Vec::new(),
             now_ms: 1_000_000,
             rng: SmallRng::seed_from_u64(seed),
@@ -261,7 +266,7 @@
         self.up_at_ms[sampler] = self.now_ms + SILENT_RESTART_MS;
         self.silent.push((self.now_ms, sampler));
         for run in self.runs.iter_mut().filter(|run| run.sampler == sampler) {
-            run.ends_at_ms = run.started_ms + CALLER_DEADLINE_MS;
+            run.ends_at_ms = run.started_ms + self.caller_deadline_ms;
         }
     }
 
@@ -439,27 +444,51 @@
     assert!(world.refused.len() * 1_000 <= all, "{:?}", world.refused);
 }
 
-/// Guards against a content that reaches samplers freely until the list of samplers
-/// tells that those on which it ran are gone.
-#[rstest]
-fn samplers_that_go_silent_are_counted_in_time(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
-    let mut world = World::new(seed, TODAY);
+/// Plays a culprit under which samplers go silent, and returns the runs that began too
+/// late.
+fn late_runs_before_silent_samplers(seed: u64, size: Size, caller_deadline_ms: u64) -> usize {
+    const SECONDS: u64 = 40;
+    let mut world = World::new(seed, size);
     world.is_silent = true;
+    world.caller_deadline_ms = caller_deadline_ms;
     let culprit: Name = "culprit".into();
     world.culprits.insert(culprit.clone(), Culprit::default());
-    for tick in 0..40_000 / TICK_MS {
+    for tick in 0..SECONDS * 1_000 / TICK_MS {
         if (tick * TICK_MS).is_multiple_of(RESEND_INTERVAL_MS) {
             world.send(&culprit, TICK_MS);
         }
         world.tick();
     }
-    let crashes = world.culprits[&culprit].crashes.len();
     println!(
-        "seed {seed}: {crashes} crashes, {} late runs, {} harmless contents refused, for {} ms \
-         at most",
+        "seed {seed}: {} crashes, {} late runs, {} harmless contents refused, for {} ms at most",
+        world.culprits[&culprit].crashes.len(),
         world.late_runs(),
         world.refused.len(),
         world.longest_refusal_ms()
     );
-    assert!(world.late_runs() <= MAX_LATE_RETRIES);
+    world.late_runs()
+}
+
+/// Guards against a content that reaches samplers freely until the list of samplers
+/// tells that those on which it ran are gone.
+#[rstest]
+fn samplers_that_go_silent_are_counted_in_time(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let late = late_runs_before_silent_samplers(seed, TODAY, CALLER_DEADLINE_MS);
+    assert!(late <= MAX_LATE_RETRIES);
+}
+
+/// Guards against many samplers that go silent before the list of samplers tells of
+/// the first ones.
+#[rstest]
+fn many_silent_samplers_are_counted_before_the_list_tells(#[values(1, 2)] seed: u64) {
+    let late = late_runs_before_silent_samplers(seed, PLANNED, CALLER_DEADLINE_MS);
+    assert!(late <= MAX_LATE_RETRIES);
+}
+
+/// Guards against crashes that are never counted because their runs still wait when
+/// the list of samplers tells.
+#[rstest]
+fn silent_samplers_are_counted_although_callers_still_wait(#[values(1, 2, 3, 4)] seed: u64) {
+    let late = late_runs_before_silent_samplers(seed, TODAY, PATIENT_CALLER_DEADLINE_MS);
+    assert!(late <= MAX_LATE_RETRIES);
 }
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -5,6 +5,7 @@
 
 mod process_serve {
     mod batches_under_vm_and_store_faults;
+    mod crashes_without_a_closed_connection;
     mod invalid_answers_and_ended_batches;
     mod requests_that_crash_samplers;
     mod soak;
--- a/tests/process_serve/requests_that_crash_samplers.rs
+++ b/tests/process_serve/requests_that_crash_samplers.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use standins::fleet::{AnswerFault, RunStart, Sampler};
+use standins::fleet::{AnswerFault, RunStart, Sampler, WhenDown};
 
 use crate::fleet::{Answer, Fleet, SAMPLER_SETTINGS, WAIT_TIMEOUT, batch_body};
 
@@ -20,13 +20,16 @@
 pub const CULPRIT: &[u8] = b"culprit";
 /// The users' bounds: this long after the third crash, at most
 /// [`MAX_LATE_RETRIES`] more runs may be sent.
-const CONTACT: Duration = Duration::from_secs(3);
+pub const CONTACT: Duration = Duration::from_secs(3);
 pub const MAX_LATE_RETRIES: usize = 3;
-const CRASHES_BEFORE_BOUND: usize = 3;
+pub const CRASHES_BEFORE_BOUND: usize = 3;
 /// How long the culprit keeps coming.
 const RESEND_DURATION: Duration = Duration::from_secs(9);
 const RESEND_INTERVAL: Duration = Duration::from_millis(120);
 
+/// The longest time from the start of a run to the crash that it causes.
+const MAX_CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// What the culprit did at the samplers of a test.
 #[derive(Debug)]
 pub struct Damage {
@@ -36,18 +39,31 @@
 }
 
 impl Damage {
-    fn of(samplers: &[Sampler]) -> Self {
+    pub fn of(samplers: &[Sampler]) -> Self {
         Self::of_calm_time(samplers, None)
     }
 
     /// Counts runs as late only after `calm_since`, if the VMs were disturbed before.
     pub fn of_calm_time(samplers: &[Sampler], calm_since: Option<Instant>) -> Self {
+        Self::new(samplers, calm_since, MAX_CRASH_DELAY)
+    }
+
+    /// Counts crashes that follow after an answer to another request.
+    pub fn of_delayed_crashes(samplers: &[Sampler]) -> Self {
+        Self::new(samplers, None, 5 * MAX_CRASH_DELAY)
+    }
+
+    fn new(samplers: &[Sampler], calm_since: Option<Instant>, max_crash_delay: Duration) -> Self {
         let runs = samplers.iter().flat_map(|s| s.runs_of(CULPRIT));
         let runs: Vec<Instant> = runs.map(|run| run.at).collect();
         let mut crashes: Vec<Instant> = samplers.iter().flat_map(Sampler::crashes).collect();
         crashes.sort();
         // Samplers may also crash by themselves.
-        crashes.retain(|crash| runs.iter().any(|run| is_same_time(*run, *crash)));
+        crashes.retain(|crash| {
+            let delay = |run: &Instant| crash.checked_duration_since(*run);
+            let mut delays = runs.iter().filter_map(delay);
+            delays.any(|delay| delay < max_crash_delay)
+        });
         let third = crashes.get(CRASHES_BEFORE_BOUND - 1);
         let bound_since = third.map(|third| calm_since.map_or(*third, |calm| calm.max(*third)));
         let is_late = |at: &&Instant| bound_since.is_some_and(|since| **at > since + CONTACT);
@@ -57,20 +73,15 @@
         }
     }
 
-    fn assert_bounded(&self) {
+    pub fn assert_bounded(&self) {
         println!("{self:?}");
         assert!(self.crashes >= CRASHES_BEFORE_BOUND, "{self:?}");
         assert!(self.late_runs <= MAX_LATE_RETRIES, "{self:?}");
     }
 }
 
-/// Returns whether a crash followed the start of a run at once.
-fn is_same_time(run: Instant, crash: Instant) -> bool {
-    crash >= run && crash.duration_since(run) < Duration::from_millis(20)
-}
-
 /// Starts VMs and samplers that all crash on the culprit.
-async fn start_fleet(vms: usize) -> Fleet {
+pub async fn start_fleet(vms: usize) -> Fleet {
     let fleet = Fleet::start(vms, SAMPLER_SETTINGS).await;
     for sampler in fleet.model_samplers.iter().chain(&fleet.plain_samplers) {
         sampler.crash_on(CULPRIT);
@@ -78,7 +89,7 @@
     fleet
 }
 
-async fn send(fleet: &Fleet, vm: usize, id: &str, body: &'static [u8]) -> Option<Answer> {
+pub async fn send(fleet: &Fleet, vm: usize, id: &str, body: &'static [u8]) -> Option<Answer> {
     let callers = fleet.vms[vm].addresses["callers"];
     let body = Bytes::from_static(body);
     fleet
@@ -168,7 +179,7 @@
 async fn a_request_under_which_samplers_go_silent_stops_reaching_them() {
     let fleet = start_fleet(3).await;
     for sampler in &fleet.plain_samplers {
-        sampler.go_silent_when_down();
+        sampler.set_when_down(WhenDown::Hangs);
     }
     let sends = (0..3).map(|vm| {
         let fleet = &fleet;
@@ -202,7 +213,7 @@
 }
 
 /// Submits a batch and returns what is listed after a while.
-async fn run_batch_with_culprit(fleet: &Fleet, body: &Value) -> Vec<Value> {
+pub async fn run_batch_with_culprit(fleet: &Fleet, body: &Value) -> Vec<Value> {
     let callers = fleet.vms[0].addresses["callers"];
     submit(fleet, body).await;
     tokio::time::sleep(RESEND_DURATION).await;
