--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -101,7 +101,7 @@
     /// # Errors
     ///
     /// Returns the error of binding a port.
-    pub async fn try_start(
+    pub fn try_start(
         id: &str,
         service: &str,
         model: Option<&str>,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -83,10 +83,10 @@
         let mut plain_samplers = Vec::new();
         for number in 0..3 {
             let id = format!("i-model-{number}");
-            let model = Sampler::try_start(&id, "lm", Some("advice"), samplers, &store).await;
+            let model = Sampler::try_start(&id, "lm", Some("advice"), samplers, &store);
             model_samplers.push(model.expect("a sampler starts"));
             let id = format!("i-plain-{number}");
-            let sampler = Sampler::try_start(&id, "slips", None, samplers, &store).await;
+            let sampler = Sampler::try_start(&id, "slips", None, samplers, &store);
             plain_samplers.push(sampler.expect("a sampler starts"));
         }
         let dir = format!(
