Log runs that end without an answer, and where a content was cleared

The logs could not tell a crash that is counted late from one that is never counted: a run that timed out left no line with its endpoint, and a clearance did not say which endpoint's answer cleared the content. Now a run that ends without an answer after a second or more logs its content, endpoint, incarnation, how long it waited and what is listed by then (counter unanswered_runs_total), and a clearance names the endpoint.

--- a/src/server/crash_rows.rs
+++ b/src/server/crash_rows.rs
@@ -167,10 +167,10 @@
     format!("{suspects:?}")
 }
 
-/// Shares that a content has completed, if other VMs may hold it.
-pub(crate) fn publish_clearance(server: &Server, clearance: Clearance) {
+/// Shares that a content has completed at an endpoint, if other VMs may hold it.
+pub(crate) fn publish_clearance(server: &Server, clearance: Clearance, endpoint: &Name) {
     tracing::info!(content = %clearance.fingerprint, crashes = clearance.crashes.len(),
-        "content cleared: it has completed");
+        %endpoint, "content cleared: it has completed");
     update_gauge(server);
     if clearance.crashes.len() < MAX_CRASHES as usize {
         return;
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -34,6 +34,7 @@
     pub(crate) shares_claimed: Counter,
     pub(crate) orders: Counter,
     pub(crate) endpoint_crashes: Counter,
+    pub(crate) unanswered_runs: Counter,
     pub(crate) quarantined_contents: Gauge,
     pub(crate) log_lines_dropped: Gauge,
     pub(crate) config_version: Gauge,
@@ -57,6 +58,7 @@
             shares_claimed: Counter::default(),
             orders: Counter::default(),
             endpoint_crashes: Counter::default(),
+            unanswered_runs: Counter::default(),
             quarantined_contents: Gauge::default(),
             log_lines_dropped: Gauge::default(),
             config_version: Gauge::default(),
@@ -119,6 +121,11 @@
                 "Crashes of endpoints under requests of this VM",
                 &self.endpoint_crashes,
             ),
+            (
+                "unanswered_runs",
+                "Runs that ended without an answer after a second or more",
+                &self.unanswered_runs,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -29,6 +29,10 @@
     settings::VmSettings,
 };
 
+/// The time from which a run without an answer is logged when it ends, in
+/// milliseconds.
+const MIN_LOGGED_WAIT_MS: u64 = 1_000;
+
 /// The state that all tasks of one VM share; each part has its own lock.
 pub(crate) struct Server {
     pub(crate) settings: VmSettings,
@@ -171,6 +175,24 @@
     }
 }
 
+impl InFlight {
+    /// Logs that the run ended without an answer, unless it was so short that the
+    /// request was probably cancelled.
+    fn log_unanswered(&self) {
+        let waited_ms = now_ms().saturating_sub(self.started_ms);
+        if waited_ms < MIN_LOGGED_WAIT_MS {
+            return;
+        }
+        self.server.metrics.unanswered_runs.inc();
+        let listed = lock(&self.server.pool)
+            .get(&self.endpoint)
+            .map(|known| known.record.started_unix_ms);
+        tracing::info!(content = %self.content, endpoint = %self.endpoint,
+            incarnation = self.incarnation, listed_incarnation = listed, waited_ms,
+            "run ended without an answer");
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         if let Some(known) = lock(&self.server.pool).get_mut(&self.endpoint) {
@@ -181,10 +203,13 @@
             started_ms: self.started_ms,
         };
         let end = self.end.get().copied().unwrap_or(unanswered);
+        if end == unanswered {
+            self.log_unanswered();
+        }
         let cleared =
             lock(&self.server.quarantine).on_end(now_ms(), &self.endpoint, &self.content, end);
         if let Some(clearance) = cleared {
-            crash_rows::publish_clearance(&self.server, clearance);
+            crash_rows::publish_clearance(&self.server, clearance, &self.endpoint);
         }
         self.server.pool_changed.notify_one();
     }
