Take a run as completed only after the endpoint's own answer

Callers saw: a score call under which samplers end kept reaching them. Cause: any answer that a score call received counted as the completion of its run, also a late answer to another request on the same connection and an unsigned error. The run was in progress at that moment; when the sampler ended under it, no run was left that the crash could be blamed on, and a content that was blamed before was cleared. Requests of callers had the same gap for unsigned errors, and forgot a run after an answer to another request.

Why it works: all ways to an endpoint record the end of a run in one function, which takes only a signed, unencoded answer to this request as its end.

--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -87,6 +87,13 @@
     pub(crate) weights_version: Option<u64>,
 }
 
+impl AnswerHead {
+    /// Returns whether the answer is the endpoint's own one to this request.
+    pub(crate) const fn is_own_answer(&self) -> bool {
+        self.is_for_request && !self.is_encoded && self.stamp.is_some()
+    }
+}
+
 /// Parses the head of an answer to a request.
 pub(crate) fn parse_answer_head(
     request_id: &str,
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -356,7 +356,6 @@
         || head.is_encoded
         || (reply.status.is_success() && head.stamp.is_none())
     {
-        in_flight.mark_incomplete();
         let message = "answer is to another request, encoded or unsigned".to_owned();
         return Err(AttemptError::MayHaveRun(
             RetryReason::AnswerInvalid,
@@ -371,7 +370,7 @@
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
-    in_flight.mark_complete();
+    in_flight.record_answer(&head);
     record_success(server, route, &in_flight);
     checked_response(reply, head.stamp.is_some())
 }
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -89,20 +89,21 @@
     };
     let head = parse_answer_head(&job.sample.id, reply.status, &reply.headers);
     record_answer_head(server, &endpoint, &head);
-    if !reply.status.is_success() {
-        in_flight.mark_incomplete();
-    }
     if head.is_not_run {
+        in_flight.mark_incomplete();
         let message = format!("endpoint refused with {}", reply.status);
         reply.drain_refusal().await;
         return RunEnd::Refused(message);
     }
-    if !head.is_for_request || head.is_encoded || head.stamp.is_none() {
+    if !head.is_own_answer() {
         return RunEnd::Broken(
             RetryReason::AnswerInvalid,
             "answer is to another request, encoded or unsigned".to_owned(),
         );
     }
+    if !reply.status.is_success() {
+        in_flight.mark_incomplete();
+    }
     match reply.status {
         status if status.is_success() => {}
         PERMANENT_FAILURE_STATUS => return RunEnd::PermanentFailure,
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -179,12 +179,8 @@
     };
     let head = parse_answer_head(&call.id, reply.status, &reply.headers);
     record_answer_head(server, endpoint, &head);
-    if head.is_not_run {
-        in_flight.mark_incomplete();
-    } else {
-        in_flight.mark_complete();
-    }
-    let is_valid = head.is_for_request && !head.is_encoded && !head.is_not_run;
+    in_flight.record_answer(&head);
+    let is_valid = head.is_own_answer() && !head.is_not_run;
     match (reply.status, head.stamp) {
         (status, Some(stamp)) if is_valid && status.is_success() => {
             let took_s = elapsed_seconds(in_flight.started_ms, now_ms());
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -25,7 +25,7 @@
         routes::RouteTable,
     },
     daemon::now_ms,
-    platform::Store,
+    platform::{AnswerHead, Store},
     settings::VmSettings,
 };
 
@@ -169,6 +169,18 @@
         let _ = self.end.set(RunEnd::Complete);
     }
 
+    /// Records the end of a run whose whole answer was received.
+    ///
+    /// An answer to another request, or one that the endpoint did not sign, shows
+    /// nothing of the run: the endpoint may still crash under it.
+    pub(crate) fn record_answer(&self, head: &AnswerHead) {
+        if head.is_not_run {
+            self.mark_incomplete();
+        } else if head.is_own_answer() {
+            self.mark_complete();
+        }
+    }
+
     /// Records that the run did not start, or ended without any sign of a crash.
     pub(crate) fn mark_incomplete(&self) {
         let _ = self.end.set(RunEnd::Incomplete);
