Count a crash although the run ends after its endpoint is gone

Callers who wait longer than the list takes to drop a silent sampler brought a culprit back without bound: when the list told, only runs that had ended were looked for, and a run that ended later found nobody who counted it. A run that broke off at an endpoint no longer listed counted as harmless, too.

Why it works: the quarantine remembers the endpoints that were gone, unannounced, while runs were in progress there, until the last of them has ended; a run that ends there without an answer reports the crash at once. An endpoint that has announced to leave is not remembered.

--- a/src/core/quarantine/quarantine.rs
+++ b/src/core/quarantine/quarantine.rs
@@ -81,6 +81,9 @@
     late_retry_policy: LateRetryPolicy,
     pub(super) late_retries: LateRetries,
     pub(super) unanswered: UnansweredRuns,
+    /// The endpoints that were gone, without having announced it, while runs were in
+    /// progress there, with their incarnations.
+    pub(super) gone: BTreeMap<Name, u64>,
     /// When a run of each content last completed on this daemon.
     completed_ms: BTreeMap<Arc<str>, u64>,
     completions_pruned_ms: u64,
--- a/src/core/quarantine/reports.rs
+++ b/src/core/quarantine/reports.rs
@@ -89,6 +89,9 @@
         endpoint: &Name,
         incarnation: u64,
     ) -> Option<CrashReport> {
+        if self.running.contains_key(endpoint) {
+            self.gone.insert(endpoint.clone(), incarnation);
+        }
         let fingerprints = self.unanswered.take(now_ms, endpoint, incarnation);
         if fingerprints.is_empty() {
             return None;
@@ -102,6 +105,39 @@
         Some(self.known_report(report))
     }
 
+    /// Returns the report of a crash if the endpoint of a run that has just ended was
+    /// gone before, and the run brought no answer.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chicoryreach::core::quarantine::{Quarantine, RunEnd};
+    ///
+    /// let mut quarantine = Quarantine::default();
+    /// let (sampler, content) = ("sampler-1".into(), "content".into());
+    /// quarantine.on_start(&sampler, &content, 1_000);
+    /// assert_eq!(quarantine.on_endpoint_gone(4_600, &sampler, 7), None);
+    /// let end = RunEnd::Unanswered { incarnation: 7, started_ms: 1_000 };
+    /// quarantine.on_end(6_000, &sampler, &content, end);
+    /// let report = quarantine.take_late_report(6_000, &sampler, 7);
+    /// assert_eq!(report.expect("it crashed").fingerprints, [content]);
+    /// ```
+    pub fn take_late_report(
+        &mut self,
+        now_ms: u64,
+        endpoint: &Name,
+        incarnation: u64,
+    ) -> Option<CrashReport> {
+        if self.gone.get(endpoint) != Some(&incarnation) {
+            return None;
+        }
+        let report = self.on_endpoint_gone(now_ms, endpoint, incarnation);
+        let running = &self.running;
+        self.gone
+            .retain(|endpoint, _| running.contains_key(endpoint));
+        report
+    }
+
     /// Returns a report with all that is known of the same crash.
     fn known_report(&self, report: CrashReport) -> CrashReport {
         let known = self.crashes.iter().find(|crash| {
--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -13,6 +13,7 @@
         pool::{EndpointRecord, EndpointStage},
     },
     daemon::now_ms,
+    wire::peers::CrashReport,
 };
 
 /// How long an endpoint may take to accept a connection after a run broke off
@@ -41,7 +42,6 @@
     let Some(record) = listed else {
         tracing::info!(id, content = %in_flight.content, %endpoint,
             "run broke off: its endpoint is no longer listed");
-        in_flight.mark_incomplete();
         return;
     };
     let reachability = server
@@ -77,9 +77,20 @@
     let report =
         lock(&server.quarantine).on_endpoint_gone(now_ms(), endpoint, before.started_unix_ms);
     if let Some(report) = report {
-        let server = server.clone();
-        tokio::spawn(async move {
-            crash_rows::publish_crash(&server, report, "no longer listed as it was").await;
-        });
+        publish_in_background(server, report, "no longer listed as it was");
     }
 }
+
+/// Reports a crash for which a run is blamed that ended later than its endpoint.
+pub(crate) fn publish_late_report(server: &Arc<Server>, report: CrashReport) {
+    publish_in_background(server, report, "no longer listed before its run ended");
+}
+
+fn publish_in_background(server: &Arc<Server>, report: CrashReport, evidence: &'static str) {
+    // Runs are also dropped with the runtime, when the process exits.
+    let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+        return;
+    };
+    let server = server.clone();
+    runtime.spawn(async move { crash_rows::publish_crash(&server, report, evidence).await });
+}
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -11,6 +11,7 @@
 
 use super::{
     claims::Batches,
+    crash,
     crash_rows::{self, CrashRows},
     http_client::ExchangeClient,
     metrics::Metrics,
@@ -218,8 +219,15 @@
         if end == unanswered {
             self.log_unanswered();
         }
-        let cleared =
-            lock(&self.server.quarantine).on_end(now_ms(), &self.endpoint, &self.content, end);
+        let (cleared, late_report) = {
+            let mut quarantine = lock(&self.server.quarantine);
+            let cleared = quarantine.on_end(now_ms(), &self.endpoint, &self.content, end);
+            let late = quarantine.take_late_report(now_ms(), &self.endpoint, self.incarnation);
+            (cleared, late)
+        };
+        if let Some(report) = late_report {
+            crash::publish_late_report(&self.server, report);
+        }
         if let Some(clearance) = cleared {
             crash_rows::publish_clearance(&self.server, clearance, &self.endpoint);
         }
--- a/tests/loads/many_vms_count_crashes_together.rs
+++ b/tests/loads/many_vms_count_crashes_together.rs
@@ -252,6 +252,15 @@
         let quarantine = &mut self.vms[run.vm].quarantine;
         let sampler = sampler_name(run.sampler);
         let cleared = quarantine.on_end(self.now_ms, &sampler, &run.content, end);
+        let late_report = match end {
+            RunEnd::Unanswered { incarnation, .. } => {
+                quarantine.take_late_report(self.now_ms, &sampler, incarnation)
+            }
+            RunEnd::Complete | RunEnd::Incomplete => None,
+        };
+        if let Some(report) = late_report {
+            self.publish(run.vm, report);
+        }
         if let Some(clearance) = cleared.filter(|c| c.crashes.len() >= MAX_CRASHES as usize) {
             let row = QuarantineRow::Cleared {
                 clearance,
