Count crashes of endpoints that are not listed again after an outage

If the store was away shortly before it dropped a sampler from its list, the sampler is kept for the time in which it may be listed again, and removed after that by another path, which reported no crash.

Why it works: the removal after the grace period returns the descriptions of the endpoints, and each goes through the same function as one that the list drops.

Open: an outage longer than the five seconds for which a run without an answer is remembered.

--- a/src/core/pool/pool.rs
+++ b/src/core/pool/pool.rs
@@ -92,8 +92,8 @@
     }
 
     /// Removes the endpoints that were not listed again within the grace period,
-    /// and returns their ids.
-    pub fn expire(&mut self, now_ms: u64) -> Vec<Name> {
+    /// and returns their descriptions.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointRecord> {
         let is_overdue = |endpoint: &PoolEndpoint| {
             endpoint
                 .remove_at_ms
@@ -101,10 +101,8 @@
         };
         let overdue = self.endpoints.iter().filter(|(_, e)| is_overdue(e));
         let overdue: Vec<Name> = overdue.map(|(id, _)| id.clone()).collect();
-        for id in &overdue {
-            self.endpoints.remove(id);
-        }
-        overdue
+        let removed = overdue.iter().filter_map(|id| self.endpoints.remove(id));
+        removed.map(|removed| removed.record).collect()
     }
 
     /// Returns the endpoint with this id.
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    claims, clean, crash_rows, fleet,
+    claims, clean, crash, crash_rows, fleet,
     front::{ListenerKind, serve},
     members, orders,
     state::Server,
@@ -178,8 +178,9 @@
         let dropped = i64::try_from(dropped).unwrap_or(i64::MAX);
         server.metrics.log_lines_dropped.set(dropped);
         let expired = super::state::lock(&server.pool).expire(now_ms());
-        for endpoint in expired {
-            tracing::info!(%endpoint, "endpoint gone: it was not listed again in time");
+        for before in expired {
+            tracing::info!(endpoint = %before.id, "endpoint gone: it was not listed again in time");
+            crash::on_endpoint_gone(&server, &before);
         }
     }
 }
--- a/tests/loads/relisted_samplers_survive_outages.rs
+++ b/tests/loads/relisted_samplers_survive_outages.rs
@@ -25,6 +25,7 @@
     }
     assert!(pool.expire(OUTAGE_END_MS + RELIST_TIMEOUT_MS).is_empty());
     let expired = pool.expire(OUTAGE_END_MS + RELIST_TIMEOUT_MS + 500);
+    let expired: Vec<_> = expired.iter().map(|record| record.id.clone()).collect();
     assert_eq!(expired, [endpoint_name(5)]);
     assert_eq!(pool.of_service(SERVICE).count(), 5);
 }
