Find unreachable endpoints before the platform's list tells

A sampler that goes silent under a request was counted as crashed when the list dropped it, 3.6 s later: later than the users' bound begins, 3 s after the third crash. And with callers who wait longer than the list, runs in progress at a silent endpoint were not looked at.

Why it works: an endpoint that sends nothing for 750 ms during runs is checked: one connection, and if that gets no answer, up to three VMs of other data centres are asked for the same. It counts as crashed if it refuses the connection, or if a VM has answered and none reaches it; an endpoint that only this VM cannot reach does not. An endpoint that is both silent and no longer listed is counted with the runs in progress.

All that is sent to endpoints goes through endpoint_exchange, which records that they were heard. The simulation is split into the world and its tests; the checks of slow samplers show no crash counted for them.

Open: an endpoint that accepts connections and answers nothing is known from the list only. So is any silent endpoint where there is no other VM to ask.

--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -47,6 +47,11 @@
 /// there, in milliseconds: about what remains of loading weights at that point.
 const STALLED_DURATION_MS: u64 = 700;
 
+/// How long an endpoint may send nothing during a run before it is checked, in
+/// milliseconds. With both checks and a heartbeat, all VMs know of a crash well
+/// within three seconds.
+pub const SILENCE_MS: u64 = 750;
+
 /// An endpoint and what this VM has observed of it.
 #[derive(Clone, Debug)]
 pub struct PoolEndpoint {
@@ -64,6 +69,10 @@
     pub stalled_until_ms: u64,
     /// When it is removed, if the platform no longer lists it.
     pub remove_at_ms: Option<u64>,
+    /// The earliest start of a run after which it has sent nothing yet.
+    pub unheard_since_ms: Option<u64>,
+    /// When it was last checked for being silent.
+    pub(super) silence_checked_ms: u64,
     /// The number of orders that it has accepted since its start, if known.
     pub orders_accepted: Option<u64>,
     consecutive_failures: u32,
@@ -78,11 +87,39 @@
             penalty_until_ms: 0,
             stalled_until_ms: 0,
             remove_at_ms: None,
+            unheard_since_ms: None,
+            silence_checked_ms: 0,
             orders_accepted: None,
             consecutive_failures: 0,
         }
     }
 
+    /// Records that a run starts there.
+    pub fn on_run_start(&mut self, now_ms: u64) {
+        self.load.in_flight += 1;
+        self.unheard_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Records that it has sent something, or accepted a connection.
+    pub fn on_heard(&mut self, now_ms: u64) {
+        self.unheard_since_ms = (self.load.in_flight > 0).then_some(now_ms);
+    }
+
+    /// Returns whether it has sent nothing during a run for [`SILENCE_MS`].
+    #[must_use]
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        let silent_from_ms = self.unheard_since_ms.map(|since_ms| since_ms + SILENCE_MS);
+        silent_from_ms.is_some_and(|from_ms| from_ms <= now_ms)
+    }
+
+    /// Records that it counts as gone: nothing more is expected from runs that have
+    /// ended.
+    pub const fn on_found_gone(&mut self) {
+        if self.load.in_flight == 0 {
+            self.unheard_since_ms = None;
+        }
+    }
+
     /// Records how long a unit of work took, in the unit of [`Self::pace`].
     pub fn on_pace(&mut self, pace: f64) {
         let average = self.pace.unwrap_or(pace);
--- a/src/core/pool/mod.rs
+++ b/src/core/pool/mod.rs
@@ -8,7 +8,7 @@
 
 pub use self::{
     choose::EndpointRequirements,
-    endpoint::{EndpointRecord, EndpointStage, PoolEndpoint},
+    endpoint::{EndpointRecord, EndpointStage, PoolEndpoint, SILENCE_MS},
     load::{Load, LoadReport},
     pool::Pool,
     slice::EndpointSlice,
--- a/src/core/pool/pool.rs
+++ b/src/core/pool/pool.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::{EndpointRecord, PoolEndpoint};
+use super::{EndpointRecord, EndpointStage, PoolEndpoint, SILENCE_MS};
 use crate::core::Name;
 
 /// How long after an outage of the platform an endpoint may be missing from its
@@ -27,9 +27,8 @@
 impl Pool {
     /// Adds an endpoint or updates its description.
     ///
-    /// What was observed of an endpoint before a restart is discarded; returns its
-    /// description before the restart.
-    pub fn on_listed(&mut self, record: EndpointRecord) -> Option<EndpointRecord> {
+    /// What was observed of an endpoint before a restart is discarded and returned.
+    pub fn on_listed(&mut self, record: EndpointRecord) -> Option<PoolEndpoint> {
         match self.endpoints.get_mut(&record.id) {
             Some(known) if known.record.started_unix_ms == record.started_unix_ms => {
                 let newer = merge_weights(&known.record, record);
@@ -39,22 +38,19 @@
             }
             _ => {
                 let id = record.id.clone();
-                let replaced = self.endpoints.insert(id, PoolEndpoint::new(record));
-                replaced.map(|replaced| replaced.record)
+                self.endpoints.insert(id, PoolEndpoint::new(record))
             }
         }
     }
 
-    /// Removes an endpoint that the platform no longer lists, and returns its
-    /// description.
+    /// Removes and returns an endpoint that the platform no longer lists.
     ///
     /// Shortly after an outage of the platform, the endpoint is kept for a grace
     /// period instead: an entry that expired during the outage may be listed
     /// again.
-    pub fn on_unlisted(&mut self, now_ms: u64, id: &str) -> Option<EndpointRecord> {
+    pub fn on_unlisted(&mut self, now_ms: u64, id: &str) -> Option<PoolEndpoint> {
         if now_ms >= self.grace_ends_at_ms {
-            let removed = self.endpoints.remove(id);
-            return removed.map(|removed| removed.record);
+            return self.endpoints.remove(id);
         }
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.remove_at_ms = Some(self.grace_ends_at_ms);
@@ -68,18 +64,18 @@
     }
 
     /// Replaces the list: adds or updates the endpoints of `records`, and treats
-    /// all others as no longer listed. Returns the descriptions of endpoints that
-    /// were removed or have restarted.
+    /// all others as no longer listed. Returns the endpoints that were removed or
+    /// have restarted, as they were before.
     pub fn on_all_listed(
         &mut self,
         now_ms: u64,
         records: Vec<EndpointRecord>,
-    ) -> Vec<EndpointRecord> {
+    ) -> Vec<PoolEndpoint> {
         let listed: std::collections::BTreeSet<Name> =
             records.iter().map(|record| record.id.clone()).collect();
         let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
         let missing: Vec<Name> = missing.cloned().collect();
-        let mut gone: Vec<EndpointRecord> = missing
+        let mut gone: Vec<PoolEndpoint> = missing
             .iter()
             .filter_map(|id| self.on_unlisted(now_ms, id))
             .collect();
@@ -91,9 +87,9 @@
         gone
     }
 
-    /// Removes the endpoints that were not listed again within the grace period,
-    /// and returns their descriptions.
-    pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointRecord> {
+    /// Removes and returns the endpoints that were not listed again within the grace
+    /// period.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<PoolEndpoint> {
         let is_overdue = |endpoint: &PoolEndpoint| {
             endpoint
                 .remove_at_ms
@@ -102,7 +98,24 @@
         let overdue = self.endpoints.iter().filter(|(_, e)| is_overdue(e));
         let overdue: Vec<Name> = overdue.map(|(id, _)| id.clone()).collect();
         let removed = overdue.iter().filter_map(|id| self.endpoints.remove(id));
-        removed.map(|removed| removed.record).collect()
+        removed.collect()
+    }
+
+    /// Returns the endpoints that are silent during runs and are to be checked now.
+    ///
+    /// An endpoint that stays silent is returned again after [`SILENCE_MS`].
+    pub fn take_silent(&mut self, now_ms: u64) -> Vec<EndpointRecord> {
+        let is_due = |endpoint: &&mut PoolEndpoint| {
+            endpoint.record.stage == EndpointStage::Ready
+                && endpoint.is_silent(now_ms)
+                && endpoint.silence_checked_ms + SILENCE_MS <= now_ms
+        };
+        let due = self.endpoints.values_mut().filter(is_due);
+        due.map(|endpoint| {
+            endpoint.silence_checked_ms = now_ms;
+            endpoint.record.clone()
+        })
+        .collect()
     }
 
     /// Returns the endpoint with this id.
--- a/src/core/quarantine/reports.rs
+++ b/src/core/quarantine/reports.rs
@@ -5,6 +5,7 @@
 use super::{
     BLAME_DURATION_MS, MAX_CRASHES, Quarantine, QuarantineRow,
     quarantine::{Crash, ObservedCrash},
+    unanswered::UnansweredRun,
 };
 use crate::{
     core::Name,
@@ -105,6 +106,39 @@
         Some(self.known_report(report))
     }
 
+    /// Records that an endpoint is gone without any answer to the runs in progress
+    /// there, and returns the report to send to the other members if there are any.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chicoryreach::core::quarantine::Quarantine;
+    ///
+    /// let mut quarantine = Quarantine::default();
+    /// let (sampler, content) = ("sampler-1".into(), "content".into());
+    /// quarantine.on_start(&sampler, &content, 1_000);
+    /// let report = quarantine.on_endpoint_silent(2_500, &sampler, 7);
+    /// assert_eq!(report.expect("it crashed").fingerprints, [content]);
+    /// ```
+    pub fn on_endpoint_silent(
+        &mut self,
+        now_ms: u64,
+        endpoint: &Name,
+        incarnation: u64,
+    ) -> Option<CrashReport> {
+        let running = self.running.get(endpoint).into_iter().flatten();
+        let running: Vec<Arc<str>> = running.map(|(content, _)| content.clone()).collect();
+        for fingerprint in running {
+            self.unanswered.push(UnansweredRun {
+                endpoint: endpoint.clone(),
+                incarnation,
+                fingerprint,
+                ended_ms: now_ms,
+            });
+        }
+        self.on_endpoint_gone(now_ms, endpoint, incarnation)
+    }
+
     /// Returns the report of a crash if the endpoint of a run that has just ended was
     /// gone before, and the run brought no answer.
     ///
--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -8,10 +8,7 @@
     state::{InFlight, Server, lock},
 };
 use crate::{
-    core::{
-        Name,
-        pool::{EndpointRecord, EndpointStage},
-    },
+    core::pool::{EndpointRecord, EndpointStage, PoolEndpoint},
     daemon::now_ms,
     wire::peers::CrashReport,
 };
@@ -65,22 +62,44 @@
     }
 }
 
-/// Reports a crash if runs ended without an answer at an endpoint that is no longer
-/// listed or has started anew.
+/// Reports a crash if runs brought no answer from an endpoint that is no longer listed
+/// or has started anew.
 ///
-/// An endpoint that has announced to leave has not crashed.
-pub(crate) fn on_endpoint_gone(server: &Arc<Server>, before: &EndpointRecord) {
-    if before.stage == EndpointStage::Leaving {
+/// An endpoint that has announced to leave has not crashed. One that is no longer
+/// listed may still answer the runs in progress, unless it is silent.
+pub(crate) fn on_endpoint_gone(server: &Arc<Server>, before: &PoolEndpoint) {
+    let record = &before.record;
+    if record.stage == EndpointStage::Leaving {
         return;
     }
-    let endpoint: &Name = &before.id;
-    let report =
-        lock(&server.quarantine).on_endpoint_gone(now_ms(), endpoint, before.started_unix_ms);
+    let now_ms = now_ms();
+    let is_silent = before.is_silent(now_ms);
+    let report = {
+        let mut quarantine = lock(&server.quarantine);
+        if is_silent {
+            quarantine.on_endpoint_silent(now_ms, &record.id, record.started_unix_ms)
+        } else {
+            quarantine.on_endpoint_gone(now_ms, &record.id, record.started_unix_ms)
+        }
+    };
     if let Some(report) = report {
         publish_in_background(server, report, "no longer listed as it was");
     }
 }
 
+/// Reports a crash if runs bring no answer from an endpoint that no VM reaches.
+pub(crate) async fn on_endpoint_unreachable(server: &Arc<Server>, record: &EndpointRecord) {
+    if let Some(known) = lock(&server.pool).get_mut(&record.id) {
+        known.on_failure(now_ms());
+        known.on_found_gone();
+    }
+    let report =
+        lock(&server.quarantine).on_endpoint_silent(now_ms(), &record.id, record.started_unix_ms);
+    if let Some(report) = report {
+        crash_rows::publish_crash(server, report, "unreachable").await;
+    }
+}
+
 /// Reports a crash for which a run is blamed that ended later than its endpoint.
 pub(crate) fn publish_late_report(server: &Arc<Server>, report: CrashReport) {
     publish_in_background(server, report, "no longer listed before its run ended");
--- a/src/server/crash_rows.rs
+++ b/src/server/crash_rows.rs
@@ -13,11 +13,11 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use http_body_util::Full;
-use hyper::{Method, Request, Response, StatusCode, header};
+use hyper::{Response, StatusCode};
 
 use super::{
     members::VM_TABLE,
+    peer_call::post_to_peer,
     response::{Body, empty_response},
     state::{Server, lock},
 };
@@ -431,20 +431,8 @@
 
 /// Sends notices to one VM, which reads them from the store if they do not arrive.
 async fn send_notice(server: &Server, address: SocketAddr, body: Bytes) {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(CRASH_NOTICE_PATH)
-        .header(header::HOST, address.to_string())
-        .body(Full::new(body));
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => {
-            tracing::error!(%error, "notice of a crash not built");
-            return;
-        }
-    };
     let deadline_ms = now_ms() + NOTICE_TIMEOUT_MS;
-    let sent = server.http.exchange_whole(address, request, deadline_ms);
+    let sent = post_to_peer(server, address, CRASH_NOTICE_PATH, body, deadline_ms);
     if let Err(error) = sent.await {
         tracing::debug!(%address, %error, "notice of a crash not sent");
     }
--- a/src/server/fleet.rs
+++ b/src/server/fleet.rs
@@ -9,7 +9,10 @@
     state::{Server, lock},
 };
 use crate::{
-    core::{Name, pool::EndpointRecord},
+    core::{
+        Name,
+        pool::{EndpointRecord, PoolEndpoint},
+    },
     daemon::now_ms,
     platform::{
         CONFIG_KEY, OPERATOR_TABLE, Row, SAMPLER_TABLE, decode_config, decode_endpoint,
@@ -75,7 +78,7 @@
     let on_update = |server: &Arc<Server>, update: TableUpdate| {
         let now_ms = now_ms();
         let mut pool = lock(&server.pool);
-        let mut gone: Vec<EndpointRecord> = Vec::new();
+        let mut gone: Vec<PoolEndpoint> = Vec::new();
         match update {
             TableUpdate::All(rows) => {
                 let records: Vec<EndpointRecord> = rows.iter().filter_map(decode_record).collect();
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -8,7 +8,7 @@
 
 use super::{
     content_runs::{self, StartOutcome},
-    crash,
+    crash, endpoint_exchange,
     front::CallerRequest,
     http_client::{ExchangeError, Reply, WholeReply},
     response::{Body, full_body},
@@ -340,7 +340,7 @@
         outgoing.body,
     )
     .map_err(not_sent)?;
-    let reply = match server.http.send(address, request).await {
+    let reply = match endpoint_exchange::send(server, endpoint, address, request).await {
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -21,6 +21,7 @@
 use super::{
     accept, crash_rows, directory, forward, read_batch, relay,
     response::{Body, empty_response, full_body, json_response, refusal_response},
+    silence,
     state::Server,
 };
 use crate::{
@@ -31,7 +32,7 @@
         CallerHead, is_address_query, is_readiness_check, parse_address_query, parse_batch_call,
         parse_caller_head,
     },
-    wire::peers::CRASH_NOTICE_PATH,
+    wire::peers::{CRASH_NOTICE_PATH, REACHABILITY_PATH},
 };
 
 /// Which kind of requests a listener serves.
@@ -40,7 +41,7 @@
     Callers,
     Readiness,
     Directory,
-    /// Calls to the store that other VMs relay through this one.
+    /// Calls of other VMs: to relay calls to the store, and about endpoints.
     Peers,
     Metrics,
 }
@@ -50,8 +51,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
 /// The largest request body until a configuration is known, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-/// The largest body of a notice of crashes, in bytes.
-const MAX_CRASH_NOTICE_BYTES: usize = 1024 * 1024;
+/// The largest body of a notice or question of another VM, in bytes.
+const MAX_PEER_BODY_BYTES: usize = 1024 * 1024;
 /// The delay after a connection could not be accepted, in milliseconds: if too
 /// many files are open, other connections may close meanwhile.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
@@ -184,12 +185,18 @@
         ListenerKind::Metrics if method == Method::GET => {
             Response::new(full_body(server.metrics.to_text()))
         }
-        ListenerKind::Peers if method == Method::POST && path == CRASH_NOTICE_PATH => {
-            let body = Limited::new(request.into_body(), MAX_CRASH_NOTICE_BYTES);
+        ListenerKind::Peers
+            if method == Method::POST
+                && [CRASH_NOTICE_PATH, REACHABILITY_PATH].contains(&&*path) =>
+        {
+            let body = Limited::new(request.into_body(), MAX_PEER_BODY_BYTES);
             match body.collect().await {
+                Ok(body) if path == REACHABILITY_PATH => {
+                    silence::answer_query(&server, &body.to_bytes()).await
+                }
                 Ok(body) => crash_rows::receive_notices(&server, &body.to_bytes()),
                 Err(error) => {
-                    tracing::debug!(%error, "body of a notice of crashes not read");
+                    tracing::debug!(%error, path, "body of another VM's request not read");
                     empty_response(StatusCode::BAD_REQUEST)
                 }
             }
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
+    endpoint_exchange,
     members::{LEADER_LEASE_KEY, VM_TABLE},
     state::{Server, lock},
 };
@@ -207,10 +208,9 @@
     };
     server.metrics.orders.inc();
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
-    let reply = server
-        .http
-        .exchange_whole(address, request, deadline_ms)
-        .await;
+    let endpoint = &load_order.endpoint;
+    let reply =
+        endpoint_exchange::exchange_whole(server, endpoint, address, request, deadline_ms).await;
     let (endpoint, version) = (&load_order.endpoint, load_order.version);
     let outcome = match reply {
         Ok(reply) => {
@@ -234,10 +234,9 @@
 ) -> Result<u64, String> {
     let request = build_report_request(&load_order.endpoint, &address.to_string())?;
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
-    let reply = server
-        .http
-        .exchange_whole(address, request, deadline_ms)
-        .await;
+    let endpoint = &load_order.endpoint;
+    let reply =
+        endpoint_exchange::exchange_whole(server, endpoint, address, request, deadline_ms).await;
     let reply = reply.map_err(|error| error.to_string())?;
     decode_orders_accepted(reply.status, &reply.body)
 }
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -12,7 +12,7 @@
 use super::{
     claims, clean, crash, crash_rows, fleet,
     front::{ListenerKind, serve},
-    members, orders,
+    members, orders, silence,
     state::Server,
 };
 use crate::{
@@ -70,6 +70,7 @@
     tokio::spawn(members::run_heartbeat(server.clone()));
     tokio::spawn(crash_rows::follow_rows(server.clone()));
     tokio::spawn(crash_rows::write_rows(server.clone()));
+    tokio::spawn(silence::check_silent_endpoints(server.clone()));
     tokio::spawn(orders::run_orders(server.clone()));
     tokio::spawn(expire_periodically(server.clone(), dropped_lines));
     tokio::spawn(clean::delete_old_batches(server.clone()));
@@ -179,7 +180,7 @@
         server.metrics.log_lines_dropped.set(dropped);
         let expired = super::state::lock(&server.pool).expire(now_ms());
         for before in expired {
-            tracing::info!(endpoint = %before.id, "endpoint gone: it was not listed again in time");
+            tracing::info!(endpoint = %before.record.id, "endpoint gone: it was not listed again in time");
             crash::on_endpoint_gone(&server, &before);
         }
     }
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
 
 use super::{
-    crash,
+    crash, endpoint_exchange,
     fleet::record_weights_version,
     forward::record_answer_head,
     http_client::{ExchangeError, Reply},
@@ -78,7 +78,7 @@
             return RunEnd::Refused(message);
         }
     };
-    let sent = pin!(server.http.send(address, request));
+    let sent = pin!(endpoint_exchange::send(server, &endpoint, address, request));
     let reply = match wait_for_head(job, sent, in_flight, may_move).await {
         HeadWait::Received(result) => match *result {
             Ok(reply) => reply,
@@ -211,6 +211,9 @@
             Ok(Err(error)) => return on_exchange_error(job, in_flight, &error).await,
             Err(_) => None,
         };
+        if bytes.is_some() {
+            endpoint_exchange::on_heard(server, &in_flight.endpoint);
+        }
         for event in parser.push(&bytes.unwrap_or_default()) {
             pace.on_event(now_ms());
             if let Some(version) = event.weights_version {
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -6,7 +6,7 @@
 
 use super::{
     content_runs::{self, StartOutcome},
-    crash,
+    crash, endpoint_exchange,
     failures::{FailedCall, write_failures},
     forward::record_answer_head,
     metrics::elapsed_seconds,
@@ -162,10 +162,8 @@
         }
     };
     let deadline_ms = now_ms() + timeout_ms;
-    let reply = server
-        .http
-        .exchange_whole(address, request, deadline_ms)
-        .await;
+    let reply =
+        endpoint_exchange::exchange_whole(server, endpoint, address, request, deadline_ms).await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
--- /dev/null
+++ b/src/server/silence.rs
@@ -0,0 +1,154 @@
+//! Finds endpoints that have become unreachable under runs, before the platform's
+//! list tells.
+//!
+//! An endpoint that this VM alone cannot reach may be cut off from it. It counts as
+//! crashed only if VMs of other data centres cannot reach it either.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use hyper::{Response, StatusCode};
+use rand::seq::IteratorRandom;
+
+use super::{
+    crash,
+    http_client::Reachability,
+    peer_call::post_to_peer,
+    response::{Body, empty_response, full_body},
+    state::{Server, lock},
+};
+use crate::{
+    core::{Name, pool::EndpointRecord},
+    daemon::now_ms,
+    wire::peers::{REACHABILITY_PATH, ReachabilityQuery},
+};
+
+/// The interval at which endpoints are searched that are silent, in milliseconds.
+const SEARCH_INTERVAL_MS: u64 = 100;
+/// How long an endpoint may take to accept a connection, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+/// How long another VM may take to answer, in milliseconds: its own attempt to
+/// connect and a round trip.
+const ANSWER_TIMEOUT_MS: u64 = CONNECT_TIMEOUT_MS + 200;
+/// The most VMs that are asked about one endpoint.
+const MAX_ASKED_VMS: usize = 3;
+
+/// Checks endpoints that are silent during runs, for as long as the process runs.
+pub(crate) async fn check_silent_endpoints(server: Arc<Server>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(SEARCH_INTERVAL_MS)).await;
+        let silent = lock(&server.pool).take_silent(now_ms());
+        for record in silent {
+            tokio::spawn(check_endpoint(server.clone(), record));
+        }
+    }
+}
+
+async fn check_endpoint(server: Arc<Server>, record: EndpointRecord) {
+    let connect = server
+        .http
+        .check_reachability(record.address, CONNECT_TIMEOUT_MS);
+    let reachability = connect.await;
+    if reachability == Reachability::Accepts {
+        if let Some(known) = lock(&server.pool).get_mut(&record.id) {
+            known.on_heard(now_ms());
+        }
+        return;
+    }
+    let answers = match reachability {
+        Reachability::Silent => ask_other_vms(&server, &record).await,
+        Reachability::Accepts | Reachability::Refuses => Vec::new(),
+    };
+    let is_gone = reachability == Reachability::Refuses || is_unreachable_for_all(&answers);
+    tracing::info!(endpoint = %record.id, incarnation = record.started_unix_ms, %reachability,
+        reached_by_others = ?answers, is_gone, "endpoint is silent");
+    if is_gone {
+        crash::on_endpoint_unreachable(&server, &record).await;
+    }
+}
+
+/// Returns whether any VM has answered, and none reaches the endpoint.
+fn is_unreachable_for_all(answers: &[bool]) -> bool {
+    !answers.is_empty() && !answers.contains(&true)
+}
+
+/// Asks VMs of different data centres whether they reach an endpoint, and returns the
+/// answers that arrive in time.
+async fn ask_other_vms(server: &Server, record: &EndpointRecord) -> Vec<bool> {
+    let query = ReachabilityQuery {
+        endpoint: record.id.clone(),
+        incarnation: record.started_unix_ms,
+    };
+    let body: Bytes = match rmp_serde::to_vec(&query) {
+        Ok(body) => body.into(),
+        Err(error) => {
+            tracing::error!(%error, "question about an endpoint not encoded");
+            return Vec::new();
+        }
+    };
+    let deadline_ms = now_ms() + ANSWER_TIMEOUT_MS;
+    let asked = choose_vms(server).into_iter().map(|address| {
+        let body = body.clone();
+        async move {
+            let reply = post_to_peer(server, address, REACHABILITY_PATH, body, deadline_ms).await;
+            let reply = reply.inspect_err(
+                |error| tracing::debug!(%address, %error, "VM does not tell of an endpoint"),
+            );
+            let reply = reply.ok().filter(|reply| reply.status == StatusCode::OK)?;
+            rmp_serde::from_slice::<bool>(&reply.body).ok()
+        }
+    });
+    join_all(asked).await.into_iter().flatten().collect()
+}
+
+/// Chooses one VM of each of some data centres at random, and other VMs if there are
+/// too few data centres.
+fn choose_vms(server: &Server) -> Vec<SocketAddr> {
+    let own_address = server.settings.peer_address;
+    let mut rng = lock(&server.rng);
+    let members = lock(&server.members);
+    let mut by_data_centre: BTreeMap<&Name, Vec<SocketAddr>> = BTreeMap::new();
+    let others = members.live_vms().map(|(_, row)| row);
+    for row in others.filter(|row| row.peer_address != own_address) {
+        let addresses = by_data_centre.entry(&row.data_centre).or_default();
+        addresses.push(row.peer_address);
+    }
+    let one_of = |addresses: &Vec<SocketAddr>, rng: &mut _| addresses.iter().copied().choose(rng);
+    let spread: Vec<SocketAddr> = by_data_centre
+        .values()
+        .filter_map(|addresses| one_of(addresses, &mut *rng))
+        .collect();
+    let mut chosen = spread.into_iter().choose_multiple(&mut *rng, MAX_ASKED_VMS);
+    let rest = by_data_centre.into_values().flatten();
+    let rest: Vec<SocketAddr> = rest.filter(|other| !chosen.contains(other)).collect();
+    let missing = MAX_ASKED_VMS - chosen.len();
+    chosen.extend(rest.into_iter().choose_multiple(&mut *rng, missing));
+    chosen
+}
+
+/// Answers another VM whether this one reaches an endpoint.
+pub(crate) async fn answer_query(server: &Server, body: &[u8]) -> Response<Body> {
+    let query: ReachabilityQuery = match rmp_serde::from_slice(body) {
+        Ok(query) => query,
+        Err(error) => {
+            tracing::warn!(%error, "question about an endpoint not decoded");
+            return empty_response(StatusCode::BAD_REQUEST);
+        }
+    };
+    let listed = lock(&server.pool)
+        .get(&query.endpoint)
+        .map(|known| (known.record.address, known.record.started_unix_ms));
+    let Some((address, _)) = listed.filter(|(_, started)| *started == query.incarnation) else {
+        return empty_response(StatusCode::NOT_FOUND);
+    };
+    let check = server.http.check_reachability(address, CONNECT_TIMEOUT_MS);
+    let is_reached = check.await == Reachability::Accepts;
+    match rmp_serde::to_vec(&is_reached) {
+        Ok(bytes) => Response::new(full_body(bytes)),
+        Err(error) => {
+            tracing::error!(%error, "answer about an endpoint not encoded");
+            empty_response(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -133,7 +133,7 @@
         let mut service = Name::from("");
         let mut incarnation = 0;
         if let Some(known) = lock(&self.pool).get_mut(endpoint) {
-            known.load.in_flight += 1;
+            known.on_run_start(now_ms());
             service = known.record.service.clone();
             incarnation = known.record.started_unix_ms;
         }
--- a/src/server/stream.rs
+++ b/src/server/stream.rs
@@ -6,7 +6,7 @@
 use hyper::{Response, body::Frame, header};
 
 use super::{
-    crash,
+    crash, endpoint_exchange,
     http_client::Reply,
     response::Body,
     state::{InFlight, Server},
@@ -31,7 +31,10 @@
         async move {
             let (mut reply, in_flight) = source?;
             match reply.next_bytes().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((reply, in_flight)))),
+                Ok(Some(bytes)) => {
+                    endpoint_exchange::on_heard(&server, &in_flight.endpoint);
+                    Some((Ok(Frame::data(bytes)), Some((reply, in_flight))))
+                }
                 Ok(None) => {
                     in_flight.mark_complete();
                     reply.release_connection().await;
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -112,6 +112,19 @@
 /// The path at which VMs receive notices of crashes.
 pub const CRASH_NOTICE_PATH: &str = "/peer/crash";
 
+/// The path at which VMs are asked whether they reach an endpoint.
+pub const REACHABILITY_PATH: &str = "/peer/reachability";
+
+/// Asks another VM whether an endpoint accepts connections from there; the response
+/// is a [`bool`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReachabilityQuery {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The endpoint's incarnation.
+    pub incarnation: u64,
+}
+
 /// One crash of an endpoint, and the requests that were running there.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -4,6 +4,7 @@
 mod loads {
     mod bursts_spread_over_samplers;
     mod callers_get_nearby_vms;
+    mod crash_world;
     mod cut_streams_resume_whole;
     mod frequent_weights_leave_samplers_usable;
     mod longest_samples_start_first;
--- a/tests/loads/relisted_samplers_survive_outages.rs
+++ b/tests/loads/relisted_samplers_survive_outages.rs
@@ -25,7 +25,7 @@
     }
     assert!(pool.expire(OUTAGE_END_MS + RELIST_TIMEOUT_MS).is_empty());
     let expired = pool.expire(OUTAGE_END_MS + RELIST_TIMEOUT_MS + 500);
-    let expired: Vec<_> = expired.iter().map(|record| record.id.clone()).collect();
+    let expired: Vec<_> = expired.iter().map(|e| e.record.id.clone()).collect();
     assert_eq!(expired, [endpoint_name(5)]);
     assert_eq!(pool.of_service(SERVICE).count(), 5);
 }
--- a/tests/process_serve/crashes_without_a_closed_connection.rs
+++ b/tests/process_serve/crashes_without_a_closed_connection.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use hyper::Method;
 use serde_json::json;
-use standins::fleet::{Sampler, WhenDown};
+use standins::fleet::{Sampler, SamplerSettings, WhenDown};
 
 use super::requests_that_crash_samplers::{
     CONTACT, CRASHES_BEFORE_BOUND, CULPRIT, Damage, run_batch_with_culprit, send, start_fleet,
 };
-use crate::fleet::{Fleet, batch_body};
+use crate::fleet::{Fleet, SAMPLER_SETTINGS, batch_body};
 
 /// How long the culprit keeps coming: several times as long as a sampler is down.
 const RESEND_DURATION: Duration = Duration::from_secs(20);
@@ -130,3 +130,33 @@
     Damage::of_delayed_crashes(&fleet.plain_samplers).assert_bounded();
     assert_eq!(results.len(), 11, "all other items are listed");
 }
+
+/// Guards against slow samplers that are taken for crashed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_samplers_are_not_taken_for_crashed() {
+    const WORK_MS: u64 = 1_500;
+    let settings = SamplerSettings {
+        work_ms: WORK_MS,
+        ..SAMPLER_SETTINGS
+    };
+    let fleet = Fleet::start(3, settings).await;
+    let calls = (0..12).map(|call| {
+        let fleet = &fleet;
+        async move {
+            let callers = fleet.vms[call % 3].addresses["callers"];
+            let id = format!("slow-{call}");
+            let body = Bytes::from_static(b"slow");
+            let answer = fleet.call(Method::POST, callers, "/patient/1", &id, body);
+            assert_eq!(answer.await.map(|answer| answer.status), Some(200));
+        }
+    });
+    futures_util::future::join_all(calls).await;
+    for vm in &fleet.vms {
+        let metrics = fleet
+            .get(vm.addresses["metrics"], "/metrics", "metrics")
+            .await;
+        let metrics = metrics.expect("an answer").body;
+        let text = String::from_utf8_lossy(&metrics);
+        assert!(text.contains("endpoint_crashes_total 0\n"), "{text}");
+    }
+}
