Send nothing new to an endpoint whose answers say that it leaves

Why it works: all exchanges with endpoints go through endpoint_exchange, which marks the endpoint at the head of an answer, before the answer is passed on. Marked, it counts as leaving whatever the list says, until it starts again: a new start has a new record. An answer to a request that was sent to an earlier start, or one that says that another sampler is expected, marks nothing.

--- a/crates/standins/src/fleet/answer_fault.rs
+++ b/crates/standins/src/fleet/answer_fault.rs
@@ -9,6 +9,8 @@
 /// The way in which an answer is invalid.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerFault {
+    /// It says that the request was not run because there is no room.
+    Refused,
     /// It names the id of another request.
     Foreign,
     /// It does not name the sampler that sent it.
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -16,6 +16,7 @@
 use hyper::{
     Method, Request, Response, StatusCode,
     body::{Frame, Incoming},
+    header::HeaderValue,
 };
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
@@ -68,6 +69,8 @@
     failing_request_ids: Mutex<BTreeSet<String>>,
     /// The bodies of requests that crash the sampler as soon as they run.
     crashing_bodies: Mutex<BTreeSet<Bytes>>,
+    /// Whether it is about to leave, which its answers say and its entry does not.
+    is_leaving: AtomicBool,
     /// Whether it answers a request that crashes it, under the id of another one.
     answers_before_crash: AtomicBool,
     when_down: Mutex<WhenDown>,
@@ -123,6 +126,7 @@
             answer_faults: Mutex::default(),
             failing_request_ids: Mutex::default(),
             crashing_bodies: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
             answers_before_crash: AtomicBool::new(false),
             when_down: Mutex::default(),
             restart_ms: AtomicU64::new(DEFAULT_RESTART_MS),
@@ -156,6 +160,24 @@
             .collect()
     }
 
+    /// Returns the starts of the runs that began after a time.
+    #[must_use]
+    pub fn runs_after(&self, at: Instant) -> Vec<RunStart> {
+        let runs = lock(&self.shared.runs);
+        runs.iter().filter(|run| run.at > at).cloned().collect()
+    }
+
+    /// Makes the sampler say in all answers that it is about to leave, until it starts
+    /// again.
+    pub fn announce_leaving(&self) {
+        self.shared.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Writes the sampler's entry to the store again.
+    pub fn register_again(&self) {
+        self.shared.register();
+    }
+
     /// Returns the times of the sampler's crashes.
     #[must_use]
     pub fn crashes(&self) -> Vec<Instant> {
@@ -201,6 +223,11 @@
         lock(&self.shared.answer_faults).extend(std::iter::repeat_n(fault, count));
     }
 
+    /// Makes the answers to requests valid again.
+    pub fn clear_answer_faults(&self) {
+        lock(&self.shared.answer_faults).clear();
+    }
+
     /// Answers every run of a request with a failure.
     pub fn fail_request(&self, id: &str) {
         lock(&self.shared.failing_request_ids).insert(id.to_owned());
@@ -258,6 +285,7 @@
             }
         };
         lock(&shared.orders).clear();
+        shared.is_leaving.store(false, Ordering::SeqCst);
         shared.is_up.store(true, Ordering::SeqCst);
         shared.register();
     }
@@ -316,6 +344,15 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let mut answer = handle_request(shared.clone(), request).await;
+    if shared.is_leaving.load(Ordering::SeqCst) {
+        let value = HeaderValue::from_static("1");
+        answer.headers_mut().insert("server-leaving", value);
+    }
+    answer
+}
+
+async fn handle_request(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
     shared.continue_if_up().await;
     let expected = header(&request, "x-expect-instance");
     if expected.is_some_and(|expected| expected != shared.id) {
@@ -336,7 +373,7 @@
     let mut answer = status_answer(code, "not run");
     answer
         .headers_mut()
-        .insert("x-not-run", hyper::header::HeaderValue::from_static("1"));
+        .insert("x-not-run", HeaderValue::from_static("1"));
     answer
 }
 
@@ -376,6 +413,10 @@
         Ok(body) => body,
         Err(answer) => return answer,
     };
+    let is_refused = lock(&shared.answer_faults).pop_if(|fault| *fault == AnswerFault::Refused);
+    if is_refused.is_some() {
+        return not_run(StatusCode::SERVICE_UNAVAILABLE);
+    }
     lock(&shared.runs).push(RunStart {
         id: id.clone(),
         body: body.clone(),
--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -57,6 +57,8 @@
 pub struct PoolEndpoint {
     /// The endpoint as it describes itself.
     pub record: EndpointRecord,
+    /// Whether its answers have said that it leaves, which its description may not.
+    has_announced_leaving: bool,
     /// The endpoint's load.
     pub load: Load,
     /// The average time for a unit of work, if any was measured: milliseconds per
@@ -82,6 +84,7 @@
     pub(crate) const fn new(record: EndpointRecord) -> Self {
         Self {
             record,
+            has_announced_leaving: false,
             load: Load::DEFAULT,
             pace: None,
             penalty_until_ms: 0,
@@ -94,6 +97,26 @@
         }
     }
 
+    /// Records that one of its answers says that it is about to leave; returns whether
+    /// this was unknown.
+    ///
+    /// It accepts no new work from now on, whatever the platform's list says, until it
+    /// starts again.
+    pub fn on_leaving_announced(&mut self) -> bool {
+        self.has_announced_leaving = true;
+        let was_ready = self.record.stage == EndpointStage::Ready;
+        self.record.stage = EndpointStage::Leaving;
+        was_ready
+    }
+
+    /// Replaces the description of the same incarnation by a newer one.
+    pub(super) fn update_record(&mut self, newer: EndpointRecord) {
+        self.record = newer;
+        if self.has_announced_leaving {
+            self.record.stage = EndpointStage::Leaving;
+        }
+    }
+
     /// Records that a run starts there.
     pub fn on_run_start(&mut self, now_ms: u64) {
         self.load.in_flight += 1;
--- a/src/core/pool/pool.rs
+++ b/src/core/pool/pool.rs
@@ -32,7 +32,7 @@
         match self.endpoints.get_mut(&record.id) {
             Some(known) if known.record.started_unix_ms == record.started_unix_ms => {
                 let newer = merge_weights(&known.record, record);
-                known.record = newer;
+                known.update_record(newer);
                 known.remove_at_ms = None;
                 None
             }
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -15,6 +15,7 @@
 const STAMP_HEADER: &str = "x-response-stamp";
 const LOAD_HEADER: &str = "x-server-load";
 const WEIGHTS_VERSION_HEADER: &str = "x-weight-versions";
+const LEAVING_HEADER: &str = "server-leaving";
 const PRIORITY_HEADER: &str = "x-request-priority";
 
 /// The field of an event that states the weights version from this event on.
@@ -113,6 +114,16 @@
     }
 }
 
+/// Returns whether the sampler at this address says in an answer that it is about to
+/// leave.
+///
+/// An answer that another sampler is expected there says nothing of the expected one.
+pub(crate) fn announces_leaving(status: StatusCode, headers: &HeaderMap) -> bool {
+    let value = headers.get(LEAVING_HEADER);
+    status != StatusCode::MISDIRECTED_REQUEST
+        && value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 fn parse_load_report(text: &str) -> Option<LoadReport> {
     let mut fields = text.split(',').map(|field| field.trim().parse().ok());
     Some(LoadReport {
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -1,16 +1,16 @@
 //! Exchanges with endpoints: all that this VM sends to one goes through here.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{HeaderMap, Request, StatusCode};
 
 use super::{
-    http_client::{ExchangeError, Reply, WholeReply},
+    http_client::{ExchangeError, Reply, WholeReply, within},
     state::{Server, lock},
 };
-use crate::daemon::now_ms;
+use crate::{daemon::now_ms, platform::announces_leaving};
 
 /// Sends a request to an endpoint and waits for the head of its answer.
 ///
@@ -23,8 +23,9 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<Reply, ExchangeError> {
+    let incarnation = listed_incarnation(server, endpoint);
     let reply = server.http.send(address, request).await?;
-    on_heard(server, endpoint);
+    on_answer(server, endpoint, incarnation, reply.status, &reply.headers);
     Ok(reply)
 }
 
@@ -35,18 +36,17 @@
 /// Returns the errors of
 /// [`ExchangeClient::exchange_whole`](super::http_client::ExchangeClient).
 pub(crate) async fn exchange_whole(
-    server: &Arc<Server>,
+    server: &Server,
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     deadline_ms: u64,
 ) -> Result<WholeReply, ExchangeError> {
-    let reply = server
-        .http
-        .exchange_whole(address, request, deadline_ms)
-        .await?;
-    on_heard(server, endpoint);
-    Ok(reply)
+    let exchange = async {
+        let reply = send(server, endpoint, address, request).await?;
+        reply.read_whole().await
+    };
+    within(exchange, address, deadline_ms).await
 }
 
 /// Records that an endpoint has sent something.
@@ -55,3 +55,35 @@
         known.on_heard(now_ms());
     }
 }
+
+fn listed_incarnation(server: &Server, endpoint: &str) -> Option<u64> {
+    let pool = lock(&server.pool);
+    pool.get(endpoint).map(|known| known.record.started_unix_ms)
+}
+
+/// Records what any answer of an endpoint tells, unless the endpoint has started again
+/// since the request was sent.
+fn on_answer(
+    server: &Server,
+    endpoint: &str,
+    incarnation: Option<u64>,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let mut pool = lock(&server.pool);
+    let Some(known) = pool.get_mut(endpoint) else {
+        return;
+    };
+    known.on_heard(now_ms());
+    if incarnation == Some(known.record.started_unix_ms)
+        && announces_leaving(status, headers)
+        && known.on_leaving_announced()
+    {
+        tracing::info!(
+            endpoint,
+            incarnation,
+            in_flight = known.load.in_flight,
+            "endpoint leaves: its answer says so"
+        );
+    }
+}
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -156,13 +156,7 @@
         deadline_ms: u64,
     ) -> Result<WholeReply, ExchangeError> {
         let exchange = async { self.send(address, request).await?.read_whole().await };
-        let remaining_ms = deadline_ms.saturating_sub(now_ms());
-        match tokio::time::timeout(Duration::from_millis(remaining_ms), exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(ExchangeError::Incomplete(format!(
-                "no response from {address} in {remaining_ms} ms"
-            ))),
-        }
+        within(exchange, address, deadline_ms).await
     }
 
     /// Opens a connection, and keeps it for the next request.
@@ -334,6 +328,28 @@
     }
 }
 
+/// Waits for an exchange until a deadline.
+///
+/// # Errors
+///
+/// Returns the errors of the exchange, and `Incomplete` if the deadline passes.
+pub(crate) async fn within<F>(
+    exchange: F,
+    address: SocketAddr,
+    deadline_ms: u64,
+) -> Result<WholeReply, ExchangeError>
+where
+    F: Future<Output = Result<WholeReply, ExchangeError>>,
+{
+    let remaining_ms = deadline_ms.saturating_sub(now_ms());
+    match tokio::time::timeout(Duration::from_millis(remaining_ms), exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(ExchangeError::Incomplete(format!(
+            "no response from {address} in {remaining_ms} ms"
+        ))),
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, ExchangeError> {
     let not_sent = |message: String| ExchangeError::NotSent(message);
     let connect = TcpStream::connect(address);
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -7,6 +7,7 @@
     mod batches_under_vm_and_store_faults;
     mod crashes_without_a_closed_connection;
     mod invalid_answers_and_ended_batches;
+    mod leaving_samplers_get_no_requests;
     mod requests_that_crash_samplers;
     mod soak;
     mod stops_cut_no_request;
