Do not blame an endpoint that left or started anew during its check

Found by reading: between the start of a check for silence and its verdict, up to 0.65 s, the endpoint may announce that it leaves or be listed with a new start. The verdict was then applied to whatever the pool knew under the id. Now both end the check without a verdict; the list and the announcement are the better evidence.

--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -87,9 +87,18 @@
     }
 }
 
-/// Reports a crash if runs bring no answer from an endpoint that no VM reaches.
+/// Reports a crash if runs bring no answer from an endpoint that no VM reaches, unless
+/// it has announced to leave or has started anew meanwhile.
 pub(crate) async fn on_endpoint_unreachable(server: &Arc<Server>, record: &EndpointRecord) {
-    if let Some(known) = lock(&server.pool).get_mut(&record.id) {
+    {
+        let mut pool = lock(&server.pool);
+        let is_same = |known: &&mut PoolEndpoint| {
+            known.record.stage == EndpointStage::Ready
+                && known.record.started_unix_ms == record.started_unix_ms
+        };
+        let Some(known) = pool.get_mut(&record.id).filter(is_same) else {
+            return;
+        };
         known.on_failure(now_ms());
         known.on_found_gone();
     }
