Let soaked samplers hang, become unreachable or announce that they leave

Each planned crash now draws how the sampler goes down, and whether it says for two to four seconds before that it leaves, from a generator of its own: the faults and times of a seed stay what they were.

--- a/tests/process_serve/soak/environment.rs
+++ b/tests/process_serve/soak/environment.rs
@@ -14,10 +14,10 @@
 use hyper::Method;
 use rustix::process::Signal;
 use serde_json::Value;
-use standins::fleet::{RowStore, SamplerSettings};
+use standins::fleet::{RowStore, Sampler, SamplerSettings, WhenDown};
 
 use super::{
-    fault_plan::{FaultKind, PlannedFault},
+    fault_plan::{FaultKind, PlannedCrash, PlannedFault},
     proxy::{Proxy, ProxyFault},
 };
 use crate::{
@@ -34,6 +34,8 @@
     work_ms: 20,
     load_ms: 200,
 };
+/// How long a silent sampler stays listed.
+const LISTED_WHILE_SILENT: Duration = Duration::from_millis(3_600);
 pub const SAMPLES_PER_BATCH: usize = 16;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -105,18 +107,35 @@
         call(&self.http, method, address, path, id, body).await
     }
 
-    /// Crashes a sampler, which is down for a while.
-    pub async fn crash_sampler(&self, number: usize, downtime: Duration) {
+    /// Crashes a sampler or lets it leave, and waits until it has started again.
+    pub async fn crash_sampler(&self, crash: &PlannedCrash) {
+        if let Some(leaves_after) = crash.leaves_after {
+            self.with_sampler(crash.sampler, Sampler::announce_leaving)
+                .await;
+            tokio::time::sleep(leaves_after).await;
+        }
+        let down_ms = u64::try_from(crash.downtime.as_millis()).expect("short");
+        self.with_sampler(crash.sampler, |sampler| {
+            sampler.set_restart_ms(down_ms);
+            sampler.set_when_down(crash.when_down);
+            sampler.crash();
+        })
+        .await;
+        let listed = match crash.when_down {
+            WhenDown::Refuses => Duration::ZERO,
+            WhenDown::Hangs | WhenDown::Unreachable => LISTED_WHILE_SILENT,
+        };
+        tokio::time::sleep(listed + crash.downtime).await;
+    }
+
+    async fn with_sampler<F>(&self, number: usize, act: F)
+    where
+        F: FnOnce(&Sampler),
+    {
         let fleet = self.fleet.lock().await;
-        let samplers: Vec<_> = fleet
-            .model_samplers
-            .iter()
-            .chain(&fleet.plain_samplers)
-            .collect();
-        let sampler = samplers[number % samplers.len()];
-        let down_ms = downtime.as_millis();
-        sampler.set_restart_ms(u64::try_from(down_ms).expect("short"));
-        sampler.crash();
+        let samplers = fleet.model_samplers.iter().chain(&fleet.plain_samplers);
+        let samplers: Vec<&Sampler> = samplers.collect();
+        act(samplers[number % samplers.len()]);
     }
 
     /// Checks how often the culprit ran long after its third crash and the last
--- a/tests/process_serve/soak/fault_plan.rs
+++ b/tests/process_serve/soak/fault_plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use standins::fleet::WhenDown;
 
 /// The time within which faults start, in milliseconds.
 pub const FAULT_WINDOW_MS: u64 = 7_000;
@@ -11,6 +12,12 @@
 /// than the silence after which a VM counts as lost.
 const MAX_FAULT_MS: u64 = 4_500;
 
+/// The longest time for which a sampler still serves after it has said that it leaves,
+/// in milliseconds; the users promise two seconds.
+const MAX_LEAVE_MS: u64 = 4_000;
+/// By how many bits a seed is rotated for the manner of its crashes.
+const MANNER_SEED_BITS: u32 = 17;
+
 /// A fault of one VM, or of the store for all VMs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FaultKind {
@@ -67,17 +74,30 @@
     pub sampler: usize,
     pub starts_after: Duration,
     pub downtime: Duration,
+    /// What callers notice of this crash and the later ones of the sampler.
+    pub when_down: WhenDown,
+    /// How long before, if it is no crash, the sampler says that it leaves.
+    pub leaves_after: Option<Duration>,
 }
 
 /// Returns the crashes of samplers of a seed; there may be none.
 pub fn plan_crashes(seed: u64) -> Vec<PlannedCrash> {
     // Its own generator, so that the faults of a seed stay what they were.
     let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut manner_rng = SmallRng::seed_from_u64(seed.rotate_left(MANNER_SEED_BITS));
     (0..rng.random_range(0..=3))
         .map(|_| PlannedCrash {
             sampler: rng.random_range(0..6),
             starts_after: Duration::from_millis(rng.random_range(0..FAULT_WINDOW_MS)),
             downtime: Duration::from_millis(rng.random_range(200..2_000)),
+            when_down: match manner_rng.random_range(0..4) {
+                0 => WhenDown::Hangs,
+                1 => WhenDown::Unreachable,
+                _ => WhenDown::Refuses,
+            },
+            leaves_after: manner_rng
+                .random_bool(0.3)
+                .then(|| Duration::from_millis(manner_rng.random_range(2_000..MAX_LEAVE_MS))),
         })
         .collect()
 }
--- a/tests/process_serve/soak/promises.rs
+++ b/tests/process_serve/soak/promises.rs
@@ -124,10 +124,7 @@
         let environment = environment.clone();
         fault_tasks.spawn(async move {
             tokio::time::sleep(crash.starts_after).await;
-            environment
-                .crash_sampler(crash.sampler, crash.downtime)
-                .await;
-            tokio::time::sleep(crash.downtime).await;
+            environment.crash_sampler(&crash).await;
         });
     }
     for fault in faults.clone() {
