Let operators list held contents and free one at all VMs

If the endpoints are mended, its callers are refused until then and nobody could change it.

chicoryreach held list and held free ask any VM at its peer address. A freed content is shared like one that has completed, through the store and by notices; later crashes count anew.

--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -189,6 +189,11 @@
         lock(&self.shared.crashing_bodies).insert(Bytes::copy_from_slice(body));
     }
 
+    /// Makes no request crash the sampler any more.
+    pub fn crash_on_nothing(&self) {
+        lock(&self.shared.crashing_bodies).clear();
+    }
+
     /// Sets what callers notice of the sampler after a crash.
     pub fn set_when_down(&self, when_down: WhenDown) {
         *lock(&self.shared.when_down) = when_down;
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -72,6 +72,12 @@
         /// Prints JSON instead of tables.
         json: bool,
     },
+    /// Lists and frees contents that are held because they crash endpoints (`serve`).
+    #[bpaf(command)]
+    Held {
+        #[bpaf(external(held_command))]
+        command: HeldCommand,
+    },
     /// Takes a VM or an endpoint out of use gracefully.
     #[bpaf(command)]
     Drain {
@@ -124,3 +130,24 @@
         daemon: SocketAddr,
     },
 }
+
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) enum HeldCommand {
+    /// Prints the held contents that a VM knows.
+    #[bpaf(command)]
+    List {
+        /// The peer address of any VM.
+        #[bpaf(argument("ADDRESS"))]
+        vm: SocketAddr,
+    },
+    /// Frees a content at all VMs; later crashes count anew.
+    #[bpaf(command)]
+    Free {
+        /// The peer address of any VM.
+        #[bpaf(argument("ADDRESS"))]
+        vm: SocketAddr,
+        /// The fingerprint of the content.
+        #[bpaf(positional("CONTENT"))]
+        content: String,
+    },
+}
--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -2,11 +2,12 @@
 
 use serde_json::{Value, json};
 
-use super::args::ConfigCommand;
+use super::args::{ConfigCommand, HeldCommand};
 use crate::{
     core::config::VersionedDocument,
     daemon::{HttpClient, HttpError},
-    wire::operators::{Accepted, HistoryEntry, Patch, Status},
+    server::HELD_PATH,
+    wire::operators::{Accepted, HeldContent, HistoryEntry, Patch, Status},
 };
 
 const REQUEST_TIMEOUT_MS: u64 = 20_000;
@@ -84,6 +85,41 @@
     Ok(())
 }
 
+/// Runs a subcommand of `held`.
+pub(crate) async fn held(command: HeldCommand) -> Result<(), String> {
+    match command {
+        HeldCommand::List { vm } => {
+            let held: Vec<HeldContent> = get(vm, HELD_PATH).await?;
+            println!(
+                "{:<34} {:>16} CRASHED ENDPOINTS",
+                "CONTENT", "LAST CRASH, S"
+            );
+            for entry in held {
+                println!(
+                    "{:<34} {:>16} {}",
+                    entry.content,
+                    entry.last_crash_age_ms / 1_000,
+                    entry.crashed_endpoints.join(" ")
+                );
+            }
+            Ok(())
+        }
+        HeldCommand::Free { vm, content } => {
+            let freed: Result<bool, HttpError> = HttpClient::new()
+                .post_json(vm, HELD_PATH, &content, REQUEST_TIMEOUT_MS)
+                .await;
+            match freed {
+                Ok(_) => println!("freed {content}"),
+                Err(HttpError::Status(status, _)) if status.as_u16() == 404 => {
+                    return Err(format!("content {content} is not blamed for any crash"));
+                }
+                Err(error) => return Err(error_message(&error, None)),
+            }
+            Ok(())
+        }
+    }
+}
+
 /// Submits a patch that marks an endpoint as leaving or a VM as draining.
 ///
 /// If the name is both an endpoint's and a VM's, the endpoint is marked.
--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -53,6 +53,7 @@
         },
         Command::Config { command } => with_runtime(operate::config(command)),
         Command::Status { daemon, json } => with_runtime(operate::status(daemon, json)),
+        Command::Held { command } => with_runtime(operate::held(command)),
         Command::Drain { daemon, name } => with_runtime(operate::drain(daemon, name.into())),
     }
 }
--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Quarantine of request contents that crash the endpoints on which they run.
 
 mod content;
+mod held;
 mod late_retries;
 mod permit;
 mod quarantine;
--- a/src/core/quarantine/quarantine.rs
+++ b/src/core/quarantine/quarantine.rs
@@ -71,7 +71,7 @@
 pub struct Quarantine {
     pub(super) crashes: Vec<Crash>,
     /// The crashes for which each suspect is blamed.
-    blame: BTreeMap<Arc<str>, Blame>,
+    pub(super) blame: BTreeMap<Arc<str>, Blame>,
     /// The crashes of which each content has been cleared.
     pub(super) cleared: BTreeMap<Arc<str>, BTreeSet<CrashId>>,
     /// The number of runs of each content at each endpoint.
@@ -90,10 +90,10 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Blame {
-    crashes: u32,
+pub(super) struct Blame {
+    pub(super) crashes: u32,
     /// The time at which the last of these crashes became known.
-    last_at_ms: u64,
+    pub(super) last_at_ms: u64,
     /// Whether no other content is blamed for at least one of them.
     is_sole_suspect: bool,
 }
@@ -267,17 +267,7 @@
                 return None;
             }
         }
-        if !self.blame.contains_key(fingerprint) {
-            return None;
-        }
-        let crashes = self.crashes.iter();
-        let involved = crashes.filter(|crash| crash.fingerprints.contains(fingerprint));
-        let clearance = Clearance {
-            fingerprint: fingerprint.clone(),
-            crashes: involved.map(|crash| crash.id.clone()).collect(),
-        };
-        self.on_clearance(clearance.clone());
-        Some(clearance)
+        self.free(fingerprint)
     }
 
     /// Applies a clearance: its content is no longer blamed for its crashes.
--- a/src/server/crash_rows.rs
+++ b/src/server/crash_rows.rs
@@ -167,10 +167,12 @@
     format!("{suspects:?}")
 }
 
-/// Shares that a content has completed at an endpoint, if other VMs may hold it.
-pub(crate) fn publish_clearance(server: &Server, clearance: Clearance, endpoint: &Name) {
+/// Shares that a content is no longer blamed, if other VMs may hold it.
+///
+/// `evidence` names the endpoint at which it has completed, or who has freed it.
+pub(crate) fn publish_clearance(server: &Server, clearance: Clearance, evidence: &str) {
     tracing::info!(content = %clearance.fingerprint, crashes = clearance.crashes.len(),
-        %endpoint, "content cleared: it has completed");
+        evidence, "content cleared");
     update_gauge(server);
     if clearance.crashes.len() < MAX_CRASHES as usize {
         return;
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -19,7 +19,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    accept, crash_rows, directory, forward, read_batch, relay,
+    accept, crash_rows, directory, forward,
+    held::{self, HELD_PATH},
+    read_batch, relay,
     response::{Body, empty_response, full_body, json_response, refusal_response},
     silence,
     state::Server,
@@ -41,7 +43,8 @@
     Callers,
     Readiness,
     Directory,
-    /// Calls of other VMs: to relay calls to the store, and about endpoints.
+    /// Calls of other VMs, to relay calls to the store and about endpoints, and those
+    /// of operators.
     Peers,
     Metrics,
 }
@@ -185,15 +188,17 @@
         ListenerKind::Metrics if method == Method::GET => {
             Response::new(full_body(server.metrics.to_text()))
         }
+        ListenerKind::Peers if method == Method::GET && path == HELD_PATH => held::list(&server),
         ListenerKind::Peers
             if method == Method::POST
-                && [CRASH_NOTICE_PATH, REACHABILITY_PATH].contains(&&*path) =>
+                && [CRASH_NOTICE_PATH, REACHABILITY_PATH, HELD_PATH].contains(&&*path) =>
         {
             let body = Limited::new(request.into_body(), MAX_PEER_BODY_BYTES);
             match body.collect().await {
                 Ok(body) if path == REACHABILITY_PATH => {
                     silence::answer_query(&server, &body.to_bytes()).await
                 }
+                Ok(body) if path == HELD_PATH => held::free(&server, &body.to_bytes()),
                 Ok(body) => crash_rows::receive_notices(&server, &body.to_bytes()),
                 Err(error) => {
                     tracing::debug!(%error, path, "body of another VM's request not read");
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -18,6 +18,7 @@
 mod follow;
 mod forward;
 mod front;
+mod held;
 mod http_client;
 mod listing;
 mod members;
@@ -39,6 +40,7 @@
 
 pub use self::run::run;
 pub(crate) use self::{
+    held::HELD_PATH,
     http_client::{ExchangeClient, ExchangeError, WholeReply},
     relay::StoreCall,
     state::lock,
--- a/src/wire/operators.rs
+++ b/src/wire/operators.rs
@@ -30,6 +30,17 @@
     pub number: u64,
 }
 
+/// A content that is held because it has crashed endpoints.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeldContent {
+    /// The fingerprint of the content.
+    pub content: Arc<str>,
+    /// The endpoints that crashed under it, in the order in which this became known.
+    pub crashed_endpoints: Vec<Name>,
+    /// How long ago the last of these crashes became known, in milliseconds.
+    pub last_crash_age_ms: u64,
+}
+
 /// One change in the history of the configuration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HistoryEntry {
--- a/tests/process_serve/requests_that_crash_samplers.rs
+++ b/tests/process_serve/requests_that_crash_samplers.rs
@@ -4,7 +4,10 @@
 //! Stand-ins of samplers end as soon as they run a certain body, and start again
 //! after a while.
 
-use std::time::{Duration, Instant};
+use std::{
+    process::Command,
+    time::{Duration, Instant},
+};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
@@ -266,6 +269,46 @@
     Damage::of(&fleet.model_samplers).assert_bounded();
 }
 
+/// Runs the command line and returns what it prints.
+async fn run_command(arguments: &[&str]) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_chicoryreach"));
+    command.args(arguments);
+    let output = tokio::task::spawn_blocking(move || command.output()).await;
+    let output = output.expect("the task ends").expect("the command runs");
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).expect("text")
+}
+
+/// Guards against a content that no operator can free before its time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_operator_lists_and_frees_a_held_content() {
+    let fleet = start_fleet(3).await;
+    resend_culprit(&fleet, "before", Duration::from_secs(1)).await;
+    for sampler in &fleet.plain_samplers {
+        sampler.crash_on_nothing();
+    }
+    let vm = fleet.vms[0].addresses["peers"].to_string();
+    let listed = run_command(&["held", "list", "--vm", &vm]).await;
+    let row = listed.lines().nth(1).expect("a held content");
+    let content = row.split_whitespace().next().expect("a fingerprint");
+    assert!(row.contains("i-plain-0"), "{listed}");
+    run_command(&["held", "free", "--vm", &vm, content]).await;
+    // Sooner than the next late retry may be claimed.
+    let known_by = Instant::now() + Duration::from_millis(500);
+    for vm in 0..3 {
+        loop {
+            let answer = send(&fleet, vm, &format!("after-{vm}"), CULPRIT).await;
+            let body = answer.expect("an answer").body;
+            if !body.starts_with(b"content_held") {
+                break;
+            }
+            assert!(Instant::now() < known_by, "VM {vm} still holds it");
+        }
+    }
+    let listed = run_command(&["held", "list", "--vm", &vm]).await;
+    assert_eq!(listed.lines().count(), 1, "{listed}");
+}
+
 /// Guards against retries beyond the attempts of the route, and against retries that
 /// are handed more time than their caller has left.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
