Take only an endpoint's own answers as heard, and ask other VMs of a refusal too

After a sampler has ended, its address may belong to another one, whose answer 421 to a misdirected request ended the wait for the first. And a network that cuts a VM off may refuse connections, which the check of silent endpoints took for a crash without asking other VMs.

--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -114,14 +114,10 @@
     }
 }
 
-/// Returns whether the sampler at this address says in an answer that it is about to
-/// leave.
-///
-/// An answer that another sampler is expected there says nothing of the expected one.
-pub(crate) fn announces_leaving(status: StatusCode, headers: &HeaderMap) -> bool {
+/// Returns whether a sampler says in an answer that it is about to leave.
+pub(crate) fn announces_leaving(headers: &HeaderMap) -> bool {
     let value = headers.get(LEAVING_HEADER);
-    status != StatusCode::MISDIRECTED_REQUEST
-        && value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+    value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
 }
 
 fn parse_load_report(text: &str) -> Option<LoadReport> {
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -61,8 +61,10 @@
     pool.get(endpoint).map(|known| known.record.started_unix_ms)
 }
 
-/// Records what any answer of an endpoint tells, unless the endpoint has started again
-/// since the request was sent.
+/// Records what an answer tells of its endpoint: that it was heard, and whether it
+/// leaves, unless it has started again since the request was sent.
+///
+/// A misdirected request was answered by another endpoint at the same address.
 fn on_answer(
     server: &Server,
     endpoint: &str,
@@ -70,13 +72,16 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
     let mut pool = lock(&server.pool);
     let Some(known) = pool.get_mut(endpoint) else {
         return;
     };
     known.on_heard(now_ms());
     if incarnation == Some(known.record.started_unix_ms)
-        && announces_leaving(status, headers)
+        && announces_leaving(headers)
         && known.on_leaving_announced()
     {
         tracing::info!(
--- a/src/server/silence.rs
+++ b/src/server/silence.rs
@@ -56,11 +56,8 @@
         }
         return;
     }
-    let answers = match reachability {
-        Reachability::Silent => ask_other_vms(&server, &record).await,
-        Reachability::Accepts | Reachability::Refuses => Vec::new(),
-    };
-    let is_gone = reachability == Reachability::Refuses || is_unreachable_for_all(&answers);
+    let answers = ask_other_vms(&server, &record).await;
+    let is_gone = is_unreachable_for_all(&answers);
     tracing::info!(endpoint = %record.id, incarnation = record.started_unix_ms, %reachability,
         reached_by_others = ?answers, is_gone, "endpoint is silent");
     if is_gone {
