--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer_fault;
 mod down;
+mod event_stream;
 mod row_store;
 mod sampler;
 mod store_server;
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -11,13 +11,7 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    Method, Request, Response, StatusCode,
-    body::{Frame, Incoming},
-    header::HeaderValue,
-};
+use hyper::{Method, Request, StatusCode, body::Incoming, header::HeaderValue};
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
 
@@ -25,6 +19,7 @@
     AnswerFault, StoreServer, StoreWriter, WhenDown,
     answer_fault::truncate_body,
     down::{fill_accept_queue, listen},
+    event_stream::event_stream,
 };
 use crate::http::{Answer, bytes_answer, json_answer, read_bytes, serve, status_answer};
 
@@ -51,18 +46,18 @@
 }
 
 #[derive(Debug)]
-struct Shared {
+pub(super) struct Shared {
     id: String,
     service: String,
     address: SocketAddr,
     store: StoreWriter,
-    settings: SamplerSettings,
+    pub(super) settings: SamplerSettings,
     /// The name and weights version of the loaded model.
     model: Mutex<Option<(String, u64)>>,
     orders: Mutex<Vec<Value>>,
     /// The requests that started to run, in order.
     runs: Mutex<Vec<RunStart>>,
-    active_streams: AtomicU32,
+    pub(super) active_streams: AtomicU32,
     /// The faults of the next answers, of which the last one is used first.
     answer_faults: Mutex<Vec<AnswerFault>>,
     /// The ids of requests that fail whenever they run.
@@ -303,7 +298,7 @@
 
 impl Shared {
     /// Returns while the sampler is up, and never if it is down.
-    async fn continue_if_up(&self) {
+    pub(super) async fn continue_if_up(&self) {
         if !self.is_up.load(Ordering::SeqCst) {
             std::future::pending::<()>().await;
         }
@@ -502,44 +497,3 @@
     }
     answer
 }
-
-/// Counts a stream as active until it is dropped.
-struct ActiveStreamGuard(Arc<Shared>);
-
-impl Drop for ActiveStreamGuard {
-    fn drop(&mut self) {
-        self.0.active_streams.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-fn event_stream(shared: Arc<Shared>, id: &str, after: u64, fault: Option<AnswerFault>) -> Answer {
-    shared.active_streams.fetch_add(1, Ordering::Relaxed);
-    let settings = shared.settings;
-    // The faulty event of an invalid stream is the second one of this run.
-    let faulty_event = after + 2;
-    let state = (ActiveStreamGuard(shared), id.to_owned(), after);
-    let frames = stream::unfold(state, move |(guard, id, last)| async move {
-        if last >= settings.events {
-            return None;
-        }
-        tokio::time::sleep(Duration::from_millis(settings.event_ms)).await;
-        guard.0.continue_if_up().await;
-        let number = last + 1;
-        if fault == Some(AnswerFault::Gap) && number == faulty_event {
-            return Some((Ok(Frame::data(Bytes::new())), (guard, id, number)));
-        }
-        let event = format!("id: {number}\ndata: {id} event {number}\n\n");
-        if fault == Some(AnswerFault::Cut) && number > faulty_event {
-            let broken = io::Error::from(io::ErrorKind::ConnectionReset);
-            return Some((Err(broken), (guard, id, settings.events)));
-        }
-        let text = match fault {
-            Some(AnswerFault::Duplicated) if number == faulty_event => event.repeat(2),
-            Some(AnswerFault::Cut) if number == faulty_event => event[..event.len() / 2].to_owned(),
-            _ => event,
-        };
-        let frame = Frame::data(Bytes::from(text.into_bytes()));
-        Some((Ok(frame), (guard, id, number)))
-    });
-    Response::new(BodyExt::boxed(StreamBody::new(frames)))
-}
