--- a/tests/loads/many_vms_count_crashes_together.rs
+++ b/tests/loads/many_vms_count_crashes_together.rs
@@ -116,6 +116,14 @@
     assert!(late <= MAX_LATE_RETRIES);
 }
 
+/// Guards against many samplers that accept connections and answer nothing before the
+/// list of samplers tells of the first ones.
+#[rstest]
+fn many_hanging_samplers_are_counted_before_the_list_tells(#[values(1, 2)] seed: u64) {
+    let late = late_runs_before_silent_samplers(World::new(seed, PLANNED), seed);
+    assert!(late <= MAX_LATE_RETRIES);
+}
+
 /// Guards against crashes that are never counted because their runs still wait when
 /// the list of samplers tells.
 #[rstest]
