Read, log and count the request limits that endpoints name

Each change of a limit is now a log line, and requests whose answer named one are counted by what they were sent for. No decision uses the limit yet.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 mod name;
 pub mod pool;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod rendezvous;
 pub mod request;
 pub mod retry;
--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -3,7 +3,7 @@
 use strum::{Display, EnumString};
 
 use super::Load;
-use crate::core::Name;
+use crate::core::{Name, rate_limit::RateLimit};
 
 /// Whether an endpoint accepts new work, as it reports itself.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
@@ -77,6 +77,8 @@
     pub(super) silence_checked_ms: u64,
     /// The number of orders that it has accepted since its start, if known.
     pub orders_accepted: Option<u64>,
+    /// The limit that its last answer named.
+    pub rate_limit: Option<RateLimit>,
     consecutive_failures: u32,
 }
 
@@ -93,6 +95,7 @@
             unheard_since_ms: None,
             silence_checked_ms: 0,
             orders_accepted: None,
+            rate_limit: None,
             consecutive_failures: 0,
         }
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -21,9 +21,10 @@
         decode_weights_version, model_of_weights_key,
     },
     samplers::{
-        AnswerHead, EVENT_VERSION_FIELD, Order, OrderOutcome, RequestHeaders, announces_leaving,
-        build_order_request, build_report_request, build_request, decode_orders_accepted,
-        order_outcome, parse_answer_head,
+        AnswerHead, EVENT_VERSION_FIELD, Order, OrderOutcome, RequestHeaders, StatedLimit,
+        announces_leaving, build_order_request, build_report_request, build_request,
+        decode_orders_accepted, names_other_request, order_outcome, parse_answer_head,
+        stated_limit,
     },
     store::{Condition, Row, Rows, Store, StoreError, Tx, TxOutcome, WatchOutcome},
 };
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::callers::REQUEST_ID_HEADER;
-use crate::core::{Name, pool::LoadReport};
+use crate::core::{Name, pool::LoadReport, rate_limit::RateLimit};
 
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 const EXPECTED_ENDPOINT_HEADER: &str = "x-expect-instance";
@@ -16,6 +16,7 @@
 const LOAD_HEADER: &str = "x-server-load";
 const WEIGHTS_VERSION_HEADER: &str = "x-weight-versions";
 const LEAVING_HEADER: &str = "server-leaving";
+const RATE_LIMIT_HEADER: &str = "server-limit";
 const PRIORITY_HEADER: &str = "x-request-priority";
 
 /// The field of an event that states the weights version from this event on.
@@ -120,6 +121,38 @@
     value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
 }
 
+/// What an answer says of the request limit of its sampler.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum StatedLimit {
+    /// It names no limit.
+    None,
+    Named(RateLimit),
+    /// It names something that is not a positive number.
+    Invalid,
+}
+
+/// Returns what an answer says of the request limit of its sampler.
+pub(crate) fn stated_limit(headers: &HeaderMap) -> StatedLimit {
+    let Some(value) = headers.get(RATE_LIMIT_HEADER) else {
+        return StatedLimit::None;
+    };
+    let per_s = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    per_s
+        .and_then(RateLimit::new)
+        .map_or(StatedLimit::Invalid, StatedLimit::Named)
+}
+
+/// Returns whether an answer names another request than the one that was sent.
+pub(crate) fn names_other_request(sent: &HeaderMap, received: &HeaderMap) -> bool {
+    match (sent.get(REQUEST_ID_HEADER), received.get(REQUEST_ID_HEADER)) {
+        (Some(sent), Some(received)) => sent != received,
+        _ => false,
+    }
+}
+
 fn parse_load_report(text: &str) -> Option<LoadReport> {
     let mut fields = text.split(',').map(|field| field.trim().parse().ok());
     Some(LoadReport {
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -10,7 +10,14 @@
     http_client::{ExchangeError, Reply, WholeReply, within},
     state::{Server, lock},
 };
-use crate::{daemon::now_ms, platform::announces_leaving};
+use crate::{
+    core::{
+        pool::PoolEndpoint,
+        rate_limit::{Purpose, RateLimit},
+    },
+    daemon::now_ms,
+    platform::{StatedLimit, announces_leaving, names_other_request, stated_limit},
+};
 
 /// Sends a request to an endpoint and waits for the head of its answer.
 ///
@@ -22,10 +29,15 @@
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    purpose: Purpose,
 ) -> Result<Reply, ExchangeError> {
-    let incarnation = listed_incarnation(server, endpoint);
+    let sent = SentRequest {
+        incarnation: listed_incarnation(server, endpoint),
+        headers: request.headers().clone(),
+        purpose,
+    };
     let reply = server.http.send(address, request).await?;
-    on_answer(server, endpoint, incarnation, reply.status, &reply.headers);
+    on_answer(server, endpoint, &sent, reply.status, &reply.headers);
     Ok(reply)
 }
 
@@ -40,10 +52,11 @@
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    purpose: Purpose,
     deadline_ms: u64,
 ) -> Result<WholeReply, ExchangeError> {
     let exchange = async {
-        let reply = send(server, endpoint, address, request).await?;
+        let reply = send(server, endpoint, address, request, purpose).await?;
         reply.read_whole().await
     };
     within(exchange, address, deadline_ms).await
@@ -61,14 +74,22 @@
     pool.get(endpoint).map(|known| known.record.started_unix_ms)
 }
 
-/// Records what an answer tells of its endpoint: that it was heard, and whether it
-/// leaves, unless it has started again since the request was sent.
+/// What is kept of a request until its answer.
+struct SentRequest {
+    /// The endpoint's incarnation, if it was listed.
+    incarnation: Option<u64>,
+    headers: HeaderMap,
+    purpose: Purpose,
+}
+
+/// Records what an answer tells of its endpoint: that it was heard, whether it leaves
+/// and its request limit, unless it has started again since the request was sent.
 ///
 /// A misdirected request was answered by another endpoint at the same address.
 fn on_answer(
     server: &Server,
     endpoint: &str,
-    incarnation: Option<u64>,
+    sent: &SentRequest,
     status: StatusCode,
     headers: &HeaderMap,
 ) {
@@ -80,10 +101,11 @@
         return;
     };
     known.on_heard(now_ms());
-    if incarnation == Some(known.record.started_unix_ms)
-        && announces_leaving(headers)
-        && known.on_leaving_announced()
-    {
+    if sent.incarnation != Some(known.record.started_unix_ms) {
+        return;
+    }
+    let incarnation = known.record.started_unix_ms;
+    if announces_leaving(headers) && known.on_leaving_announced() {
         tracing::info!(
             endpoint,
             incarnation,
@@ -91,4 +113,28 @@
             "endpoint leaves: its answer says so"
         );
     }
+    if !names_other_request(&sent.headers, headers) {
+        record_limit(server, known, sent.purpose, headers);
+    }
+}
+
+/// Records the request limit that an answer names, or that it names none any more.
+fn record_limit(server: &Server, known: &mut PoolEndpoint, purpose: Purpose, headers: &HeaderMap) {
+    let before = known.rate_limit;
+    match stated_limit(headers) {
+        StatedLimit::Named(limit) => {
+            known.rate_limit = Some(limit);
+            server.metrics.on_limited_request(purpose);
+        }
+        StatedLimit::None => known.rate_limit = None,
+        StatedLimit::Invalid => {
+            tracing::warn!(endpoint = %known.record.id,
+                "request limit ignored: it is not a positive number");
+        }
+    }
+    if known.rate_limit != before {
+        tracing::info!(endpoint = %known.record.id, incarnation = known.record.started_unix_ms,
+            before_per_s = before.map(RateLimit::per_s), %purpose,
+            limit_per_s = known.rate_limit.map(RateLimit::per_s), "request limit changed");
+    }
 }
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -20,6 +20,7 @@
         Name,
         pool::EndpointRequirements,
         quarantine::content_fingerprint,
+        rate_limit::Purpose,
         retry::RetryReason,
         routes::{Route, RouteKind},
     },
@@ -144,7 +145,7 @@
                 }
                 let may_retry = is_idempotent || !state.may_have_run;
                 if may_retry && now_ms() < answer_by_ms
-                    && let Some(next) = forwarding.start_next(&mut state, ATTEMPT_MAX_OCCUPANCY) {
+                    && let Some(next) = forwarding.start_next(&mut state, Purpose::Caller) {
                     running.push(next);
                 }
                 if running.is_empty() {
@@ -154,7 +155,7 @@
             () = sleep_until(hedge_at_ms), if may_hedge => {
                 // A request is hedged at most once.
                 hedge_at_ms = u64::MAX / 2;
-                if let Some(hedge) = forwarding.start_next(&mut state, HEDGE_MAX_OCCUPANCY) {
+                if let Some(hedge) = forwarding.start_next(&mut state, Purpose::Hedge) {
                     server.metrics.on_retry(RetryReason::AnswerStalled);
                     running.push(hedge);
                 }
@@ -211,12 +212,16 @@
         let started =
             content_runs::start(self.server, &self.content, wait_until_ms, choose).await?;
         let in_flight = started.ok_or_else(|| no_endpoint_refusal(self.server, &self.service))?;
-        Ok(self.attempt(state, in_flight))
+        Ok(self.attempt(state, in_flight, Purpose::Caller))
     }
 
     /// Starts a retry or a hedged request, unless there is no attempt left, no
     /// endpoint accepts it, or the content may crash endpoints.
-    fn start_next(&self, state: &mut ForwardState, max_occupancy: f64) -> Option<Attempt> {
+    fn start_next(&self, state: &mut ForwardState, purpose: Purpose) -> Option<Attempt> {
+        let max_occupancy = match purpose {
+            Purpose::Hedge => HEDGE_MAX_OCCUPANCY,
+            _ => ATTEMPT_MAX_OCCUPANCY,
+        };
         if state.attempts_started >= self.route.max_attempts {
             return None;
         }
@@ -225,7 +230,7 @@
             choose_endpoint(self.server, &self.service, &avoid, max_occupancy)
         };
         match content_runs::try_start(self.server, &self.content, choose) {
-            StartOutcome::Started(in_flight) => Some(self.attempt(state, in_flight)),
+            StartOutcome::Started(in_flight) => Some(self.attempt(state, in_flight, purpose)),
             StartOutcome::Held { until_ms } => {
                 state.held_until_ms = Some(until_ms);
                 None
@@ -234,7 +239,7 @@
         }
     }
 
-    fn attempt(&self, state: &mut ForwardState, in_flight: InFlight) -> Attempt {
+    fn attempt(&self, state: &mut ForwardState, in_flight: InFlight, purpose: Purpose) -> Attempt {
         state.attempts_started += 1;
         state.tried.insert(in_flight.endpoint.clone());
         let (server, route) = (self.server.clone(), self.route.clone());
@@ -255,6 +260,7 @@
                 id: &id,
                 body,
                 caller_deadline_ms,
+                purpose,
             };
             let result = send_to_endpoint(&server, &route, in_flight, outgoing).await;
             (endpoint, result)
@@ -307,6 +313,7 @@
     id: &'a Name,
     body: Bytes,
     caller_deadline_ms: u64,
+    purpose: Purpose,
 }
 
 async fn send_to_endpoint(
@@ -340,7 +347,9 @@
         outgoing.body,
     )
     .map_err(not_sent)?;
-    let reply = match endpoint_exchange::send(server, endpoint, address, request).await {
+    let reply = match endpoint_exchange::send(server, endpoint, address, request, outgoing.purpose)
+        .await
+    {
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -11,7 +11,10 @@
 use strum::IntoEnumIterator;
 
 use super::http_client::Reachability;
-use crate::{core::retry::RetryReason, error::ErrorKind};
+use crate::{
+    core::{rate_limit::Purpose, retry::RetryReason},
+    error::ErrorKind,
+};
 
 type Labels = Vec<(&'static str, &'static str)>;
 
@@ -27,6 +30,7 @@
     refusals: Family<Labels, Counter>,
     retries: Family<Labels, Counter>,
     broken_runs: Family<Labels, Counter>,
+    limited_requests: Family<Labels, Counter>,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -51,6 +55,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             broken_runs: Family::default(),
+            limited_requests: Family::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -85,6 +90,12 @@
                 .get_or_create(&vec![("endpoint", reachability.into())])
                 .inc_by(0);
         }
+        for purpose in Purpose::iter() {
+            let limited = &metrics.limited_requests;
+            limited
+                .get_or_create(&vec![("purpose", purpose.into())])
+                .inc_by(0);
+        }
         metrics
     }
 
@@ -97,6 +108,11 @@
             "Runs that broke off, by whether their endpoint accepts connections",
             self.broken_runs.clone(),
         );
+        registry.register(
+            "limited_requests",
+            "Requests whose answer named a request limit, by what they were sent for",
+            self.limited_requests.clone(),
+        );
         let counters = [
             ("requests", "Requests of callers", &self.requests),
             (
@@ -179,6 +195,13 @@
             .inc();
     }
 
+    pub(crate) fn on_limited_request(&self, purpose: Purpose) {
+        let limited = &self.limited_requests;
+        limited
+            .get_or_create(&vec![("purpose", purpose.into())])
+            .inc();
+    }
+
     pub(crate) fn on_broken_run(&self, reachability: Reachability) {
         let broken_runs = &self.broken_runs;
         broken_runs
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -11,6 +11,7 @@
     core::{
         Name,
         leader_lease::LeaseClaim,
+        rate_limit::Purpose,
         weights::{LoadOrder, ModelTarget, SentOrder, plan_load_orders},
     },
     daemon::now_ms,
@@ -209,8 +210,15 @@
     server.metrics.orders.inc();
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
     let endpoint = &load_order.endpoint;
-    let reply =
-        endpoint_exchange::exchange_whole(server, endpoint, address, request, deadline_ms).await;
+    let reply = endpoint_exchange::exchange_whole(
+        server,
+        endpoint,
+        address,
+        request,
+        Purpose::Order,
+        deadline_ms,
+    )
+    .await;
     let (endpoint, version) = (&load_order.endpoint, load_order.version);
     let outcome = match reply {
         Ok(reply) => {
@@ -235,8 +243,15 @@
     let request = build_report_request(&load_order.endpoint, &address.to_string())?;
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
     let endpoint = &load_order.endpoint;
-    let reply =
-        endpoint_exchange::exchange_whole(server, endpoint, address, request, deadline_ms).await;
+    let reply = endpoint_exchange::exchange_whole(
+        server,
+        endpoint,
+        address,
+        request,
+        Purpose::Order,
+        deadline_ms,
+    )
+    .await;
     let reply = reply.map_err(|error| error.to_string())?;
     decode_orders_accepted(reply.status, &reply.body)
 }
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -20,6 +20,7 @@
     core::{
         Name,
         batch::{EventParser, RunPace, RunVerdict, SampleSpec, SampleText, TextError},
+        rate_limit::Purpose,
         retry::RetryReason,
     },
     daemon::now_ms,
@@ -78,7 +79,13 @@
             return RunEnd::Refused(message);
         }
     };
-    let sent = pin!(endpoint_exchange::send(server, &endpoint, address, request));
+    let sent = pin!(endpoint_exchange::send(
+        server,
+        &endpoint,
+        address,
+        request,
+        Purpose::Sample
+    ));
     let reply = match wait_for_head(job, sent, in_flight, may_move).await {
         HeadWait::Received(result) => match *result {
             Ok(reply) => reply,
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -16,7 +16,7 @@
 use crate::{
     core::{
         Name, batch::ScoreCall, pool::EndpointRequirements, quarantine::content_fingerprint,
-        retry::RetryReason, routes::Route,
+        rate_limit::Purpose, retry::RetryReason, routes::Route,
     },
     daemon::now_ms,
     platform::{RequestHeaders, build_request, parse_answer_head},
@@ -162,8 +162,15 @@
         }
     };
     let deadline_ms = now_ms() + timeout_ms;
-    let reply =
-        endpoint_exchange::exchange_whole(server, endpoint, address, request, deadline_ms).await;
+    let reply = endpoint_exchange::exchange_whole(
+        server,
+        endpoint,
+        address,
+        request,
+        Purpose::Score,
+        deadline_ms,
+    )
+    .await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
