--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -66,6 +66,10 @@
     crashing_bodies: Mutex<BTreeSet<Bytes>>,
     /// Whether it is about to leave, which its answers say and its entry does not.
     is_leaving: AtomicBool,
+    /// The request limit that its answers name.
+    request_limit: Mutex<Option<String>>,
+    /// The times at which requests of all kinds arrived.
+    arrivals: Mutex<Vec<Instant>>,
     /// Whether it answers a request that crashes it, under the id of another one.
     answers_before_crash: AtomicBool,
     when_down: Mutex<WhenDown>,
@@ -122,6 +126,8 @@
             failing_request_ids: Mutex::default(),
             crashing_bodies: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            request_limit: Mutex::default(),
+            arrivals: Mutex::default(),
             answers_before_crash: AtomicBool::new(false),
             when_down: Mutex::default(),
             restart_ms: AtomicU64::new(DEFAULT_RESTART_MS),
@@ -168,6 +174,17 @@
         self.shared.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Makes the sampler name a request limit in all answers, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        *lock(&self.shared.request_limit) = limit.map(str::to_owned);
+    }
+
+    /// Returns the times at which requests of all kinds arrived.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.shared.arrivals).clone()
+    }
+
     /// Writes the sampler's entry to the store again.
     pub fn register_again(&self) {
         self.shared.register();
@@ -344,11 +361,16 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
+    lock(&shared.arrivals).push(Instant::now());
     let mut answer = handle_request(shared.clone(), request).await;
     if shared.is_leaving.load(Ordering::SeqCst) {
         let value = HeaderValue::from_static("1");
         answer.headers_mut().insert("server-leaving", value);
     }
+    let limit = lock(&shared.request_limit).clone();
+    if let Some(value) = limit.and_then(|limit| HeaderValue::from_str(&limit).ok()) {
+        answer.headers_mut().insert("server-limit", value);
+    }
     answer
 }
 
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -8,6 +8,7 @@
     mod crashes_without_a_closed_connection;
     mod invalid_answers_and_ended_batches;
     mod leaving_samplers_get_no_requests;
+    mod limited_samplers;
     mod requests_that_crash_samplers;
     mod soak;
     mod stops_cut_no_request;
