Keep the request limits that endpoints name over all VMs

Cause: limits were read nowhere. Class of fault: a bound on the sum over all VMs, of which no VM sees more than its own part; hedges, retries, score calls, samples and orders each took their own way past it.

Each request to an endpoint that has named a limit now needs a permit of one VM, the first one by rendezvous hashing among the VMs of the endpoint's data centre. Its bucket is exact, so that the sum holds for any number of VMs and the limit is used. Permits are taken at the one place through which all requests to endpoints go. Only a VM that others cannot hold for lost issues the whole limit, and it and its standby issue a quarter of it otherwise, which bounds the sum by 1.5 times the limit.

--- a/src/core/pool/choose.rs
+++ b/src/core/pool/choose.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{EndpointSlice, EndpointStage, Pool, PoolEndpoint};
-use crate::core::Name;
+use crate::core::{Name, rate_limit::Purpose};
 
 /// The number of randomly drawn endpoints of which the cheapest is chosen:
 /// enough to find an idle one, too few for all VMs to choose the same one.
@@ -19,6 +19,9 @@
 /// The cost of an endpoint of another slice, in shares of its slots: the VMs
 /// that own the slice send requests there too, which are not known here.
 const OTHER_SLICE_COST: f64 = 0.5;
+/// The cost of an endpoint that has named a request limit, in shares of its slots: its
+/// requests are left to those that find no other endpoint.
+const LIMITED_COST: f64 = 0.5;
 /// The largest factor by which an endpoint's pace counts against the typical
 /// one: a single slow response may be due to a long request.
 const MAX_PACE_FACTOR: f64 = 8.0;
@@ -43,6 +46,9 @@
     pub max_occupancy: f64,
     /// The addresses to which an idle connection is open.
     pub connected: &'a BTreeSet<SocketAddr>,
+    /// What the request is for: an endpoint that has named a request limit gets no
+    /// hedged requests.
+    pub purpose: Purpose,
     /// The slice of endpoints to prefer; `None` if the request has none.
     pub slice: Option<EndpointSlice>,
 }
@@ -127,6 +133,18 @@
         is_faster && endpoint.penalty_until_ms <= now_ms
     }
 
+    /// Returns when the first endpoint of a service may get a request again, if all that
+    /// accept work have reached their request limits.
+    #[must_use]
+    pub fn limits_allow_at_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        let ready = self.of_service(service);
+        let ready = ready.filter(|endpoint| endpoint.record.stage == EndpointStage::Ready);
+        let allowed_at_ms = ready
+            .map(|endpoint| endpoint.named_limit.denied_until_ms())
+            .min()?;
+        (allowed_at_ms > now_ms).then_some(allowed_at_ms)
+    }
+
     /// Returns whether any endpoint of a service accepts work.
     #[must_use]
     pub fn has_ready_endpoint(&self, service: &str) -> bool {
@@ -146,6 +164,7 @@
     endpoint.record.stage == EndpointStage::Ready
         && has_weights
         && occupancy(endpoint, now_ms) < requirements.max_occupancy
+        && endpoint.named_limit.allows(now_ms, requirements.purpose)
         && !requirements.avoid.contains(&endpoint.record.id)
 }
 
@@ -195,9 +214,12 @@
     } else {
         0.0
     };
+    let is_limited = endpoint.named_limit.limit().is_some();
+    let limited_cost = if is_limited { LIMITED_COST } else { 0.0 };
     pace_factor * (1.0 + occupancy(endpoint, now_ms))
         + remote_cost
         + stalled_cost
+        + limited_cost
         + connect_cost
         + other_slice_cost
 }
--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -3,7 +3,7 @@
 use strum::{Display, EnumString};
 
 use super::Load;
-use crate::core::{Name, rate_limit::RateLimit};
+use crate::core::{Name, rate_limit::NamedLimit};
 
 /// Whether an endpoint accepts new work, as it reports itself.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
@@ -77,8 +77,8 @@
     pub(super) silence_checked_ms: u64,
     /// The number of orders that it has accepted since its start, if known.
     pub orders_accepted: Option<u64>,
-    /// The limit that its last answer named.
-    pub rate_limit: Option<RateLimit>,
+    /// The request limit that its answers name.
+    pub named_limit: NamedLimit,
     consecutive_failures: u32,
 }
 
@@ -95,7 +95,7 @@
             unheard_since_ms: None,
             silence_checked_ms: 0,
             orders_accepted: None,
-            rate_limit: None,
+            named_limit: NamedLimit::UNKNOWN,
             consecutive_failures: 0,
         }
     }
--- a/src/core/retry/reason.rs
+++ b/src/core/retry/reason.rs
@@ -10,6 +10,8 @@
     ConnectFailed,
     /// The endpoint rejected the request.
     EndpointRefused,
+    /// The endpoint may get no more requests now.
+    LimitReached,
     /// The connection broke, or the response was incomplete.
     AnswerCut,
     /// The endpoint sent nothing for too long.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -420,7 +420,9 @@
             // The other idle connections may be dead as well.
             self.http.close_idle(self.address);
             match error {
-                ExchangeError::NotSent(detail) => StoreError::NotDone(detail),
+                ExchangeError::NotSent(detail) | ExchangeError::NotPermitted(detail) => {
+                    StoreError::NotDone(detail)
+                }
                 ExchangeError::Incomplete(detail) => StoreError::Unknown(detail),
             }
         })
--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -28,7 +28,10 @@
     id: &str,
     error: &ExchangeError,
 ) {
-    if matches!(error, ExchangeError::NotSent(_)) {
+    if matches!(
+        error,
+        ExchangeError::NotSent(_) | ExchangeError::NotPermitted(_)
+    ) {
         in_flight.mark_incomplete();
         return;
     }
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -8,13 +8,11 @@
 
 use super::{
     http_client::{ExchangeError, Reply, WholeReply, within},
+    permits::Permit,
     state::{Server, lock},
 };
 use crate::{
-    core::{
-        pool::PoolEndpoint,
-        rate_limit::{Purpose, RateLimit},
-    },
+    core::{pool::PoolEndpoint, rate_limit::RateLimit},
     daemon::now_ms,
     platform::{StatedLimit, announces_leaving, names_other_request, stated_limit},
 };
@@ -23,18 +21,23 @@
 ///
 /// # Errors
 ///
-/// Returns the errors of [`ExchangeClient::send`](super::http_client::ExchangeClient).
+/// Returns `NotPermitted` if the permit has expired, and the errors of
+/// [`ExchangeClient::send`](super::http_client::ExchangeClient).
 pub(crate) async fn send(
     server: &Server,
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    purpose: Purpose,
+    permit: Permit,
 ) -> Result<Reply, ExchangeError> {
+    if !permit.is_usable() {
+        let message = format!("the permit for endpoint {endpoint} has expired");
+        return Err(ExchangeError::NotPermitted(message));
+    }
     let sent = SentRequest {
         incarnation: listed_incarnation(server, endpoint),
         headers: request.headers().clone(),
-        purpose,
+        permit,
     };
     let reply = server.http.send(address, request).await?;
     on_answer(server, endpoint, &sent, reply.status, &reply.headers);
@@ -52,11 +55,11 @@
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    purpose: Purpose,
+    permit: Permit,
     deadline_ms: u64,
 ) -> Result<WholeReply, ExchangeError> {
     let exchange = async {
-        let reply = send(server, endpoint, address, request, purpose).await?;
+        let reply = send(server, endpoint, address, request, permit).await?;
         reply.read_whole().await
     };
     within(exchange, address, deadline_ms).await
@@ -79,7 +82,7 @@
     /// The endpoint's incarnation, if it was listed.
     incarnation: Option<u64>,
     headers: HeaderMap,
-    purpose: Purpose,
+    permit: Permit,
 }
 
 /// Records what an answer tells of its endpoint: that it was heard, whether it leaves
@@ -114,27 +117,30 @@
         );
     }
     if !names_other_request(&sent.headers, headers) {
-        record_limit(server, known, sent.purpose, headers);
+        record_limit(server, known, &sent.permit, headers);
     }
 }
 
 /// Records the request limit that an answer names, or that it names none any more.
-fn record_limit(server: &Server, known: &mut PoolEndpoint, purpose: Purpose, headers: &HeaderMap) {
-    let before = known.rate_limit;
+fn record_limit(server: &Server, known: &mut PoolEndpoint, permit: &Permit, headers: &HeaderMap) {
+    let purpose = permit.purpose;
+    let before = known.named_limit.limit();
     match stated_limit(headers) {
         StatedLimit::Named(limit) => {
-            known.rate_limit = Some(limit);
+            let had_permit = permit.is_issued();
+            known.named_limit.on_named(now_ms(), limit, had_permit);
             server.metrics.on_limited_request(purpose);
         }
-        StatedLimit::None => known.rate_limit = None,
+        StatedLimit::None => known.named_limit.on_lifted(),
         StatedLimit::Invalid => {
             tracing::warn!(endpoint = %known.record.id,
                 "request limit ignored: it is not a positive number");
         }
     }
-    if known.rate_limit != before {
+    let limit = known.named_limit.limit();
+    if limit != before {
         tracing::info!(endpoint = %known.record.id, incarnation = known.record.started_unix_ms,
             before_per_s = before.map(RateLimit::per_s), %purpose,
-            limit_per_s = known.rate_limit.map(RateLimit::per_s), "request limit changed");
+            limit_per_s = limit.map(RateLimit::per_s), "request limit changed");
     }
 }
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -11,6 +11,7 @@
     crash, endpoint_exchange,
     front::CallerRequest,
     http_client::{ExchangeError, Reply, WholeReply},
+    permits,
     response::{Body, full_body},
     state::{InFlight, Server, lock},
     stream::stream_response,
@@ -35,6 +36,14 @@
 /// Later, the hedged request would miss the objective too; earlier, most
 /// hedged requests would be wasted.
 const HEDGE_PERCENT: u64 = 40;
+/// The share of the latency objective, in percent, for which a request may wait for a
+/// permit.
+const PERMIT_WAIT_PERCENT: u64 = 50;
+/// The shortest time after which a caller may retry whose request got no permit, in
+/// milliseconds.
+const MIN_LIMIT_RETRY_MS: u64 = 100;
+/// The most endpoints without a permit that a request tries before it is refused.
+const MAX_DENIED_PERMITS: u32 = 4;
 /// How long before its caller's deadline a request is answered, in
 /// milliseconds.
 const ANSWER_MARGIN_MS: u64 = 10;
@@ -48,6 +57,8 @@
 
 /// Why an attempt did not yield a successful response.
 enum AttemptError {
+    /// The request was not sent, since the endpoint has reached its request limit.
+    NotPermitted(String),
     /// The endpoint did not run the request.
     NotRun(RetryReason, String),
     /// The endpoint may have run the request.
@@ -72,6 +83,8 @@
 struct ForwardState {
     /// The number of attempts that were started.
     attempts_started: u32,
+    /// The attempts that were not sent, since their endpoints had reached their limits.
+    denied_permits: u32,
     /// The endpoints that were tried.
     tried: BTreeSet<Name>,
     /// Whether an endpoint may have run the request.
@@ -124,6 +137,7 @@
     };
     let mut state = ForwardState {
         attempts_started: 0,
+        denied_permits: 0,
         tried: BTreeSet::new(),
         may_have_run: false,
         error_response: None,
@@ -149,7 +163,7 @@
                     running.push(next);
                 }
                 if running.is_empty() {
-                    return outcome_of_failed_attempts(state);
+                    return forwarding.outcome_of_failed_attempts(state);
                 }
             }
             () = sleep_until(hedge_at_ms), if may_hedge => {
@@ -174,8 +188,12 @@
     server: &Server,
     service: &Name,
     avoid: &BTreeSet<Name>,
-    max_occupancy: f64,
+    purpose: Purpose,
 ) -> Option<Name> {
+    let max_occupancy = match purpose {
+        Purpose::Hedge => HEDGE_MAX_OCCUPANCY,
+        _ => ATTEMPT_MAX_OCCUPANCY,
+    };
     let requirements = EndpointRequirements {
         service,
         data_centre: &server.settings.data_centre,
@@ -183,13 +201,31 @@
         weights: None,
         max_occupancy,
         connected: &server.http.connected_addresses(),
+        purpose,
         slice: None,
     };
     lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
 }
 
+/// Returns the refusal of a request whose service has reached its request limits, with
+/// a time to retry that is spread, so that callers do not return together.
+fn limit_refusal(server: &Server, service: &Name, message: String) -> Refusal {
+    let now_ms = now_ms();
+    let allowed_at_ms = lock(&server.pool).limits_allow_at_ms(service, now_ms);
+    let wait_ms = allowed_at_ms.map_or(MIN_LIMIT_RETRY_MS, |at_ms| at_ms - now_ms);
+    let wait_ms = wait_ms.max(MIN_LIMIT_RETRY_MS);
+    let spread_ms = rand::Rng::random_range(&mut *lock(&server.rng), 0..=wait_ms);
+    Refusal::new(ErrorKind::Overloaded, message).with_retry_at(now_ms + wait_ms + spread_ms)
+}
+
 fn no_endpoint_refusal(server: &Server, service: &Name) -> Refusal {
-    if lock(&server.pool).has_ready_endpoint(service) {
+    let has_reached_limits = lock(&server.pool)
+        .limits_allow_at_ms(service, now_ms())
+        .is_some();
+    if has_reached_limits {
+        let message = format!("all endpoints of service {service} have reached their limits");
+        limit_refusal(server, service, message)
+    } else if lock(&server.pool).has_ready_endpoint(service) {
         let message = format!("all endpoints of service {service} are full");
         Refusal::new(ErrorKind::Overloaded, message)
     } else {
@@ -206,7 +242,7 @@
         answer_by_ms: u64,
     ) -> Result<Attempt, Refusal> {
         let choose = |avoid: &BTreeSet<Name>| {
-            choose_endpoint(self.server, &self.service, avoid, ATTEMPT_MAX_OCCUPANCY)
+            choose_endpoint(self.server, &self.service, avoid, Purpose::Caller)
         };
         let wait_until_ms = answer_by_ms.min(now_ms() + self.route.target_latency_ms);
         let started =
@@ -218,16 +254,13 @@
     /// Starts a retry or a hedged request, unless there is no attempt left, no
     /// endpoint accepts it, or the content may crash endpoints.
     fn start_next(&self, state: &mut ForwardState, purpose: Purpose) -> Option<Attempt> {
-        let max_occupancy = match purpose {
-            Purpose::Hedge => HEDGE_MAX_OCCUPANCY,
-            _ => ATTEMPT_MAX_OCCUPANCY,
-        };
-        if state.attempts_started >= self.route.max_attempts {
+        let is_given_up = state.denied_permits >= MAX_DENIED_PERMITS;
+        if state.attempts_started >= self.route.max_attempts || is_given_up {
             return None;
         }
         let choose = |suspects: &BTreeSet<Name>| {
             let avoid = &state.tried | suspects;
-            choose_endpoint(self.server, &self.service, &avoid, max_occupancy)
+            choose_endpoint(self.server, &self.service, &avoid, purpose)
         };
         match content_runs::try_start(self.server, &self.content, choose) {
             StartOutcome::Started(in_flight) => Some(self.attempt(state, in_flight, purpose)),
@@ -249,6 +282,7 @@
             self.request.body.clone(),
         );
         let caller_deadline_ms = self.caller_deadline_ms;
+        let max_wait_ms = route.target_latency_ms * PERMIT_WAIT_PERCENT / 100;
         Box::pin(async move {
             let id = head.request_id.clone().unwrap_or_default();
             let endpoint = in_flight.endpoint.clone();
@@ -261,6 +295,7 @@
                 body,
                 caller_deadline_ms,
                 purpose,
+                max_wait_ms,
             };
             let result = send_to_endpoint(&server, &route, in_flight, outgoing).await;
             (endpoint, result)
@@ -271,6 +306,12 @@
         let (request, content) = (self.request, &self.content);
         let id = request.head.request_id.as_deref().unwrap_or("-");
         let (reason, message, ran) = match error {
+            AttemptError::NotPermitted(message) => {
+                // The endpoint did not get it, so that it is no attempt.
+                state.attempts_started -= 1;
+                state.denied_permits += 1;
+                (RetryReason::LimitReached, message, false)
+            }
             AttemptError::NotRun(reason, message) => (reason, message, false),
             AttemptError::MayHaveRun(reason, message) => (reason, message, true),
             AttemptError::ErrorResponse(response) => {
@@ -286,22 +327,25 @@
         state.may_have_run |= ran;
         state.message = message;
     }
-}
 
-fn outcome_of_failed_attempts(state: ForwardState) -> Result<Response<Body>, Refusal> {
-    if let Some(response) = state.error_response {
-        return Ok(response);
+    fn outcome_of_failed_attempts(&self, state: ForwardState) -> Result<Response<Body>, Refusal> {
+        if let Some(response) = state.error_response {
+            return Ok(response);
+        }
+        if !state.may_have_run && state.held_until_ms.is_none() && state.denied_permits > 0 {
+            return Err(limit_refusal(self.server, &self.service, state.message));
+        }
+        let kind = if state.may_have_run {
+            ErrorKind::AttemptsExhausted
+        } else {
+            ErrorKind::Overloaded
+        };
+        let refusal = Refusal::new(kind, state.message);
+        Err(match state.held_until_ms {
+            Some(until_ms) => refusal.with_retry_at(until_ms),
+            None => refusal,
+        })
     }
-    let kind = if state.may_have_run {
-        ErrorKind::AttemptsExhausted
-    } else {
-        ErrorKind::Overloaded
-    };
-    let refusal = Refusal::new(kind, state.message);
-    Err(match state.held_until_ms {
-        Some(until_ms) => refusal.with_retry_at(until_ms),
-        None => refusal,
-    })
 }
 
 /// A request as it is sent to one endpoint.
@@ -314,6 +358,8 @@
     body: Bytes,
     caller_deadline_ms: u64,
     purpose: Purpose,
+    /// How long it may wait for a permit, in milliseconds.
+    max_wait_ms: u64,
 }
 
 async fn send_to_endpoint(
@@ -331,6 +377,18 @@
         .get(endpoint)
         .map(|known| known.record.address)
         .ok_or_else(|| not_sent("endpoint is no longer listed".to_owned()))?;
+    let permitted = permits::obtain(
+        server,
+        endpoint,
+        outgoing.id,
+        outgoing.purpose,
+        outgoing.max_wait_ms,
+    )
+    .await;
+    let permit = match permitted {
+        Ok(permit) => permit,
+        Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
+    };
     let request_headers = RequestHeaders {
         request_id: outgoing.id,
         endpoint,
@@ -347,9 +405,7 @@
         outgoing.body,
     )
     .map_err(not_sent)?;
-    let reply = match endpoint_exchange::send(server, endpoint, address, request, outgoing.purpose)
-        .await
-    {
+    let reply = match endpoint_exchange::send(server, endpoint, address, request, permit).await {
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
@@ -390,11 +446,14 @@
     id: &str,
     error: &ExchangeError,
 ) -> AttemptError {
-    if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
+    if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
+        && !matches!(error, ExchangeError::NotPermitted(_))
+    {
         known.on_failure(now_ms());
     }
     crash::on_broken_run(server, in_flight, id, error).await;
     match error {
+        ExchangeError::NotPermitted(message) => AttemptError::NotPermitted(message.clone()),
         ExchangeError::NotSent(message) => {
             AttemptError::NotRun(RetryReason::ConnectFailed, message.clone())
         }
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -21,7 +21,7 @@
 use super::{
     accept, crash_rows, directory, forward,
     held::{self, HELD_PATH},
-    read_batch, relay,
+    permits, read_batch, relay,
     response::{Body, empty_response, full_body, json_response, refusal_response},
     silence,
     state::Server,
@@ -34,7 +34,7 @@
         CallerHead, is_address_query, is_readiness_check, parse_address_query, parse_batch_call,
         parse_caller_head,
     },
-    wire::peers::{CRASH_NOTICE_PATH, REACHABILITY_PATH},
+    wire::peers::{CRASH_NOTICE_PATH, PERMIT_PATH, REACHABILITY_PATH},
 };
 
 /// Which kind of requests a listener serves.
@@ -191,13 +191,15 @@
         ListenerKind::Peers if method == Method::GET && path == HELD_PATH => held::list(&server),
         ListenerKind::Peers
             if method == Method::POST
-                && [CRASH_NOTICE_PATH, REACHABILITY_PATH, HELD_PATH].contains(&&*path) =>
+                && [CRASH_NOTICE_PATH, REACHABILITY_PATH, HELD_PATH, PERMIT_PATH]
+                    .contains(&&*path) =>
         {
             let body = Limited::new(request.into_body(), MAX_PEER_BODY_BYTES);
             match body.collect().await {
                 Ok(body) if path == REACHABILITY_PATH => {
                     silence::answer_query(&server, &body.to_bytes()).await
                 }
+                Ok(body) if path == PERMIT_PATH => permits::answer_query(&server, &body.to_bytes()),
                 Ok(body) if path == HELD_PATH => held::free(&server, &body.to_bytes()),
                 Ok(body) => crash_rows::receive_notices(&server, &body.to_bytes()),
                 Err(error) => {
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -44,6 +44,10 @@
         NotSent(message: String) {
             display("not sent: {message}")
         }
+        /// The request was not sent, since the other side may get no more requests now.
+        NotPermitted(message: String) {
+            display("not permitted: {message}")
+        }
         /// The request was sent and may have been processed, but its response
         /// is missing or incomplete.
         Incomplete(message: String) {
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -56,12 +56,15 @@
         set: vec![(VM_TABLE, settings.vm.clone(), bytes)],
         ..Tx::default()
     };
-    if let Err(error) = server.store.transact(&tx).await {
-        tracing::debug!(%error, "row of this VM not written");
+    let begun_ms = now_ms();
+    match server.store.transact(&tx).await {
+        Ok(_) => lock(&server.issuer_authority).on_row_written(begun_ms, now_ms()),
+        Err(error) => tracing::debug!(%error, "row of this VM not written"),
     }
 }
 
 async fn read_rows(server: &Arc<Server>) {
+    let begun_ms = now_ms();
     match server.store.read(VM_TABLE, "", "", None, usize::MAX).await {
         Ok(rows) => {
             let now_ms = now_ms();
@@ -74,6 +77,7 @@
                 .store
                 .set_peers(peers.filter(|peer| *peer != own_address).collect());
             drop(members);
+            lock(&server.issuer_authority).on_roster_read(begun_ms);
             if !was_read {
                 tracing::info!(vms = rows.rows.len(), "rows of VMs read");
             }
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -39,6 +39,9 @@
     pub(crate) orders: Counter,
     pub(crate) endpoint_crashes: Counter,
     pub(crate) unanswered_runs: Counter,
+    pub(crate) permits_asked: Counter,
+    pub(crate) permits_issued: Counter,
+    pub(crate) permits_denied: Counter,
     pub(crate) quarantined_contents: Gauge,
     pub(crate) log_lines_dropped: Gauge,
     pub(crate) config_version: Gauge,
@@ -64,6 +67,9 @@
             orders: Counter::default(),
             endpoint_crashes: Counter::default(),
             unanswered_runs: Counter::default(),
+            permits_asked: Counter::default(),
+            permits_issued: Counter::default(),
+            permits_denied: Counter::default(),
             quarantined_contents: Gauge::default(),
             log_lines_dropped: Gauge::default(),
             config_version: Gauge::default(),
@@ -114,6 +120,21 @@
             self.limited_requests.clone(),
         );
         let counters = [
+            (
+                "permits_asked",
+                "Questions to other VMs for permits",
+                &self.permits_asked,
+            ),
+            (
+                "permits_issued",
+                "Permits issued, to this VM and others",
+                &self.permits_issued,
+            ),
+            (
+                "permits_denied",
+                "Requests that got no permit for an endpoint",
+                &self.permits_denied,
+            ),
             ("requests", "Requests of callers", &self.requests),
             (
                 "batches_accepted",
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -25,6 +25,7 @@
 mod metrics;
 mod orders;
 mod peer_call;
+mod permits;
 mod progress;
 mod read_batch;
 pub(crate) mod relay;
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -5,6 +5,7 @@
 use super::{
     endpoint_exchange,
     members::{LEADER_LEASE_KEY, VM_TABLE},
+    permits,
     state::{Server, lock},
 };
 use crate::{
@@ -185,6 +186,13 @@
             }
         },
     };
+    let permit = match permits::obtain(server, &load_order.endpoint, "-", Purpose::Order, 0).await {
+        Ok(permit) => permit,
+        Err(error) => {
+            tracing::warn!(endpoint = %load_order.endpoint, %error, "order not sent");
+            return;
+        }
+    };
     // Checked as late as possible, since another VM may hold the leader lease
     // by now.
     let Some(fence) = current_fence(server) else {
@@ -210,15 +218,9 @@
     server.metrics.orders.inc();
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
     let endpoint = &load_order.endpoint;
-    let reply = endpoint_exchange::exchange_whole(
-        server,
-        endpoint,
-        address,
-        request,
-        Purpose::Order,
-        deadline_ms,
-    )
-    .await;
+    let reply =
+        endpoint_exchange::exchange_whole(server, endpoint, address, request, permit, deadline_ms)
+            .await;
     let (endpoint, version) = (&load_order.endpoint, load_order.version);
     let outcome = match reply {
         Ok(reply) => {
@@ -241,17 +243,13 @@
     address: SocketAddr,
 ) -> Result<u64, String> {
     let request = build_report_request(&load_order.endpoint, &address.to_string())?;
+    let permit = permits::obtain(server, &load_order.endpoint, "-", Purpose::Order, 0).await;
+    let permit = permit.map_err(|error| error.to_string())?;
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
     let endpoint = &load_order.endpoint;
-    let reply = endpoint_exchange::exchange_whole(
-        server,
-        endpoint,
-        address,
-        request,
-        Purpose::Order,
-        deadline_ms,
-    )
-    .await;
+    let reply =
+        endpoint_exchange::exchange_whole(server, endpoint, address, request, permit, deadline_ms)
+            .await;
     let reply = reply.map_err(|error| error.to_string())?;
     decode_orders_accepted(reply.status, &reply.body)
 }
--- a/src/server/relay.rs
+++ b/src/server/relay.rs
@@ -61,7 +61,7 @@
     let deadline_ms = now_ms() + call.timeout_ms + RELAY_ROUND_TRIP_MS;
     let reply = http.exchange_whole(peer, request, deadline_ms).await;
     let reply = reply.map_err(|error| match error {
-        ExchangeError::NotSent(detail) => not_done(detail),
+        ExchangeError::NotSent(detail) | ExchangeError::NotPermitted(detail) => not_done(detail),
         ExchangeError::Incomplete(detail) => unknown(detail),
     })?;
     match reply.status {
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -12,7 +12,7 @@
 use super::{
     claims, clean, crash, crash_rows, fleet,
     front::{ListenerKind, serve},
-    members, orders, silence,
+    members, orders, permits, silence,
     state::Server,
 };
 use crate::{
@@ -73,6 +73,7 @@
     tokio::spawn(silence::check_silent_endpoints(server.clone()));
     tokio::spawn(orders::run_orders(server.clone()));
     tokio::spawn(expire_periodically(server.clone(), dropped_lines));
+    tokio::spawn(permits::expire_periodically(server.clone()));
     tokio::spawn(clean::delete_old_batches(server.clone()));
     let probing = server.clone();
     tokio::spawn(async move { probing.store.probe_direct_connection().await });
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -13,6 +13,7 @@
     forward::record_answer_head,
     http_client::{ExchangeError, Reply},
     metrics::elapsed_seconds,
+    permits,
     sample::{Reservation, RunEnd, SampleJob},
     state::{InFlight, Server, lock},
 };
@@ -53,6 +54,14 @@
         in_flight.mark_incomplete();
         return RunEnd::Refused("endpoint is no longer listed".to_owned());
     };
+    let permit = match permits::obtain(server, &endpoint, &job.sample.id, Purpose::Sample, 0).await
+    {
+        Ok(permit) => permit,
+        Err(error) => {
+            in_flight.mark_incomplete();
+            return RunEnd::Refused(error.to_string());
+        }
+    };
     let remaining_ms = match server.store.clock_bounds_ms() {
         Some((_, latest_ms)) => job.expires_platform_ms.saturating_sub(latest_ms),
         None => reservation.route.timeout_ms,
@@ -79,13 +88,8 @@
             return RunEnd::Refused(message);
         }
     };
-    let sent = pin!(endpoint_exchange::send(
-        server,
-        &endpoint,
-        address,
-        request,
-        Purpose::Sample
-    ));
+    let sent = endpoint_exchange::send(server, &endpoint, address, request, permit);
+    let sent = pin!(sent);
     let reply = match wait_for_head(job, sent, in_flight, may_move).await {
         HeadWait::Received(result) => match *result {
             Ok(reply) => reply,
@@ -281,12 +285,16 @@
 }
 
 async fn on_exchange_error(job: &SampleJob, in_flight: &InFlight, error: &ExchangeError) -> RunEnd {
+    if matches!(error, ExchangeError::NotPermitted(_)) {
+        in_flight.mark_incomplete();
+        return RunEnd::Refused(error.to_string());
+    }
     if let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint) {
         known.on_failure(now_ms());
     }
     crash::on_broken_run(&job.server, in_flight, &job.sample.id, error).await;
     let reason = match error {
-        ExchangeError::NotSent(_) => RetryReason::ConnectFailed,
+        ExchangeError::NotSent(_) | ExchangeError::NotPermitted(_) => RetryReason::ConnectFailed,
         ExchangeError::Incomplete(_) => RetryReason::AnswerCut,
     };
     RunEnd::Broken(reason, error.to_string())
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -18,6 +18,7 @@
             ListedSample, ListedState, RunPace, RunVerdict, SampleSpec, SampleText, SavedText,
         },
         pool::{EndpointRequirements, EndpointSlice},
+        rate_limit::Purpose,
         retry::RetryReason,
         routes::Route,
     },
@@ -186,6 +187,7 @@
             weights: Some((&self.model, self.min_weights_version)),
             max_occupancy: MAX_RUN_OCCUPANCY,
             connected: &self.server.http.connected_addresses(),
+            purpose: Purpose::Sample,
             slice: Some(self.slice),
         };
         lock(&self.server.pool).choose(now_ms(), &requirements, &mut *lock(&self.server.rng))
@@ -201,6 +203,7 @@
             weights: Some((&self.model, self.min_weights_version)),
             max_occupancy: MAX_MOVE_OCCUPANCY,
             connected: &self.server.http.connected_addresses(),
+            purpose: Purpose::Hedge,
             slice: Some(self.slice),
         };
         let event_ms = pace.ms_per_event();
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -10,6 +10,7 @@
     failures::{FailedCall, write_failures},
     forward::record_answer_head,
     metrics::elapsed_seconds,
+    permits,
     sample::{HELD_CHECK_INTERVAL_MS, SampleJob},
     state::{InFlight, lock},
 };
@@ -115,6 +116,7 @@
         weights: None,
         max_occupancy: MAX_SCORE_OCCUPANCY,
         connected: &server.http.connected_addresses(),
+        purpose: Purpose::Score,
         slice: None,
     };
     lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
@@ -138,6 +140,13 @@
             "endpoint is no longer listed".to_owned(),
         );
     };
+    let permit = match permits::obtain(server, endpoint, &call.id, Purpose::Score, 0).await {
+        Ok(permit) => permit,
+        Err(error) => {
+            in_flight.mark_incomplete();
+            return CallEnd::Retry(RetryReason::LimitReached, error.to_string());
+        }
+    };
     let timeout_ms = (route.target_latency_ms * SCORE_TIMEOUT_FACTOR).clamp(1, route.timeout_ms);
     let request_headers = RequestHeaders {
         request_id: &call.id,
@@ -162,15 +171,9 @@
         }
     };
     let deadline_ms = now_ms() + timeout_ms;
-    let reply = endpoint_exchange::exchange_whole(
-        server,
-        endpoint,
-        address,
-        request,
-        Purpose::Score,
-        deadline_ms,
-    )
-    .await;
+    let reply =
+        endpoint_exchange::exchange_whole(server, endpoint, address, request, permit, deadline_ms)
+            .await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -22,6 +22,7 @@
         leader_lease::LeaderLease,
         pool::Pool,
         quarantine::{LateRetryPolicy, Quarantine, RunEnd},
+        rate_limit::{IssuerAuthority, PermitIssuer},
         roster::Roster,
         routes::RouteTable,
     },
@@ -58,6 +59,12 @@
     /// The version of the row that tells of changes to the rows of crashes; `None`
     /// until the rows of VMs are read.
     pub(crate) crash_pointer: watch::Sender<Option<u64>>,
+    /// The permits that this VM issues.
+    pub(crate) permit_issuer: Mutex<PermitIssuer>,
+    pub(crate) issuer_authority: Mutex<IssuerAuthority>,
+    /// The VMs that issued no permit because they did not answer, and until when they
+    /// are not asked.
+    pub(crate) silent_issuers: Mutex<BTreeMap<Name, u64>>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     pub(crate) is_draining: AtomicBool,
@@ -93,6 +100,9 @@
             crash_rows: Mutex::default(),
             crash_rows_unwritten: Notify::new(),
             crash_pointer: watch::Sender::new(None),
+            permit_issuer: Mutex::default(),
+            issuer_authority: Mutex::default(),
+            silent_issuers: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             is_draining: AtomicBool::new(false),
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -115,6 +115,9 @@
 /// The path at which VMs are asked whether they reach an endpoint.
 pub const REACHABILITY_PATH: &str = "/peer/reachability";
 
+/// The path at which VMs are asked for permits to send requests to endpoints.
+pub const PERMIT_PATH: &str = "/peer/permit";
+
 /// Asks another VM whether an endpoint accepts connections from there; the response
 /// is a [`bool`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/tests/loads/bursts_spread_over_samplers.rs
+++ b/tests/loads/bursts_spread_over_samplers.rs
@@ -8,6 +8,7 @@
 use chicoryreach::core::{
     Name,
     pool::{EndpointRequirements, LoadReport},
+    rate_limit::Purpose,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -25,6 +26,7 @@
         weights: None,
         max_occupancy: 1.0,
         connected: const { &BTreeSet::new() },
+        purpose: Purpose::Sample,
         slice: None,
     }
 }
--- a/tests/loads/refusals_pause_a_sampler.rs
+++ b/tests/loads/refusals_pause_a_sampler.rs
@@ -8,6 +8,7 @@
 use chicoryreach::core::{
     batch::start_wait_factor,
     pool::{EndpointRequirements, LoadReport, Pool},
+    rate_limit::Purpose,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -24,6 +25,7 @@
         weights: None,
         max_occupancy,
         connected: &BTreeSet::new(),
+        purpose: Purpose::Sample,
         slice: None,
     };
     pool.choose(now_ms, &requirements, &mut SmallRng::seed_from_u64(now_ms))
--- a/tests/loads/runs_move_off_slow_samplers.rs
+++ b/tests/loads/runs_move_off_slow_samplers.rs
@@ -9,6 +9,7 @@
     Name,
     batch::{RunPace, RunVerdict},
     pool::{EndpointRequirements, Pool},
+    rate_limit::Purpose,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -38,6 +39,7 @@
         weights: None,
         max_occupancy,
         connected: const { &BTreeSet::new() },
+        purpose: Purpose::Sample,
         slice: None,
     }
 }
--- a/tests/loads/shares_prefer_their_endpoint_slices.rs
+++ b/tests/loads/shares_prefer_their_endpoint_slices.rs
@@ -13,6 +13,7 @@
 use chicoryreach::core::{
     Name,
     pool::{EndpointRequirements, EndpointSlice, Pool},
+    rate_limit::Purpose,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -53,6 +54,7 @@
             weights: None,
             max_occupancy: 1.0,
             connected: &connected,
+            purpose: Purpose::Sample,
             slice,
         };
         let chosen = self
--- a/tests/process_serve/limited_samplers.rs
+++ b/tests/process_serve/limited_samplers.rs
@@ -112,6 +112,17 @@
     lines
 }
 
+/// The least share of its limit that a sampler gets while more is asked.
+const MIN_USE: f64 = 0.7;
+
+fn assert_limit_used(sampler: &Sampler, limit_per_s: f64, since: Instant) {
+    let arrivals = sampler.arrivals();
+    let count = arrivals.iter().filter(|at| **at >= since).count();
+    #[expect(clippy::cast_precision_loss, reason = "a count of requests")]
+    let used = count as f64 / WINDOW.as_secs_f64() / limit_per_s;
+    assert!(used >= MIN_USE, "{}: {used:.2} of its limit", sampler.id);
+}
+
 async fn disturb(fleet: &mut Fleet, fault: Fault) {
     match fault {
         Fault::None => {}
@@ -173,7 +184,88 @@
     tokio::join!(sending, disturb(&mut fleet, fault));
     send_requests(caller_addresses(&fleet), "after", 30, 6).await;
     println!("{:#?}", limited_requests(&fleet).await);
+    if fault == Fault::None {
+        let since = Instant::now()
+            .checked_sub(WINDOW)
+            .expect("it runs for longer");
+        for sampler in &fleet.plain_samplers {
+            assert_limit_used(sampler, LIMIT_PER_S, since);
+        }
+    }
     for sampler in &fleet.plain_samplers {
         assert_limit_kept(sampler, LIMIT_PER_S, started + CONTACT);
     }
 }
+
+/// The longest time after which a request that cannot be served is refused.
+const MAX_REFUSAL: Duration = Duration::from_secs(1);
+
+/// Guards against requests that are held although no sampler may take them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_beyond_all_limits_are_refused_at_once() {
+    let fleet = Fleet::start(2, SAMPLER_SETTINGS).await;
+    for sampler in &fleet.plain_samplers {
+        sampler.name_limit(Some("1"));
+    }
+    let vms = caller_addresses(&fleet);
+    send_requests(vms.clone(), "before", 10, 2).await;
+    let http = HttpClient::new();
+    let mut refused = 0;
+    for number in 0..40 {
+        let sent = Instant::now();
+        let (vm, id) = (vms[number % vms.len()], format!("then-{number}"));
+        let answer = call(&http, Method::POST, vm, "/slips/1", &id, Bytes::new()).await;
+        match answer.map(|answer| answer.status) {
+            Some(200) => {}
+            Some(429) => {
+                refused += 1;
+                assert!(sent.elapsed() < MAX_REFUSAL, "{:?}", sent.elapsed());
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(refused > 20, "only {refused} refused");
+}
+
+/// Guards against a sampler that is taken for limited, or no longer limited, since its
+/// answers name something that is not a positive number.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_that_is_no_positive_number_changes_nothing(
+    #[values("0", "-1", "many", "nan", "inf", "")] stated: &str,
+) {
+    let fleet = Fleet::start(1, SAMPLER_SETTINGS).await;
+    let name = |limit: Option<&str>| {
+        for sampler in &fleet.plain_samplers {
+            sampler.name_limit(limit);
+        }
+    };
+    let vms = caller_addresses(&fleet);
+    name(Some(stated));
+    let counts = send_requests(vms.clone(), "unlimited", 20, 2).await;
+    assert_eq!(counts, BTreeMap::from([(200, 40)]));
+    name(Some("1.0"));
+    send_requests(vms.clone(), "limited", 20, 2).await;
+    name(Some(stated));
+    let counts = send_requests(vms, "still-limited", 20, 2).await;
+    let served = counts.get(&200).copied().unwrap_or(0);
+    assert!(served <= 20, "{counts:?}");
+}
+
+/// Guards against a sampler that stays limited after its answers name no limit any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_ends_with_the_first_answer_that_names_none() {
+    let fleet = Fleet::start(1, SAMPLER_SETTINGS).await;
+    let name = |limit: Option<&str>| {
+        for sampler in &fleet.plain_samplers {
+            sampler.name_limit(limit);
+        }
+    };
+    let vms = caller_addresses(&fleet);
+    name(Some("2"));
+    send_requests(vms.clone(), "limited", 10, 2).await;
+    name(None);
+    send_requests(vms.clone(), "lifting", 2, 3).await;
+    let counts = send_requests(vms, "unlimited", 20, 2).await;
+    assert_eq!(counts, BTreeMap::from([(200, 40)]));
+}
