Read and log the software version of endpoints

Nothing told at which software version a stream had begun and where it went on, so that the hypotheses on ORDER could not be told apart. The version of the list is decoded under the name software, since version stands for weights elsewhere; each stream and each text that goes on leaves a line with it. No decision uses it yet.

--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -25,6 +25,8 @@
     pub started_unix_ms: u64,
     /// The service that it belongs to.
     pub service: Name,
+    /// The version of its software. Streams of two versions do not fit together.
+    pub software: Name,
     /// The address that it listens on.
     pub address: SocketAddr,
     /// The data centre that it runs in.
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -9,6 +9,9 @@
 
 /// The header with the id of a request, also in its answer.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The header with the last event that was received of a stream.
+pub(super) const LAST_EVENT_HEADER: &str = "last-event-id";
+const RESUMED_REQUEST_HEADER: &str = "resumes";
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 const READY_PATH: &str = "/v1/ready";
 const RESOLVE_PATH: &str = "/v1/resolve";
@@ -42,6 +45,10 @@
     pub(crate) request_id: Option<Name>,
     /// How long the caller waits for an answer, in milliseconds.
     pub(crate) patience_ms: Option<u64>,
+    /// The request that began the stream that this one takes up again, if it is named.
+    pub(crate) resumed_request: Option<Name>,
+    /// Whether it asks for the events of a stream after one that it has received.
+    pub(crate) is_resumed: bool,
 }
 
 /// Parses the head of a caller's request.
@@ -63,6 +70,8 @@
         target: target.into(),
         request_id: text(REQUEST_ID_HEADER).map(Into::into),
         patience_ms: text(DEADLINE_HEADER).and_then(|text| text.parse().ok()),
+        resumed_request: text(RESUMED_REQUEST_HEADER).map(Into::into),
+        is_resumed: text(LAST_EVENT_HEADER).is_some(),
     }
 }
 
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -104,6 +104,9 @@
     models: Vec<WireModel>,
     #[serde(default)]
     born: u64,
+    /// The version of its software, not of its weights.
+    #[serde(default)]
+    version: Value,
 }
 
 #[derive(Deserialize)]
@@ -205,12 +208,18 @@
         "draining" => EndpointStage::Leaving,
         other => return Err(format!("sampler {id} has unknown state {other}")),
     };
+    let software = match &wire.version {
+        Value::String(version) => version.as_str().into(),
+        Value::Null => Name::from(""),
+        other => other.to_string().into(),
+    };
     let weights = wire.models.into_iter();
     let weights = weights.map(|model| (model.name, model.version));
     Ok(EndpointRecord {
         id: id.clone(),
         started_unix_ms: wire.born,
         service: wire.service,
+        software,
         address: wire.address,
         data_centre: wire.zone,
         slots: wire.slots,
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -5,12 +5,11 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, header};
 use serde::{Deserialize, Serialize};
 
-use super::callers::REQUEST_ID_HEADER;
+use super::callers::{LAST_EVENT_HEADER, REQUEST_ID_HEADER};
 use crate::core::{Name, pool::LoadReport, rate_limit::RateLimit};
 
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 const EXPECTED_ENDPOINT_HEADER: &str = "x-expect-instance";
-const LAST_EVENT_HEADER: &str = "last-event-id";
 const NOT_RUN_HEADER: &str = "x-not-run";
 const STAMP_HEADER: &str = "x-response-stamp";
 const LOAD_HEADER: &str = "x-server-load";
--- a/src/server/fleet.rs
+++ b/src/server/fleet.rs
@@ -88,7 +88,7 @@
             TableUpdate::Changed(rows) => {
                 for row in &rows {
                     if let Some(record) = decode_record(row) {
-                        tracing::info!(endpoint = %record.id, stage = %record.stage,
+                        tracing::info!(endpoint = %record.id, stage = %record.stage, software = %record.software,
                             weights = ?record.weights, "endpoint listed");
                         gone.extend(pool.on_listed(record));
                     } else {
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -295,6 +295,8 @@
                 body,
                 caller_deadline_ms,
                 purpose,
+                is_resumed: head.is_resumed,
+                resumed_request: head.resumed_request.clone(),
                 max_wait_ms,
             };
             let result = send_to_endpoint(&server, &route, in_flight, outgoing).await;
@@ -358,6 +360,8 @@
     body: Bytes,
     caller_deadline_ms: u64,
     purpose: Purpose,
+    is_resumed: bool,
+    resumed_request: Option<Name>,
     /// How long it may wait for a permit, in milliseconds.
     max_wait_ms: u64,
 }
@@ -429,6 +433,9 @@
     }
     let is_stream = matches!(route.kind, RouteKind::Stream | RouteKind::ResumableStream);
     if is_stream && reply.status.is_success() {
+        tracing::info!(id = %outgoing.id, %endpoint, service = %in_flight.service,
+            software = %in_flight.software, is_resumed = outgoing.is_resumed,
+            resumed_request = outgoing.resumed_request.as_deref(), "stream runs");
         return Ok(stream_response(server, outgoing.id, reply, in_flight));
     }
     let reply = match reply.read_whole().await {
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -129,6 +129,10 @@
     if let Some(version) = head.weights_version {
         record_weights_version(server, &endpoint, &job.model, version);
     }
+    if let Some(after_event) = text.last_event() {
+        tracing::info!(batch = %job.batch, sample = %job.sample.id, %endpoint, after_event,
+            software = %in_flight.software, "text goes on");
+    }
     if let Err(error) = text.on_run_start(head.weights_version) {
         return on_text_error(&error);
     }
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -141,16 +141,19 @@
     /// its start must have been recorded in the quarantine.
     pub(crate) fn track_request(self: &Arc<Self>, endpoint: &Name, content: &Name) -> InFlight {
         let mut service = Name::from("");
+        let mut software = Name::from("");
         let mut incarnation = 0;
         if let Some(known) = lock(&self.pool).get_mut(endpoint) {
             known.on_run_start(now_ms());
             service = known.record.service.clone();
+            software = known.record.software.clone();
             incarnation = known.record.started_unix_ms;
         }
         InFlight {
             server: self.clone(),
             endpoint: endpoint.clone(),
             service,
+            software,
             content: content.clone(),
             incarnation,
             started_ms: now_ms(),
@@ -164,6 +167,8 @@
     server: Arc<Server>,
     pub(crate) endpoint: Name,
     pub(crate) service: Name,
+    /// The version of the endpoint's software, as it was listed at the start.
+    pub(crate) software: Name,
     /// The fingerprint of the request's content.
     pub(crate) content: Name,
     /// The endpoint's incarnation, as it was listed at the start.
--- a/tests/loads/support.rs
+++ b/tests/loads/support.rs
@@ -27,6 +27,7 @@
         id: endpoint_name(number),
         started_unix_ms: 1,
         service: SERVICE.into(),
+        software: "v1".into(),
         address: ([127, 0, 0, 1], 9_000 + u16::try_from(number).expect("few")).into(),
         data_centre: format!("dc-{}", number % 3).into(),
         slots,
