--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -66,6 +66,8 @@
     crashing_bodies: Mutex<BTreeSet<Bytes>>,
     /// Whether it is about to leave, which its answers say and its entry does not.
     is_leaving: AtomicBool,
+    /// The version of its software, as its entry states it.
+    software: Mutex<String>,
     /// The request limit that its answers name.
     request_limit: Mutex<Option<String>>,
     /// The times at which requests of all kinds arrived.
@@ -88,6 +90,8 @@
     pub id: String,
     /// The body of the request.
     pub body: Bytes,
+    /// The last event that the sender has, if it asks for those after it.
+    pub after_event: Option<u64>,
     /// When the sampler began to run it.
     pub at: Instant,
     /// How long the sampler may take, in milliseconds.
@@ -126,6 +130,7 @@
             failing_request_ids: Mutex::default(),
             crashing_bodies: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            software: Mutex::new("v1".to_owned()),
             request_limit: Mutex::default(),
             arrivals: Mutex::default(),
             answers_before_crash: AtomicBool::new(false),
@@ -161,6 +166,12 @@
             .collect()
     }
 
+    /// Returns the starts of all runs.
+    #[must_use]
+    pub fn all_runs(&self) -> Vec<RunStart> {
+        lock(&self.shared.runs).clone()
+    }
+
     /// Returns the starts of the runs that began after a time.
     #[must_use]
     pub fn runs_after(&self, at: Instant) -> Vec<RunStart> {
@@ -174,6 +185,18 @@
         self.shared.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Sets the version of the sampler's software, and writes its entry again.
+    pub fn set_software(&self, software: &str) {
+        software.clone_into(&mut lock(&self.shared.software));
+        self.shared.register();
+    }
+
+    /// Returns the version of the sampler's software.
+    #[must_use]
+    pub fn software(&self) -> String {
+        lock(&self.shared.software).clone()
+    }
+
     /// Makes the sampler name a request limit in all answers, or none.
     pub fn name_limit(&self, limit: Option<&str>) {
         *lock(&self.shared.request_limit) = limit.map(str::to_owned);
@@ -338,7 +361,7 @@
             .map(|(name, version)| json!({"name": name, "version": version, "adapters": []}))
             .collect();
         let entry = json!({"service": self.service, "address": self.address, "zone": "dc-1",
-            "slots": 8, "version": "v1", "state": "ready", "cold_ms": 0, "models": models,
+            "slots": 8, "version": *lock(&self.software), "state": "ready", "cold_ms": 0, "models": models,
             "seq": 4, "born": started_unix_ms, "stage": "both"});
         let entry = STANDARD.encode(entry.to_string());
         self.store.put("servers", &self.id, entry);
@@ -427,7 +450,7 @@
 
 async fn handle_run(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
     let id = header(&request, "x-request-id").unwrap_or_default();
-    let after = header(&request, "last-event-id").and_then(|text| text.parse().ok());
+    let after: Option<u64> = header(&request, "last-event-id").and_then(|text| text.parse().ok());
     let deadline_ms = header(&request, "x-deadline-ms").and_then(|text| text.parse().ok());
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
@@ -442,6 +465,7 @@
     lock(&shared.runs).push(RunStart {
         id: id.clone(),
         body: body.clone(),
+        after_event: after,
         at: Instant::now(),
         deadline_ms,
     });
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -378,6 +378,9 @@
             {"name": "patient", "host": HOST, "prefix": "/patient/", "kind": "safe",
              "timeout_ms": 9000, "target_latency_ms": 4000, "priority": 2,
              "service": "slips", "attempts": 3},
+            {"name": "chats", "host": HOST, "prefix": "/chats/", "kind": "stream",
+             "timeout_ms": 8000, "target_latency_ms": 400, "priority": 1, "service": "lm",
+             "attempts": 3, "resumable": true},
             {"name": "lots", "host": HOST, "prefix": "/lots/", "kind": "rollout",
              "timeout_ms": 10_000, "target_latency_ms": 400, "priority": 1, "service": "lm",
              "attempts": 3, "queue_ttl_s": 40.0, "run_target_ms": 7500, "resumable": true}
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -12,4 +12,5 @@
     mod requests_that_crash_samplers;
     mod soak;
     mod stops_cut_no_request;
+    mod streams_keep_their_software;
 }
