Keep streams at the software version that began them

What callers saw: a stream that was taken up again at another VM, or the text of a sample after a cut, went on at whichever endpoint was free, so that it held events of two software versions that do not fit together.

Class of fault: state that a client's later request depends on was kept only where the first request had been, and a name (version) that stands for two things was read as one of them.

The VM that begins a stream tells the two VMs that rendezvous hashing names for its request id; a VM that gets the caller's next try asks up to four. A stream of unknown origin goes on only where one version was listed for as long as streams last, else it is refused at once as not run, which is never wrong, whatever messages were lost. A text knows its service and software version, also in the store; runs that add to it go to endpoints of that version only, and it starts anew when these are gone or have no room for as long as generating it again takes.

--- a/src/core/batch/sample_text.rs
+++ b/src/core/batch/sample_text.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Event;
-use crate::core::Name;
+use crate::core::{Name, streams::StreamOrigin};
 
 quick_error! {
     /// An error for a run whose output cannot be added to the sample's text.
@@ -26,6 +26,10 @@
                 version, earlier_version
             )
         }
+        /// The run is at another version of the software than the text.
+        OtherSoftware(origin: StreamOrigin, earlier: StreamOrigin) {
+            display("a run at {} in a text of {}", origin, earlier)
+        }
         /// The run did not state its weights version.
         NoVersion {
             display("the run does not state its weights version")
@@ -42,6 +46,9 @@
     pub last_event: u64,
     /// The weights versions that generated the events.
     pub weights_versions: Vec<u64>,
+    /// The software version that wrote it; builds before this field stored none.
+    #[serde(default)]
+    pub origin: Option<StreamOrigin>,
     /// Whether the text is complete.
     pub is_complete: bool,
 }
@@ -51,10 +58,14 @@
 /// # Examples
 ///
 /// ```
-/// use chicoryreach::core::batch::{Event, SampleText};
+/// use chicoryreach::core::{
+///     batch::{Event, SampleText},
+///     streams::StreamOrigin,
+/// };
 ///
+/// let origin = StreamOrigin { service: "demand-lm".into(), software: "v1".into() };
 /// let mut text = SampleText::new(2, false);
-/// text.on_run_start(Some(2)).unwrap();
+/// text.on_run_start(Some(2), &origin).unwrap();
 /// let event = Event { id: Some(1), data: "a".into(), weights_version: None };
 /// text.on_event(&event).unwrap();
 /// assert_eq!(text.last_event(), Some(1));
@@ -69,6 +80,8 @@
     /// The weights version that the current run has stated last.
     run_version: Option<u64>,
     versions: Vec<u64>,
+    /// The origin of the current run, and of the text once it has events.
+    origin: Option<StreamOrigin>,
 }
 
 impl SampleText {
@@ -82,6 +95,7 @@
             last_event: None,
             run_version: None,
             versions: Vec::new(),
+            origin: None,
         }
     }
 
@@ -90,17 +104,21 @@
     ///
     /// They are not allowed if there are none, if one is below
     /// `min_weights_version`, or, with `is_single_version`, if there are
-    /// several.
+    /// several. An incomplete text whose software version is unknown cannot be resumed.
     ///
     /// # Examples
     ///
     /// ```
-    /// use chicoryreach::core::batch::{SampleText, SavedText};
+    /// use chicoryreach::core::{
+    ///     batch::{SampleText, SavedText},
+    ///     streams::StreamOrigin,
+    /// };
     ///
     /// let saved = SavedText {
     ///     text: "a".into(),
     ///     last_event: 1,
     ///     weights_versions: vec![2],
+    ///     origin: Some(StreamOrigin { service: "demand-lm".into(), software: "v1".into() }),
     ///     is_complete: false,
     /// };
     /// assert!(SampleText::restore(&saved, 2, false).is_some());
@@ -117,7 +135,8 @@
             .iter()
             .all(|version| *version >= min_weights_version);
         let is_mix_allowed = !is_single_version || versions.len() == 1;
-        if versions.is_empty() || !are_recent_enough || !is_mix_allowed {
+        let is_resumable = saved.is_complete || saved.origin.is_some();
+        if versions.is_empty() || !are_recent_enough || !is_mix_allowed || !is_resumable {
             return None;
         }
         Some(Self {
@@ -127,6 +146,7 @@
             last_event: Some(saved.last_event),
             run_version: None,
             versions: versions.clone(),
+            origin: saved.origin.clone(),
         })
     }
 
@@ -137,18 +157,31 @@
             text: self.text(),
             last_event: self.last_event?,
             weights_versions: self.versions.clone(),
+            origin: self.origin.clone(),
             is_complete,
         })
     }
 
-    /// Records the start of a run and the weights version that it states.
+    /// Records the start of a run, the weights version that it states and the software
+    /// version of its endpoint.
     ///
     /// # Errors
     ///
-    /// Returns [`TextError::TooOld`] or [`TextError::Mixed`] if the sample does
+    /// Returns [`TextError::OtherSoftware`] if the text was begun at another software
+    /// version, [`TextError::TooOld`] or [`TextError::Mixed`] if the sample does
     /// not allow the version, and [`TextError::NoVersion`] if none is stated
     /// before the first event.
-    pub fn on_run_start(&mut self, version: Option<u64>) -> Result<(), TextError> {
+    pub fn on_run_start(
+        &mut self,
+        version: Option<u64>,
+        origin: &StreamOrigin,
+    ) -> Result<(), TextError> {
+        match self.origin() {
+            Some(earlier) if earlier != origin => {
+                return Err(TextError::OtherSoftware(origin.clone(), earlier.clone()));
+            }
+            _ => self.origin = Some(origin.clone()),
+        }
         self.run_version = version;
         match version {
             Some(version) => self.check_version(version),
@@ -187,6 +220,12 @@
         Ok(())
     }
 
+    /// Returns the software version at which the text has to go on, once it has events.
+    #[must_use]
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        self.origin.as_ref().filter(|_| self.last_event.is_some())
+    }
+
     /// Returns the number of the last event, after which a run can resume.
     #[must_use]
     pub const fn last_event(&self) -> Option<u64> {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,6 +28,7 @@
 pub mod sample;
 pub mod store_path;
 pub mod straggler;
+pub mod streams;
 pub mod weights;
 
 pub use self::name::Name;
--- a/src/core/pool/choose.rs
+++ b/src/core/pool/choose.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{EndpointSlice, EndpointStage, Pool, PoolEndpoint};
-use crate::core::{Name, rate_limit::Purpose};
+use crate::core::{Name, rate_limit::Purpose, streams::StreamOrigin};
 
 /// The number of randomly drawn endpoints of which the cheapest is chosen:
 /// enough to find an idle one, too few for all VMs to choose the same one.
@@ -41,6 +41,8 @@
     pub avoid: &'a BTreeSet<Name>,
     /// The model and the oldest weights version that is accepted.
     pub weights: Option<(&'a str, u64)>,
+    /// The version of the software that is required, if a stream goes on.
+    pub software: Option<&'a str>,
     /// The occupancy below which an endpoint is usable: its requests in shares
     /// of its slots.
     pub max_occupancy: f64,
@@ -145,6 +147,15 @@
         (allowed_at_ms > now_ms).then_some(allowed_at_ms)
     }
 
+    /// Returns whether any endpoint of a service and software version accepts work.
+    #[must_use]
+    pub fn has_ready(&self, origin: &StreamOrigin) -> bool {
+        self.of_service(&origin.service).any(|endpoint| {
+            let record = &endpoint.record;
+            record.stage == EndpointStage::Ready && record.software == origin.software
+        })
+    }
+
     /// Returns whether any endpoint of a service accepts work.
     #[must_use]
     pub fn has_ready_endpoint(&self, service: &str) -> bool {
@@ -163,6 +174,9 @@
         .is_none_or(|(model, min_version)| endpoint.weights_version(model) >= min_version);
     endpoint.record.stage == EndpointStage::Ready
         && has_weights
+        && requirements
+            .software
+            .is_none_or(|software| &*endpoint.record.software == software)
         && occupancy(endpoint, now_ms) < requirements.max_occupancy
         && endpoint.named_limit.allows(now_ms, requirements.purpose)
         && !requirements.avoid.contains(&endpoint.record.id)
--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -3,7 +3,7 @@
 use strum::{Display, EnumString};
 
 use super::Load;
-use crate::core::{Name, rate_limit::NamedLimit};
+use crate::core::{Name, rate_limit::NamedLimit, streams::StreamOrigin};
 
 /// Whether an endpoint accepts new work, as it reports itself.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
@@ -39,6 +39,17 @@
     pub weights: BTreeMap<Name, u64>,
 }
 
+impl EndpointRecord {
+    /// Returns the service and software version of the streams that begin there.
+    #[must_use]
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin {
+            service: self.service.clone(),
+            software: self.software.clone(),
+        }
+    }
+}
+
 /// The weight of a new measurement in the moving average of the pace.
 const NEW_PACE_WEIGHT: f64 = 0.15;
 /// How long an endpoint is avoided after its first failure, in milliseconds;
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -61,6 +61,11 @@
     /// The content of the request has crashed endpoints and is held until the
     /// stated time.
     ContentHeld,
+    /// The stream cannot go on: the software version that began it serves no more, or
+    /// nobody knows it.
+    StreamLost,
+    /// This VM cannot find out at which software version the stream has to go on.
+    StreamUnknown,
     /// The request may have run, but its answer was lost.
     OutcomeUnknown,
     /// All attempts that the limits allow have failed.
--- a/src/error/response.rs
+++ b/src/error/response.rs
@@ -53,7 +53,10 @@
                 (503, true, RetryAdvice::Later)
             }
             Self::NotConfirmed => (503, false, RetryAdvice::Later),
-            Self::Draining | Self::ConfigTooOld => (503, true, RetryAdvice::Elsewhere),
+            Self::StreamLost => (503, true, RetryAdvice::Never),
+            Self::Draining | Self::ConfigTooOld | Self::StreamUnknown => {
+                (503, true, RetryAdvice::Elsewhere)
+            }
             Self::Quarantined => (422, false, RetryAdvice::Never),
             Self::ConfigInvalid => (422, true, RetryAdvice::Never),
             Self::OutcomeUnknown => (502, false, RetryAdvice::Never),
--- a/src/server/fleet.rs
+++ b/src/server/fleet.rs
@@ -79,6 +79,7 @@
         let now_ms = now_ms();
         let mut pool = lock(&server.pool);
         let mut gone: Vec<PoolEndpoint> = Vec::new();
+        lock(&server.software_history).observe(now_ms, &pool);
         match update {
             TableUpdate::All(rows) => {
                 let records: Vec<EndpointRecord> = rows.iter().filter_map(decode_record).collect();
@@ -99,6 +100,7 @@
             }
             TableUpdate::Recovered => pool.on_platform_back(now_ms),
         }
+        lock(&server.software_history).observe(now_ms, &pool);
         drop(pool);
         for before in gone {
             crash::on_endpoint_gone(server, &before);
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -15,6 +15,7 @@
     response::{Body, full_body},
     state::{InFlight, Server, lock},
     stream::stream_response,
+    streams,
 };
 use crate::{
     core::{
@@ -24,6 +25,7 @@
         rate_limit::Purpose,
         retry::RetryReason,
         routes::{Route, RouteKind},
+        streams::StreamOrigin,
     },
     daemon::{now_ms, sleep_until},
     error::{ErrorKind, Refusal},
@@ -75,6 +77,8 @@
     route: &'a Arc<Route>,
     request: &'a CallerRequest,
     service: Name,
+    /// The software version that a stream that is taken up again has to stay at.
+    software: Option<Name>,
     content: Name,
     caller_deadline_ms: u64,
 }
@@ -121,17 +125,22 @@
     let answer_by_ms = (request.started_ms + wait_ms).saturating_sub(ANSWER_MARGIN_MS);
     let caller_deadline_ms = request.started_ms + patience_ms;
     let draw = rand::Rng::random(&mut *lock(&server.rng));
-    let service = route.pick_service(draw).cloned().ok_or_else(|| {
+    let picked = route.pick_service(draw).cloned().ok_or_else(|| {
         Refusal::new(
             ErrorKind::NoEndpoint,
             format!("route {} has no service", route.name),
         )
     })?;
+    let (service, software) = match resumed_origin(server, route, request).await? {
+        Some(origin) => (origin.service, Some(origin.software)),
+        None => (picked, None),
+    };
     let forwarding = Forwarding {
         server,
         route,
         request,
         service,
+        software,
         content: content_fingerprint(&request.head.host, &request.head.target, &request.body),
         caller_deadline_ms,
     };
@@ -184,27 +193,32 @@
     }
 }
 
-fn choose_endpoint(
+const fn is_stream(route: &Route) -> bool {
+    matches!(route.kind, RouteKind::Stream | RouteKind::ResumableStream)
+}
+
+/// Returns where a stream has to go on, if the request takes one up again.
+async fn resumed_origin(
     server: &Server,
-    service: &Name,
-    avoid: &BTreeSet<Name>,
-    purpose: Purpose,
-) -> Option<Name> {
-    let max_occupancy = match purpose {
-        Purpose::Hedge => HEDGE_MAX_OCCUPANCY,
-        _ => ATTEMPT_MAX_OCCUPANCY,
-    };
-    let requirements = EndpointRequirements {
-        service,
-        data_centre: &server.settings.data_centre,
-        avoid,
-        weights: None,
-        max_occupancy,
-        connected: &server.http.connected_addresses(),
-        purpose,
-        slice: None,
-    };
-    lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
+    route: &Route,
+    request: &CallerRequest,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    let head = &request.head;
+    if !is_stream(route) || !head.is_resumed {
+        return Ok(None);
+    }
+    let id = head.request_id.as_deref().unwrap_or("-");
+    let resumed = head.resumed_request.as_ref();
+    let origin = streams::origin_of(server, route, id, resumed).await?;
+    let is_routed = route
+        .services
+        .iter()
+        .any(|entry| entry.service == origin.service);
+    if is_routed && lock(&server.pool).has_ready(&origin) {
+        return Ok(Some(origin));
+    }
+    let message = format!("{origin} serves no more");
+    Err(Refusal::new(ErrorKind::StreamLost, message))
 }
 
 /// Returns the refusal of a request whose service has reached its request limits, with
@@ -235,15 +249,33 @@
 }
 
 impl Forwarding<'_> {
+    fn choose_endpoint(&self, avoid: &BTreeSet<Name>, purpose: Purpose) -> Option<Name> {
+        let server = self.server;
+        let max_occupancy = match purpose {
+            Purpose::Hedge => HEDGE_MAX_OCCUPANCY,
+            _ => ATTEMPT_MAX_OCCUPANCY,
+        };
+        let requirements = EndpointRequirements {
+            service: &self.service,
+            data_centre: &server.settings.data_centre,
+            avoid,
+            weights: None,
+            software: self.software.as_deref(),
+            max_occupancy,
+            connected: &server.http.connected_addresses(),
+            purpose,
+            slice: None,
+        };
+        lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
+    }
+
     /// Starts the first attempt.
     async fn start_first(
         &self,
         state: &mut ForwardState,
         answer_by_ms: u64,
     ) -> Result<Attempt, Refusal> {
-        let choose = |avoid: &BTreeSet<Name>| {
-            choose_endpoint(self.server, &self.service, avoid, Purpose::Caller)
-        };
+        let choose = |avoid: &BTreeSet<Name>| self.choose_endpoint(avoid, Purpose::Caller);
         let wait_until_ms = answer_by_ms.min(now_ms() + self.route.target_latency_ms);
         let started =
             content_runs::start(self.server, &self.content, wait_until_ms, choose).await?;
@@ -260,7 +292,7 @@
         }
         let choose = |suspects: &BTreeSet<Name>| {
             let avoid = &state.tried | suspects;
-            choose_endpoint(self.server, &self.service, &avoid, purpose)
+            self.choose_endpoint(&avoid, purpose)
         };
         match content_runs::try_start(self.server, &self.content, choose) {
             StartOutcome::Started(in_flight) => Some(self.attempt(state, in_flight, purpose)),
@@ -431,10 +463,13 @@
             message,
         ));
     }
-    let is_stream = matches!(route.kind, RouteKind::Stream | RouteKind::ResumableStream);
-    if is_stream && reply.status.is_success() {
-        tracing::info!(id = %outgoing.id, %endpoint, service = %in_flight.service,
-            software = %in_flight.software, is_resumed = outgoing.is_resumed,
+    if is_stream(route) && reply.status.is_success() {
+        if !outgoing.is_resumed {
+            let (origin, until_ms) = (in_flight.origin.clone(), outgoing.caller_deadline_ms);
+            streams::on_begun(server, outgoing.id, origin, until_ms);
+        }
+        tracing::info!(id = %outgoing.id, %endpoint, service = %in_flight.origin.service,
+            software = %in_flight.origin.software, is_resumed = outgoing.is_resumed,
             resumed_request = outgoing.resumed_request.as_deref(), "stream runs");
         return Ok(stream_response(server, outgoing.id, reply, in_flight));
     }
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -25,6 +25,7 @@
     response::{Body, empty_response, full_body, json_response, refusal_response},
     silence,
     state::Server,
+    streams,
 };
 use crate::{
     core::routes::RouteKind,
@@ -34,7 +35,9 @@
         CallerHead, is_address_query, is_readiness_check, parse_address_query, parse_batch_call,
         parse_caller_head,
     },
-    wire::peers::{CRASH_NOTICE_PATH, PERMIT_PATH, REACHABILITY_PATH},
+    wire::peers::{
+        CRASH_NOTICE_PATH, PERMIT_PATH, REACHABILITY_PATH, STREAM_NOTICE_PATH, STREAM_QUERY_PATH,
+    },
 };
 
 /// Which kind of requests a listener serves.
@@ -49,6 +52,15 @@
     Metrics,
 }
 
+/// The paths at which other VMs and operators post messages of bounded size.
+const PEER_PATHS: [&str; 6] = [
+    CRASH_NOTICE_PATH,
+    REACHABILITY_PATH,
+    HELD_PATH,
+    PERMIT_PATH,
+    STREAM_NOTICE_PATH,
+    STREAM_QUERY_PATH,
+];
 /// How long a connection may stay idle until a configuration is known, in
 /// milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -189,17 +201,19 @@
             Response::new(full_body(server.metrics.to_text()))
         }
         ListenerKind::Peers if method == Method::GET && path == HELD_PATH => held::list(&server),
-        ListenerKind::Peers
-            if method == Method::POST
-                && [CRASH_NOTICE_PATH, REACHABILITY_PATH, HELD_PATH, PERMIT_PATH]
-                    .contains(&&*path) =>
-        {
+        ListenerKind::Peers if method == Method::POST && PEER_PATHS.contains(&&*path) => {
             let body = Limited::new(request.into_body(), MAX_PEER_BODY_BYTES);
             match body.collect().await {
                 Ok(body) if path == REACHABILITY_PATH => {
                     silence::answer_query(&server, &body.to_bytes()).await
                 }
                 Ok(body) if path == PERMIT_PATH => permits::answer_query(&server, &body.to_bytes()),
+                Ok(body) if path == STREAM_NOTICE_PATH => {
+                    streams::receive_notice(&server, &body.to_bytes())
+                }
+                Ok(body) if path == STREAM_QUERY_PATH => {
+                    streams::answer_query(&server, &body.to_bytes())
+                }
                 Ok(body) if path == HELD_PATH => held::free(&server, &body.to_bytes()),
                 Ok(body) => crash_rows::receive_notices(&server, &body.to_bytes()),
                 Err(error) => {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -38,6 +38,7 @@
 mod silence;
 mod state;
 mod stream;
+mod streams;
 
 pub use self::run::run;
 pub(crate) use self::{
--- a/src/server/progress.rs
+++ b/src/server/progress.rs
@@ -193,6 +193,7 @@
                     text: listed.text,
                     last_event: u64::try_from(events).unwrap_or(u64::MAX),
                     weights_versions: listed.weights_versions,
+                    origin: None,
                     is_complete: true,
                 };
                 complete.insert(listed.id, saved);
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -131,9 +131,9 @@
     }
     if let Some(after_event) = text.last_event() {
         tracing::info!(batch = %job.batch, sample = %job.sample.id, %endpoint, after_event,
-            software = %in_flight.software, "text goes on");
+            software = %in_flight.origin.software, "text goes on");
     }
-    if let Err(error) = text.on_run_start(head.weights_version) {
+    if let Err(error) = text.on_run_start(head.weights_version, &in_flight.origin) {
         return on_text_error(&error);
     }
     let end = read_events(job, reply, in_flight, text, may_move).await;
@@ -165,7 +165,7 @@
     let pace = RunPace::new(now_ms());
     let stalled_at_ms = pace.last_progress_ms() + RUN_STALL_TIMEOUT_MS;
     while now_ms() < stalled_at_ms {
-        let typical_ms = lock(&job.server.pool).typical_pace(&in_flight.service);
+        let typical_ms = lock(&job.server.pool).typical_pace(&in_flight.origin.service);
         let silence_ms = pace.silent_at_ms(typical_ms) - pace.last_progress_ms();
         let slow_start_at_ms = pace.last_progress_ms() + silence_ms * job.start_wait_factor;
         let check_at_ms = slow_start_at_ms.max(now_ms() + MIN_PACE_CHECK_INTERVAL_MS);
@@ -186,11 +186,13 @@
 
 /// Ends a run whose answer does not fit the text.
 ///
-/// The text so far is kept, unless the sample allows a single weights version
-/// and the run would continue it with another.
+/// The text so far is kept, unless the run would continue it with another software
+/// version, or with another weights version although the sample allows a single one.
 fn on_text_error(error: &TextError) -> RunEnd {
     match error {
-        TextError::Mixed(..) => RunEnd::TextUnusable(error.to_string()),
+        TextError::Mixed(..) | TextError::OtherSoftware(..) => {
+            RunEnd::TextUnusable(error.to_string())
+        }
         TextError::OutOfOrder(..) | TextError::TooOld(..) | TextError::NoVersion => {
             RunEnd::Broken(RetryReason::AnswerInvalid, error.to_string())
         }
@@ -212,7 +214,7 @@
     let mut pace = RunPace::new(now_ms());
     let stalled_at_ms = |pace: &RunPace| pace.last_progress_ms() + RUN_STALL_TIMEOUT_MS;
     loop {
-        let typical_ms = lock(&server.pool).typical_pace(&in_flight.service);
+        let typical_ms = lock(&server.pool).typical_pace(&in_flight.origin.service);
         let check_at_ms = pace
             .silent_at_ms(typical_ms)
             .max(now_ms() + MIN_PACE_CHECK_INTERVAL_MS);
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -21,6 +21,7 @@
         rate_limit::Purpose,
         retry::RetryReason,
         routes::Route,
+        streams::StreamOrigin,
     },
     daemon::now_ms,
 };
@@ -37,6 +38,8 @@
 /// The occupancy below which an endpoint is sent a run. A run that is queued at
 /// one endpoint cannot start at another that becomes free sooner.
 const MAX_RUN_OCCUPANCY: f64 = 1.0;
+/// The time between two events of a run until a pace is known, in milliseconds.
+const DEFAULT_EVENT_MS: f64 = 20.0;
 /// How often the quarantine is asked again whether a sample may run, in
 /// milliseconds.
 pub(super) const HELD_CHECK_INTERVAL_MS: u64 = 250;
@@ -103,104 +106,15 @@
 }
 
 impl SampleJob {
-    /// Waits for a slot at an endpoint for the first run.
-    ///
-    /// # Errors
-    ///
-    /// `RouteGone` if no route leads to the sample's host and path, `TimeOver` if
-    /// the sample has expired, and `Held` if it has to wait for longer than other
-    /// samples.
-    pub(crate) async fn reserve_first_endpoint(&self) -> Result<Reservation, ReservationError> {
-        self.reserve_endpoint(&BTreeSet::new()).await
-    }
-
-    /// Waits for a slot until the sample expires, even if it is held.
-    async fn reserve_when_permitted(
-        &self,
-        avoid: &BTreeSet<Name>,
-    ) -> Result<Reservation, ReservationError> {
-        let mut is_logged = false;
-        loop {
-            let reserved = self.reserve_endpoint(avoid).await;
-            if !matches!(reserved, Err(ReservationError::Held)) {
-                return reserved;
-            }
-            if !is_logged {
-                let until_ms = content_runs::held_until_ms(&self.server, &self.content);
-                tracing::info!(batch = %self.batch, sample = %self.sample.id,
-                    content = %self.content, held_ms = until_ms.saturating_sub(now_ms()),
-                    "sample held: its content has crashed endpoints");
-                is_logged = true;
-            }
-            tokio::time::sleep(Duration::from_millis(HELD_CHECK_INTERVAL_MS)).await;
-        }
-    }
-
-    async fn reserve_endpoint(
-        &self,
-        avoid: &BTreeSet<Name>,
-    ) -> Result<Reservation, ReservationError> {
-        let mut avoid = avoid;
-        let no_endpoints = BTreeSet::new();
-        loop {
-            let route = self
-                .server
-                .routes()
-                .find(&self.host, &self.sample.path)
-                .cloned();
-            let route = route.ok_or(ReservationError::RouteGone)?;
-            if self.is_expired() {
-                return Err(ReservationError::TimeOver);
-            }
-            let choose =
-                |suspects: &BTreeSet<Name>| self.choose_endpoint(&route, &(avoid | suspects));
-            let in_flight = match content_runs::try_start(&self.server, &self.content, choose) {
-                StartOutcome::Started(in_flight) => Some(in_flight),
-                StartOutcome::NoEndpoint => None,
-                StartOutcome::Unclaimed(number) => {
-                    let claimed =
-                        content_runs::claim_and_start(&self.server, &self.content, number, choose);
-                    Some(claimed.await.ok_or(ReservationError::Held)?)
-                }
-                StartOutcome::Wait | StartOutcome::Held { .. } => {
-                    return Err(ReservationError::Held);
-                }
-            };
-            if let Some(in_flight) = in_flight {
-                return Ok(Reservation { route, in_flight });
-            }
-            // With no other endpoint free, those that failed before are tried.
-            avoid = &no_endpoints;
-            let changed = self.server.pool_changed.notified();
-            let _ =
-                tokio::time::timeout(Duration::from_millis(ENDPOINT_SEARCH_INTERVAL_MS), changed)
-                    .await;
-        }
-    }
-
-    fn choose_endpoint(&self, route: &Route, avoid: &BTreeSet<Name>) -> Option<Name> {
-        let draw = rand::Rng::random(&mut *lock(&self.server.rng));
-        let requirements = EndpointRequirements {
-            service: route.pick_service(draw)?,
-            data_centre: &self.server.settings.data_centre,
-            avoid,
-            weights: Some((&self.model, self.min_weights_version)),
-            max_occupancy: MAX_RUN_OCCUPANCY,
-            connected: &self.server.http.connected_addresses(),
-            purpose: Purpose::Sample,
-            slice: Some(self.slice),
-        };
-        lock(&self.server.pool).choose(now_ms(), &requirements, &mut *lock(&self.server.rng))
-    }
-
     /// Returns whether a run is expected to do better at another endpoint.
     pub(crate) fn has_better_endpoint(&self, in_flight: &InFlight, pace: &RunPace) -> bool {
         let avoid = BTreeSet::from([in_flight.endpoint.clone()]);
         let requirements = EndpointRequirements {
-            service: &in_flight.service,
+            service: &in_flight.origin.service,
             data_centre: &self.server.settings.data_centre,
             avoid: &avoid,
             weights: Some((&self.model, self.min_weights_version)),
+            software: Some(&in_flight.origin.software),
             max_occupancy: MAX_MOVE_OCCUPANCY,
             connected: &self.server.http.connected_addresses(),
             purpose: Purpose::Hedge,
@@ -238,7 +152,7 @@
 }
 
 /// The runs of one sample so far, and the text that they generated.
-struct SampleRuns {
+pub(crate) struct SampleRuns {
     job: SampleJob,
     text: SampleText,
     is_complete: bool,
@@ -252,7 +166,11 @@
 }
 
 impl SampleRuns {
-    fn new(job: SampleJob, is_single_version: bool) -> Self {
+    /// Starts from the text that earlier runs generated, if it was saved and may go on.
+    pub(crate) fn new(job: SampleJob) -> Self {
+        let routes = job.server.routes();
+        let route = routes.find(&job.host, &job.sample.path);
+        let is_single_version = route.is_some_and(|route| route.is_single_version);
         let min_version = job.min_weights_version;
         let restored = job.saved_text.as_ref();
         let restored = restored.and_then(|saved| {
@@ -274,6 +192,141 @@
         }
     }
 
+    /// Waits for a slot at an endpoint that can run the sample, and add to its text.
+    ///
+    /// A text is discarded if its software version serves no more, or if no endpoint of
+    /// this version becomes free while others could have generated the text again.
+    ///
+    /// # Errors
+    ///
+    /// `RouteGone` if no route leads to the sample's host and path, `TimeOver` if
+    /// the sample has expired, and `Held` if it has to wait for longer than other
+    /// samples.
+    pub(crate) async fn reserve_endpoint(&mut self) -> Result<Reservation, ReservationError> {
+        let server = self.job.server.clone();
+        let mut avoid = self.avoid.clone();
+        let discard_at_ms = now_ms() + self.regeneration_ms();
+        loop {
+            let route = server
+                .routes()
+                .find(&self.job.host, &self.job.sample.path)
+                .cloned();
+            let route = route.ok_or(ReservationError::RouteGone)?;
+            if self.job.is_expired() {
+                return Err(ReservationError::TimeOver);
+            }
+            self.discard_text_if_stuck(&route, discard_at_ms);
+            let choose = |suspects: &BTreeSet<Name>| {
+                self.choose_endpoint(&route, &(&avoid | suspects), self.text.origin())
+            };
+            let content = &self.job.content;
+            let in_flight = match content_runs::try_start(&server, content, choose) {
+                StartOutcome::Started(in_flight) => Some(in_flight),
+                StartOutcome::NoEndpoint => None,
+                StartOutcome::Unclaimed(number) => {
+                    let claimed = content_runs::claim_and_start(&server, content, number, choose);
+                    Some(claimed.await.ok_or(ReservationError::Held)?)
+                }
+                StartOutcome::Wait | StartOutcome::Held { .. } => {
+                    return Err(ReservationError::Held);
+                }
+            };
+            if let Some(in_flight) = in_flight {
+                return Ok(Reservation { route, in_flight });
+            }
+            // With no other endpoint free, those that failed before are tried.
+            avoid.clear();
+            let changed = server.pool_changed.notified();
+            let _ =
+                tokio::time::timeout(Duration::from_millis(ENDPOINT_SEARCH_INTERVAL_MS), changed)
+                    .await;
+        }
+    }
+
+    /// Waits for a slot until the sample expires, even if it is held.
+    async fn reserve_when_permitted(&mut self) -> Result<Reservation, ReservationError> {
+        let mut is_logged = false;
+        loop {
+            let reserved = self.reserve_endpoint().await;
+            if !matches!(reserved, Err(ReservationError::Held)) {
+                return reserved;
+            }
+            if !is_logged {
+                let job = &self.job;
+                let until_ms = content_runs::held_until_ms(&job.server, &job.content);
+                tracing::info!(batch = %job.batch, sample = %job.sample.id,
+                    content = %job.content, held_ms = until_ms.saturating_sub(now_ms()),
+                    "sample held: its content has crashed endpoints");
+                is_logged = true;
+            }
+            tokio::time::sleep(Duration::from_millis(HELD_CHECK_INTERVAL_MS)).await;
+        }
+    }
+
+    fn choose_endpoint(
+        &self,
+        route: &Route,
+        avoid: &BTreeSet<Name>,
+        origin: Option<&StreamOrigin>,
+    ) -> Option<Name> {
+        let job = &self.job;
+        let server = &job.server;
+        let draw = rand::Rng::random(&mut *lock(&server.rng));
+        let service = match origin {
+            Some(origin) => &origin.service,
+            None => route.pick_service(draw)?,
+        };
+        let requirements = EndpointRequirements {
+            service,
+            data_centre: &server.settings.data_centre,
+            avoid,
+            weights: Some((&job.model, job.min_weights_version)),
+            software: origin.map(|origin| &*origin.software),
+            max_occupancy: MAX_RUN_OCCUPANCY,
+            connected: &server.http.connected_addresses(),
+            purpose: Purpose::Sample,
+            slice: Some(job.slice),
+        };
+        lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
+    }
+
+    /// Returns about how long it takes to generate the text again, in milliseconds.
+    fn regeneration_ms(&self) -> u64 {
+        let events = self.text.last_event().unwrap_or(0);
+        let job = &self.job;
+        let pool = lock(&job.server.pool);
+        let origin = self.text.origin();
+        let pace = origin.and_then(|origin| pool.typical_pace(&origin.service));
+        let event_ms = pace.unwrap_or(DEFAULT_EVENT_MS);
+        Duration::from_secs_f64(event_ms.max(0.0) / 1_000.0)
+            .saturating_mul(u32::try_from(events).unwrap_or(u32::MAX))
+            .as_millis()
+            .try_into()
+            .unwrap_or(u64::MAX)
+    }
+
+    /// Discards the text if no endpoint of its software version can add to it, or if
+    /// none was free until a time and an endpoint of another version is.
+    fn discard_text_if_stuck(&mut self, route: &Route, discard_at_ms: u64) {
+        let Some(origin) = self.text.origin().cloned() else {
+            return;
+        };
+        let is_routed = route
+            .services
+            .iter()
+            .any(|entry| entry.service == origin.service);
+        let is_served = is_routed && lock(&self.job.server.pool).has_ready(&origin);
+        let is_late = now_ms() >= discard_at_ms;
+        let no_endpoints = BTreeSet::new();
+        let is_free = |origin| self.choose_endpoint(route, &no_endpoints, origin).is_some();
+        if is_served && !(is_late && is_free(None) && !is_free(Some(&origin))) {
+            return;
+        }
+        tracing::info!(batch = %self.job.batch, sample = %self.job.sample.id, %origin,
+            is_served, events = self.text.last_event(), "text discarded: its software has no room");
+        self.text = SampleText::new(self.job.min_weights_version, self.is_single_version);
+    }
+
     /// Records how a run ended; returns whether the sample is abandoned.
     fn on_run_end(&mut self, endpoint: &Name, end: RunEnd, max_failures: u32) -> bool {
         let (reason, detail) = match end {
@@ -318,19 +371,17 @@
 
 /// Runs a sample at one endpoint after another until it can be listed.
 pub(crate) async fn run_sample(
-    job: SampleJob,
+    mut runs: SampleRuns,
     first_reservation: Result<Reservation, ReservationError>,
 ) -> ListedSample {
     let started_ms = now_ms();
-    let is_single = matches!(&first_reservation, Ok(first) if first.route.is_single_version);
-    let mut runs = SampleRuns::new(job, is_single);
     let kept_events = runs.text.last_event();
     let mut next_reservation = first_reservation;
     while !runs.is_complete {
         let reservation = match next_reservation {
             Ok(reservation) => reservation,
             Err(ReservationError::Held) => {
-                next_reservation = runs.job.reserve_when_permitted(&runs.avoid).await;
+                next_reservation = runs.reserve_when_permitted().await;
                 continue;
             }
             Err(reason) => {
@@ -369,7 +420,7 @@
         };
         let wait_ms = RUN_RETRY_DELAY_MS << runs.runs_without_progress.min(MAX_RUN_RETRY_DOUBLINGS);
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-        next_reservation = runs.job.reserve_endpoint(&runs.avoid).await;
+        next_reservation = runs.reserve_endpoint().await;
     }
     finish_sample(&runs, started_ms, kept_events).await
 }
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -117,6 +117,7 @@
         max_occupancy: MAX_SCORE_OCCUPANCY,
         connected: &server.http.connected_addresses(),
         purpose: Purpose::Score,
+        software: None,
         slice: None,
     };
     lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -8,7 +8,7 @@
     claims, failures, listing,
     progress::{self, UnsavedTexts},
     read_batch,
-    sample::{self, SampleJob},
+    sample::{self, SampleJob, SampleRuns},
     state::{Server, lock},
 };
 use crate::core::{
@@ -87,10 +87,11 @@
             saved_text: saved_texts.remove(&missing[index].id),
             unsaved_texts: unsaved_texts.clone(),
         };
-        let reservation = job.reserve_first_endpoint().await;
+        let mut runs = SampleRuns::new(job);
+        let reservation = runs.reserve_endpoint().await;
         let finished_sender = finished_sender.clone();
         running.spawn(async move {
-            let listed = sample::run_sample(job, reservation).await;
+            let listed = sample::run_sample(runs, reservation).await;
             // Cannot fail: the listing task receives until all senders are
             // dropped.
             let _ = finished_sender.send(listed);
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -25,6 +25,7 @@
         rate_limit::{IssuerAuthority, PermitIssuer},
         roster::Roster,
         routes::RouteTable,
+        streams::{SoftwareHistory, StreamOrigin, StreamOrigins},
     },
     daemon::now_ms,
     platform::{AnswerHead, Store},
@@ -65,6 +66,8 @@
     /// The VMs that issued no permit because they did not answer, and until when they
     /// are not asked.
     pub(crate) silent_issuers: Mutex<BTreeMap<Name, u64>>,
+    pub(crate) stream_origins: Mutex<StreamOrigins>,
+    pub(crate) software_history: Mutex<SoftwareHistory>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     pub(crate) is_draining: AtomicBool,
@@ -103,6 +106,8 @@
             permit_issuer: Mutex::default(),
             issuer_authority: Mutex::default(),
             silent_issuers: Mutex::default(),
+            stream_origins: Mutex::default(),
+            software_history: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             is_draining: AtomicBool::new(false),
@@ -140,20 +145,20 @@
     /// Counts a run as in flight at an endpoint until the returned guard is dropped;
     /// its start must have been recorded in the quarantine.
     pub(crate) fn track_request(self: &Arc<Self>, endpoint: &Name, content: &Name) -> InFlight {
-        let mut service = Name::from("");
-        let mut software = Name::from("");
+        let mut origin = StreamOrigin {
+            service: "".into(),
+            software: "".into(),
+        };
         let mut incarnation = 0;
         if let Some(known) = lock(&self.pool).get_mut(endpoint) {
             known.on_run_start(now_ms());
-            service = known.record.service.clone();
-            software = known.record.software.clone();
+            origin = known.record.origin();
             incarnation = known.record.started_unix_ms;
         }
         InFlight {
             server: self.clone(),
             endpoint: endpoint.clone(),
-            service,
-            software,
+            origin,
             content: content.clone(),
             incarnation,
             started_ms: now_ms(),
@@ -166,9 +171,8 @@
 pub(crate) struct InFlight {
     server: Arc<Server>,
     pub(crate) endpoint: Name,
-    pub(crate) service: Name,
-    /// The version of the endpoint's software, as it was listed at the start.
-    pub(crate) software: Name,
+    /// The endpoint's service and software version, as they were listed at the start.
+    pub(crate) origin: StreamOrigin,
     /// The fingerprint of the request's content.
     pub(crate) content: Name,
     /// The endpoint's incarnation, as it was listed at the start.
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -115,6 +115,12 @@
 /// The path at which VMs are asked whether they reach an endpoint.
 pub const REACHABILITY_PATH: &str = "/peer/reachability";
 
+/// The path at which VMs are told who began a stream.
+pub const STREAM_NOTICE_PATH: &str = "/peer/stream";
+
+/// The path at which VMs are asked who began a stream.
+pub const STREAM_QUERY_PATH: &str = "/peer/stream-origin";
+
 /// The path at which VMs are asked for permits to send requests to endpoints.
 pub const PERMIT_PATH: &str = "/peer/permit";
 
--- a/tests/loads/bursts_spread_over_samplers.rs
+++ b/tests/loads/bursts_spread_over_samplers.rs
@@ -26,6 +26,7 @@
         weights: None,
         max_occupancy: 1.0,
         connected: const { &BTreeSet::new() },
+        software: None,
         purpose: Purpose::Sample,
         slice: None,
     }
--- a/tests/loads/refusals_pause_a_sampler.rs
+++ b/tests/loads/refusals_pause_a_sampler.rs
@@ -25,6 +25,7 @@
         weights: None,
         max_occupancy,
         connected: &BTreeSet::new(),
+        software: None,
         purpose: Purpose::Sample,
         slice: None,
     };
--- a/tests/loads/runs_move_off_slow_samplers.rs
+++ b/tests/loads/runs_move_off_slow_samplers.rs
@@ -39,6 +39,7 @@
         weights: None,
         max_occupancy,
         connected: const { &BTreeSet::new() },
+        software: None,
         purpose: Purpose::Sample,
         slice: None,
     }
--- a/tests/loads/shares_prefer_their_endpoint_slices.rs
+++ b/tests/loads/shares_prefer_their_endpoint_slices.rs
@@ -54,6 +54,7 @@
             weights: None,
             max_occupancy: 1.0,
             connected: &connected,
+            software: None,
             purpose: Purpose::Sample,
             slice,
         };
