Move the sending of one attempt to a file of its own

What a request does over its attempts stays there; how one attempt is sent and its answer judged is in attempt.rs. Nothing else changes.

--- a/src/core/routes/route.rs
+++ b/src/core/routes/route.rs
@@ -18,6 +18,14 @@
     Batch,
 }
 
+impl RouteKind {
+    /// Returns whether responses are streams of events.
+    #[must_use]
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
 /// A service that receives part of a route's requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WeightedService {
--- /dev/null
+++ b/src/server/attempt.rs
@@ -0,0 +1,231 @@
+//! Sends a caller's request to one endpoint.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Method, Response, StatusCode};
+
+use super::{
+    crash, endpoint_exchange,
+    http_client::{ExchangeError, Reply, WholeReply},
+    permits,
+    response::{Body, full_body},
+    state::{InFlight, Server, lock},
+    stream::stream_response,
+    streams,
+};
+use crate::{
+    core::{Name, rate_limit::Purpose, retry::RetryReason, routes::Route},
+    daemon::now_ms,
+    platform::{AnswerHead, RequestHeaders, build_request, forwardable_headers, parse_answer_head},
+};
+
+/// Why an attempt did not yield a successful response.
+pub(crate) enum AttemptError {
+    /// The request was not sent, since the endpoint has reached its request limit.
+    NotPermitted(String),
+    /// The endpoint did not run the request.
+    NotRun(RetryReason, String),
+    /// The endpoint may have run the request.
+    MayHaveRun(RetryReason, String),
+    /// The endpoint ran the request and answered with a server error.
+    ErrorResponse(Box<Response<Body>>),
+}
+
+/// A request as it is sent to one endpoint.
+pub(crate) struct EndpointRequest<'a> {
+    pub(crate) method: Method,
+    pub(crate) path: &'a str,
+    pub(crate) headers: hyper::HeaderMap,
+    pub(crate) host: &'a str,
+    pub(crate) id: &'a Name,
+    pub(crate) body: Bytes,
+    pub(crate) caller_deadline_ms: u64,
+    pub(crate) purpose: Purpose,
+    pub(crate) is_resumed: bool,
+    pub(crate) resumed_request: Option<Name>,
+    /// How long it may wait for a permit, in milliseconds.
+    pub(crate) max_wait_ms: u64,
+}
+
+/// Sends a request to the endpoint of a run that was started, and reads its answer, or
+/// the head of a stream.
+///
+/// # Errors
+///
+/// Returns why there is no successful answer, and whether the request may have run.
+pub(crate) async fn send_to_endpoint(
+    server: &Arc<Server>,
+    route: &Route,
+    in_flight: InFlight,
+    outgoing: EndpointRequest<'_>,
+) -> Result<Response<Body>, AttemptError> {
+    let endpoint = &in_flight.endpoint;
+    let not_sent = |message: String| {
+        in_flight.mark_incomplete();
+        AttemptError::NotRun(RetryReason::ConnectFailed, message)
+    };
+    let address = lock(&server.pool)
+        .get(endpoint)
+        .map(|known| known.record.address)
+        .ok_or_else(|| not_sent("endpoint is no longer listed".to_owned()))?;
+    let permitted = permits::obtain(
+        server,
+        endpoint,
+        outgoing.id,
+        outgoing.purpose,
+        outgoing.max_wait_ms,
+    )
+    .await;
+    let permit = match permitted {
+        Ok(permit) => permit,
+        Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
+    };
+    let request_headers = RequestHeaders {
+        request_id: outgoing.id,
+        endpoint,
+        host: outgoing.host,
+        remaining_ms: outgoing.caller_deadline_ms.saturating_sub(now_ms()),
+        after_event: None,
+        priority: None,
+    };
+    let request = build_request(
+        outgoing.method,
+        outgoing.path,
+        outgoing.headers,
+        &request_headers,
+        outgoing.body,
+    )
+    .map_err(not_sent)?;
+    let reply = match endpoint_exchange::send(server, endpoint, address, request, permit).await {
+        Ok(reply) => reply,
+        Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
+    };
+    let head = parse_answer_head(outgoing.id, reply.status, &reply.headers);
+    record_answer_head(server, endpoint, &head);
+    if head.is_not_run {
+        in_flight.mark_incomplete();
+        let message = format!("endpoint refused with {}", reply.status);
+        reply.drain_refusal().await;
+        return Err(AttemptError::NotRun(RetryReason::EndpointRefused, message));
+    }
+    if !head.is_for_request
+        || head.is_encoded
+        || (reply.status.is_success() && head.stamp.is_none())
+    {
+        let message = "answer is to another request, encoded or unsigned".to_owned();
+        return Err(AttemptError::MayHaveRun(
+            RetryReason::AnswerInvalid,
+            message,
+        ));
+    }
+    if route.kind.is_stream() && reply.status.is_success() {
+        if !outgoing.is_resumed {
+            let (origin, until_ms) = (in_flight.origin.clone(), outgoing.caller_deadline_ms);
+            streams::on_begun(server, outgoing.id, origin, until_ms);
+        }
+        tracing::info!(id = %outgoing.id, %endpoint, service = %in_flight.origin.service,
+            software = %in_flight.origin.software, is_resumed = outgoing.is_resumed,
+            resumed_request = outgoing.resumed_request.as_deref(), "stream runs");
+        return Ok(stream_response(server, outgoing.id, reply, in_flight));
+    }
+    let reply = match reply.read_whole().await {
+        Ok(reply) => reply,
+        Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
+    };
+    in_flight.record_answer(&head);
+    record_success(server, route, &in_flight);
+    checked_response(reply, head.stamp.is_some())
+}
+
+async fn on_exchange_error(
+    server: &Arc<Server>,
+    in_flight: &InFlight,
+    id: &str,
+    error: &ExchangeError,
+) -> AttemptError {
+    if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
+        && !matches!(error, ExchangeError::NotPermitted(_))
+    {
+        known.on_failure(now_ms());
+    }
+    crash::on_broken_run(server, in_flight, id, error).await;
+    match error {
+        ExchangeError::NotPermitted(message) => AttemptError::NotPermitted(message.clone()),
+        ExchangeError::NotSent(message) => {
+            AttemptError::NotRun(RetryReason::ConnectFailed, message.clone())
+        }
+        ExchangeError::Incomplete(message) => {
+            AttemptError::MayHaveRun(RetryReason::AnswerCut, message.clone())
+        }
+    }
+}
+
+fn record_success(server: &Server, route: &Route, in_flight: &InFlight) {
+    let took_s = super::metrics::elapsed_seconds(in_flight.started_ms, now_ms());
+    let target_s = super::metrics::elapsed_seconds(0, route.target_latency_ms.max(1));
+    if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
+        known.on_success();
+        // Relative to the latency objective, since the work of a request is
+        // roughly proportional to the objective of its route.
+        known.on_pace(took_s / target_s);
+    }
+}
+
+/// Records the load report or the refusal in the head of an endpoint's answer.
+pub(crate) fn record_answer_head(server: &Server, endpoint: &Name, head: &AnswerHead) {
+    let mut pool = lock(&server.pool);
+    let Some(known) = pool.get_mut(endpoint) else {
+        return;
+    };
+    if let Some(report) = head.load {
+        known.load.on_report(now_ms(), report);
+    }
+    if head.is_not_run {
+        known.on_refusal(now_ms());
+    }
+}
+
+fn checked_response(reply: WholeReply, is_stamped: bool) -> Result<Response<Body>, AttemptError> {
+    let status = reply.status;
+    let promises_not_run = matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    );
+    // Forwarded to the caller, such a status would promise that the request has
+    // not run.
+    if promises_not_run || !is_stamped {
+        let message = format!("endpoint answered {status}, but may have run the request");
+        return Err(AttemptError::MayHaveRun(
+            RetryReason::AnswerInvalid,
+            message,
+        ));
+    }
+    let mut response = Response::new(full_body(reply.body));
+    *response.status_mut() = status;
+    *response.headers_mut() = forwardable_headers(&reply.headers);
+    if status.is_server_error() {
+        return Err(AttemptError::ErrorResponse(Box::new(response)));
+    }
+    Ok(response)
+}
+
+/// How long reading the body of a refusal may take, in milliseconds.
+const REFUSAL_BODY_TIMEOUT_MS: u64 = 50;
+
+impl Reply {
+    /// Reads and drops the body of a refusal, so that the connection can be
+    /// reused.
+    pub(crate) async fn drain_refusal(self) {
+        let limit = Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
+        if tokio::time::timeout(limit, self.read_whole())
+            .await
+            .is_err()
+        {
+            tracing::debug!("connection closed: the body of a refusal was not read in time");
+        }
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -6,6 +6,7 @@
 //! load weights versions.
 
 mod accept;
+mod attempt;
 mod claims;
 mod clean;
 mod content_runs;
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -8,9 +8,9 @@
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
 
 use super::{
+    attempt::record_answer_head,
     crash, endpoint_exchange,
     fleet::record_weights_version,
-    forward::record_answer_head,
     http_client::{ExchangeError, Reply},
     metrics::elapsed_seconds,
     permits,
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -5,10 +5,10 @@
 use hyper::{HeaderMap, Method, StatusCode};
 
 use super::{
+    attempt::record_answer_head,
     content_runs::{self, StartOutcome},
     crash, endpoint_exchange,
     failures::{FailedCall, write_failures},
-    forward::record_answer_head,
     metrics::elapsed_seconds,
     permits,
     sample::{HELD_CHECK_INTERVAL_MS, SampleJob},
