Hand score calls only the time that is left, over all their tries

What samplers saw: a score call that was repeated later than half a second after its first try was handed a deadline of its own each time, which ended more than half a second after that of the first; where scoring takes longer than one try waits, all calls did so.

Cause: the deadline that is passed on was the timeout of a single try, not what is left of the sample's time. Class of fault: a duration handed on anew with each repeat in place of a stored deadline. Samples and callers' requests already hand on what is left of one deadline; score calls were the only way that did not.

Each try now hands on what is left until the sample expires. A try still waits only as long as before and closes its connection then, which cancels it.

Evidence: process_serve::budgets_on_busy_machines judges attempts, time and crashes from what samplers received.

--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -62,15 +62,11 @@
             return RunEnd::Refused(error.to_string());
         }
     };
-    let remaining_ms = match server.store.clock_bounds_ms() {
-        Some((_, latest_ms)) => job.expires_platform_ms.saturating_sub(latest_ms),
-        None => reservation.route.timeout_ms,
-    };
     let request_headers = RequestHeaders {
         request_id: &job.sample.id,
         endpoint: &endpoint,
         host: &job.host,
-        remaining_ms,
+        remaining_ms: job.remaining_ms(&reservation.route),
         after_event: text.last_event(),
         priority: None,
     };
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -130,6 +130,15 @@
         )
     }
 
+    /// Returns the time until the sample expires, in milliseconds, or the timeout of a
+    /// route if the platform's clock is not known.
+    pub(crate) fn remaining_ms(&self, route: &Route) -> u64 {
+        match self.server.store.clock_bounds_ms() {
+            Some((_, latest_ms)) => self.expires_platform_ms.saturating_sub(latest_ms),
+            None => route.timeout_ms,
+        }
+    }
+
     fn is_expired(&self) -> bool {
         let clock = self.server.store.clock_bounds_ms();
         clock.is_some_and(|(earliest_ms, _)| earliest_ms > self.expires_platform_ms)
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -153,7 +153,9 @@
         request_id: &call.id,
         endpoint,
         host: &call.host,
-        remaining_ms: timeout_ms,
+        // What is left stays the same over all tries: a try that times out closes its
+        // connection, which cancels it.
+        remaining_ms: job.remaining_ms(route),
         after_event: None,
         priority: None,
     };
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ffi::OsString,
     fs::{self, File},
     net::SocketAddr,
     path::PathBuf,
@@ -143,7 +144,7 @@
         fs::write(&file, settings.to_string()).expect("the settings are written");
         let log = self.dir.join(format!("{name}-{}.log", self.start_count));
         let output = File::create(&log).expect("the log is made");
-        let child = Command::new(env!("CARGO_BIN_EXE_chicoryreach"))
+        let child = Command::new(program())
             .args(["serve", "--settings"])
             .arg(&file)
             .stdout(Stdio::from(output))
@@ -340,6 +341,13 @@
     }
 }
 
+/// Returns the program under test: the variable `CHICORYREACH_PROGRAM` names that of
+/// an earlier commit, to compare with.
+fn program() -> OsString {
+    std::env::var_os("CHICORYREACH_PROGRAM")
+        .unwrap_or_else(|| env!("CARGO_BIN_EXE_chicoryreach").into())
+}
+
 /// Sends a request; returns `None` if the answer was incomplete.
 pub async fn call(
     http: &HttpClient,
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -5,6 +5,7 @@
 
 mod process_serve {
     mod batches_under_vm_and_store_faults;
+    mod budgets_on_busy_machines;
     mod crashes_without_a_closed_connection;
     mod invalid_answers_and_ended_batches;
     mod leaving_samplers_get_no_requests;
