Let score calls wait longer after a try that timed out

One try waits twice the route's latency objective; a sampler that takes longer never answers a call, whatever the route's timeout allows.

Cause: the timeout of a try stayed the same over all tries. It now doubles after each try that timed out, up to the route's timeout.

Evidence: with samplers that take 450 ms for an objective of 150 ms, score_calls_wait_longer_after_a_try_that_timed_out failed before (dead samples) and now lists all samples after three tries at most.

--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -24,8 +24,11 @@
 };
 
 /// The timeout of a score call, as a multiple of its route's latency objective.
-/// A call that times out is retried, since its answer may be lost.
+/// A call that times out is retried, since its answer may be lost, and then waits
+/// twice as long, since it may only be slow.
 const SCORE_TIMEOUT_FACTOR: u64 = 2;
+/// How often the timeout is doubled at most; the route's timeout bounds it too.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 6;
 /// How long to wait before a score call is retried, or before the pool is
 /// searched again for an endpoint, in milliseconds.
 const SCORE_RETRY_DELAY_MS: u64 = 15;
@@ -40,6 +43,8 @@
     Failed,
     /// It brought no usable answer and may be retried.
     Retry(RetryReason, String),
+    /// It brought no answer within its timeout.
+    TimedOut,
 }
 
 /// Returns the score of a sample.
@@ -51,6 +56,7 @@
     let started_ms = now_ms();
     let content = content_fingerprint(&call.host, &call.path, &call.body);
     let mut failures = job.failures.score_calls;
+    let mut timeouts = 0;
     let mut avoid = BTreeSet::new();
     loop {
         let route = server.routes().find(&call.host, &call.path).cloned();
@@ -82,7 +88,7 @@
             continue;
         };
         let endpoint = in_flight.endpoint.clone();
-        match call_endpoint(job, call, &route, in_flight).await {
+        match call_endpoint(job, call, &route, in_flight, timeouts).await {
             CallEnd::Scored(score) => {
                 let score_s = elapsed_seconds(started_ms, now_ms());
                 server.metrics.score_seconds.observe(score_s);
@@ -95,6 +101,12 @@
                 let sample = &job.sample.id;
                 write_failures(server, &job.batch, sample, FailedCall::Score, failures).await;
             }
+            CallEnd::TimedOut => {
+                timeouts += 1;
+                server.metrics.on_retry(RetryReason::AnswerStalled);
+                tracing::info!(sample = %job.sample.id, call = %call.id, %content, %endpoint, timeouts,
+                    "score call timed out");
+            }
             CallEnd::Retry(reason, message) => {
                 server.metrics.on_retry(reason);
                 tracing::info!(sample = %job.sample.id, call = %call.id, %content, %endpoint, %reason,
@@ -128,6 +140,7 @@
     call: &ScoreCall,
     route: &Route,
     in_flight: InFlight,
+    timeouts: u32,
 ) -> CallEnd {
     let server = &job.server;
     let endpoint = &in_flight.endpoint;
@@ -148,7 +161,9 @@
             return CallEnd::Retry(RetryReason::LimitReached, error.to_string());
         }
     };
-    let timeout_ms = (route.target_latency_ms * SCORE_TIMEOUT_FACTOR).clamp(1, route.timeout_ms);
+    let timeout_ms =
+        (route.target_latency_ms * SCORE_TIMEOUT_FACTOR) << timeouts.min(MAX_TIMEOUT_DOUBLINGS);
+    let timeout_ms = timeout_ms.clamp(1, route.timeout_ms.max(1));
     let request_headers = RequestHeaders {
         request_id: &call.id,
         endpoint,
@@ -185,6 +200,9 @@
                 known.on_failure(now_ms());
             }
             crash::on_broken_run(server, &in_flight, &call.id, &error).await;
+            if now_ms() >= deadline_ms {
+                return CallEnd::TimedOut;
+            }
             return CallEnd::Retry(RetryReason::AnswerCut, error.to_string());
         }
     };
--- a/tests/process_serve/budgets_on_busy_machines.rs
+++ b/tests/process_serve/budgets_on_busy_machines.rs
@@ -134,6 +134,32 @@
     Overruns::of(&fleet.plain_samplers, 3).assert_bounded();
 }
 
+/// Guards against score calls that are repeated until their sample expires, since no try
+/// waits as long as the sampler takes, although the route allows it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn score_calls_wait_longer_after_a_try_that_timed_out() {
+    const SAMPLES: usize = 12;
+    const MAX_TRIES: usize = 3;
+    let slow = SamplerSettings {
+        work_ms: 450,
+        ..SAMPLER_SETTINGS
+    };
+    let fleet = Fleet::start(2, slow).await;
+    fleet.submit_batch(0, "b1", SAMPLES, 1).await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let results = fleet.read_all_results(0, "b1", SAMPLES).await;
+    fleet.assert_all_complete("b1", &results, SAMPLES, SAMPLER_SETTINGS.events);
+    for number in 0..SAMPLES {
+        let id = format!("b1-score{number}");
+        let runs = fleet
+            .plain_samplers
+            .iter()
+            .flat_map(Sampler::run_request_ids);
+        let tries = runs.filter(|run| *run == id).count();
+        assert!((1..=MAX_TRIES).contains(&tries), "{id}: {tries} tries");
+    }
+}
+
 /// Keeps processors busy until it is dropped.
 struct Burners(Arc<AtomicBool>, Vec<thread::JoinHandle<()>>);
 
