Bound the heads and bodies that are read of an endpoint's answer

What callers saw: 504 and closed connections at a VM that had sent one request to an endpoint whose answer does not end; the VM answered nobody, or its memory grew until the deadline.

Cause: hyper reads informational heads for as long as they come, and does not let other tasks run meanwhile; whole bodies were collected without bound, and so were the bodies of refusals before they were dropped. Class of fault: input of a neighbour that is collected until it ends.

A connection now fails after 128 KiB without a complete head; a whole answer after 8 MiB, or if all that are being collected exceed 24 MiB together; a refusal's body after 16 KiB. The endpoint is avoided, and the request is retried if it may be.

Evidence: stand-ins that send such heads and bodies, against a VM whose peak memory is read from the kernel (the smallest VMs have 88 MB).

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer_fault;
 mod down;
+mod endless;
 mod event_stream;
 mod row_store;
 mod sampler;
@@ -11,6 +12,7 @@
 pub use self::{
     answer_fault::AnswerFault,
     down::WhenDown,
+    endless::{EndlessPart, EndlessSampler},
     row_store::{Row, RowStore},
     sampler::{RunStart, Sampler, SamplerSettings},
     store_server::{StoreServer, StoreWriter},
--- a/src/core/retry/reason.rs
+++ b/src/core/retry/reason.rs
@@ -16,6 +16,8 @@
     AnswerCut,
     /// The endpoint sent nothing for too long.
     AnswerStalled,
+    /// The response was longer than is allowed.
+    AnswerTooLong,
     /// The response violated the protocol.
     AnswerInvalid,
     /// A sample was generated too slowly, and resumes at another endpoint.
--- a/src/server/attempt.rs
+++ b/src/server/attempt.rs
@@ -129,7 +129,10 @@
             resumed_request = outgoing.resumed_request.as_deref(), "stream runs");
         return Ok(stream_response(server, outgoing.id, reply, in_flight));
     }
-    let reply = match reply.read_whole().await {
+    let reply = match reply
+        .read_bounded(endpoint_exchange::MAX_ANSWER_BYTES)
+        .await
+    {
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
@@ -155,6 +158,9 @@
         ExchangeError::NotSent(message) => {
             AttemptError::NotRun(RetryReason::ConnectFailed, message.clone())
         }
+        ExchangeError::TooLong(message) => {
+            AttemptError::MayHaveRun(RetryReason::AnswerTooLong, message.clone())
+        }
         ExchangeError::Incomplete(message) => {
             AttemptError::MayHaveRun(RetryReason::AnswerCut, message.clone())
         }
@@ -215,17 +221,23 @@
 
 /// How long reading the body of a refusal may take, in milliseconds.
 const REFUSAL_BODY_TIMEOUT_MS: u64 = 50;
+/// The most bytes of the body of a refusal that are read.
+const MAX_REFUSAL_BODY_BYTES: usize = 16 * 1024;
 
 impl Reply {
     /// Reads and drops the body of a refusal, so that the connection can be
     /// reused.
     pub(crate) async fn drain_refusal(self) {
         let limit = Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
-        if tokio::time::timeout(limit, self.read_whole())
-            .await
-            .is_err()
-        {
-            tracing::debug!("connection closed: the body of a refusal was not read in time");
+        let read = tokio::time::timeout(limit, self.read_bounded(MAX_REFUSAL_BODY_BYTES));
+        match read.await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => {
+                tracing::debug!(%error, "connection closed: the body of a refusal was not read");
+            }
+            Err(_) => {
+                tracing::debug!("connection closed: the body of a refusal was not read in time");
+            }
         }
     }
 }
--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -35,6 +35,10 @@
         in_flight.mark_incomplete();
         return;
     }
+    // This VM closed the connection: whether the endpoint crashes is still to be seen.
+    if matches!(error, ExchangeError::TooLong(_)) {
+        return;
+    }
     let endpoint = &in_flight.endpoint;
     let listed = lock(&server.pool)
         .get(endpoint)
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -17,6 +17,9 @@
     platform::{StatedLimit, announces_leaving, names_other_request, stated_limit},
 };
 
+/// The most bytes of the body of an endpoint's whole answer.
+pub(crate) const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
 /// Sends a request to an endpoint and waits for the head of its answer.
 ///
 /// # Errors
@@ -60,7 +63,7 @@
 ) -> Result<WholeReply, ExchangeError> {
     let exchange = async {
         let reply = send(server, endpoint, address, request, permit).await?;
-        reply.read_whole().await
+        reply.read_bounded(MAX_ANSWER_BYTES).await
     };
     within(exchange, address, deadline_ms).await
 }
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -21,7 +21,11 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use super::lock;
+use super::{
+    buffered_bytes::BufferedBytes,
+    head_limit::{HeadLimit, LimitedStream},
+    lock,
+};
 use crate::daemon::now_ms;
 
 /// The timeout for establishing a connection, in milliseconds: far more than a
@@ -48,6 +52,11 @@
         NotPermitted(message: String) {
             display("not permitted: {message}")
         }
+        /// The request was sent and may have been processed, but its response is longer
+        /// than is allowed.
+        TooLong(message: String) {
+            display("sent, but the response is too long: {message}")
+        }
         /// The request was sent and may have been processed, but its response
         /// is missing or incomplete.
         Incomplete(message: String) {
@@ -76,6 +85,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ExchangeClient {
     idle: Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
+    /// The answers of endpoints that are being collected.
+    buffered: BufferedBytes,
 }
 
 #[derive(Debug)]
@@ -88,6 +99,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     task: AbortHandle,
 }
 
@@ -189,8 +201,10 @@
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Reply, (ExchangeError, Option<Request<Full<Bytes>>>)> {
+        connection.head_limit.on_request();
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
+                connection.head_limit.on_head();
                 let (parts, body) = response.into_parts();
                 Ok(Reply {
                     status: parts.status,
@@ -299,13 +313,41 @@
         while let Some(bytes) = self.next_bytes().await? {
             body.extend_from_slice(&bytes);
         }
+        Ok(self.into_whole(body).await)
+    }
+
+    /// Reads the whole body of an endpoint's response, of at most `max_bytes`, and keeps
+    /// the connection for the next request.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Incomplete` if the connection fails before the end of the body, and
+    /// `TooLong` if the body is longer, or if all bodies that are being read are too
+    /// long together.
+    pub(crate) async fn read_bounded(
+        mut self,
+        max_bytes: usize,
+    ) -> Result<WholeReply, ExchangeError> {
+        let mut body = BytesMut::new();
+        let mut buffered = self.client.buffered.begin();
+        while let Some(bytes) = self.next_bytes().await? {
+            if !buffered.add(bytes.len(), max_bytes) {
+                let message = format!("body from {} of over {} bytes", self.address, body.len());
+                return Err(ExchangeError::TooLong(message));
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(self.into_whole(body).await)
+    }
+
+    async fn into_whole(self, body: BytesMut) -> WholeReply {
         let (status, headers) = (self.status, self.headers.clone());
         self.release_connection().await;
-        Ok(WholeReply {
+        WholeReply {
             status,
             headers,
             body: body.freeze(),
-        })
+        }
     }
 
     /// Keeps the connection for the next request, unless the other side closes
@@ -376,7 +418,12 @@
     stream
         .set_nodelay(true)
         .map_err(|error| not_sent(format!("cannot set TCP_NODELAY for {address}: {error}")))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let head_limit = HeadLimit::new();
+    let limited = LimitedStream {
+        stream,
+        limit: head_limit.clone(),
+    };
+    let (sender, connection) = http1::handshake(TokioIo::new(limited))
         .await
         .map_err(|error| not_sent(format!("cannot start HTTP with {address}: {error}")))?;
     let task = tokio::spawn(async move {
@@ -386,6 +433,7 @@
     });
     Ok(Connection {
         sender,
+        head_limit,
         task: task.abort_handle(),
     })
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod attempt;
+mod buffered_bytes;
 mod claims;
 mod clean;
 mod content_runs;
@@ -19,6 +20,7 @@
 mod follow;
 mod forward;
 mod front;
+mod head_limit;
 mod held;
 mod http_client;
 mod listing;
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -298,6 +298,7 @@
     let reason = match error {
         ExchangeError::NotSent(_) | ExchangeError::NotPermitted(_) => RetryReason::ConnectFailed,
         ExchangeError::Incomplete(_) => RetryReason::AnswerCut,
+        ExchangeError::TooLong(_) => RetryReason::AnswerTooLong,
     };
     RunEnd::Broken(reason, error.to_string())
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -303,6 +303,15 @@
 }
 
 impl Vm {
+    /// Returns the most memory that the VM's process has used so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.split_whitespace().next()?.parse::<u64>().ok());
+        peak.expect("the kernel states it") * 1_024
+    }
+
     /// Returns the VM's log.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -4,6 +4,7 @@
 mod fleet;
 
 mod process_serve {
+    mod answers_without_end;
     mod batches_under_vm_and_store_faults;
     mod budgets_on_busy_machines;
     mod crashes_without_a_closed_connection;
