Bound the events and texts of samples

What trainers saw: samples that are never listed, since they run at an endpoint whose events do not end; 24 of 32 results after a minute.

Cause: an event without its empty line, and a text, grew for as long as bytes came; a run ends early only if no event comes for two seconds. Texts of over 64 KiB could never be stored either.

An event ends its run after 64 KiB; a text that exceeds 60,000 bytes is discarded and the sample starts anew at another endpoint, the first one is avoided for a time.

--- a/src/core/batch/sample_text.rs
+++ b/src/core/batch/sample_text.rs
@@ -4,6 +4,9 @@
 use super::Event;
 use crate::core::{Name, streams::StreamOrigin};
 
+/// The most bytes of a text: a row of the platform's store holds 64 KiB.
+const MAX_TEXT_BYTES: usize = 60_000;
+
 quick_error! {
     /// An error for a run whose output cannot be added to the sample's text.
     #[derive(Clone, Debug, Eq, PartialEq)]
@@ -30,6 +33,10 @@
         OtherSoftware(origin: StreamOrigin, earlier: StreamOrigin) {
             display("a run at {} in a text of {}", origin, earlier)
         }
+        /// The text would be longer than is allowed.
+        TooLong {
+            display("the text exceeds {} bytes", MAX_TEXT_BYTES)
+        }
         /// The run did not state its weights version.
         NoVersion {
             display("the run does not state its weights version")
@@ -197,7 +204,8 @@
     /// # Errors
     ///
     /// Returns [`TextError::OutOfOrder`] if the event is not the next one,
-    /// [`TextError::NoVersion`] if its weights version is unknown, and
+    /// [`TextError::NoVersion`] if its weights version is unknown,
+    /// [`TextError::TooLong`] if the text would be too long to be stored, and
     /// [`TextError::TooOld`] or [`TextError::Mixed`] if the sample does not
     /// allow the version.
     pub fn on_event(&mut self, event: &Event) -> Result<(), TextError> {
@@ -208,6 +216,9 @@
         let version = event.weights_version.or(self.run_version);
         let version = version.ok_or(TextError::NoVersion)?;
         self.check_version(version)?;
+        if self.text.len() + event.data.len() > MAX_TEXT_BYTES {
+            return Err(TextError::TooLong);
+        }
         self.run_version = Some(version);
         if self.versions.last() != Some(&version) && !self.versions.contains(&version) {
             self.versions.push(version);
--- a/src/server/progress.rs
+++ b/src/server/progress.rs
@@ -33,8 +33,6 @@
 const MIN_NEW_EVENTS: u64 = 12;
 /// The number of bytes of text above which a transaction takes no further text.
 const MAX_TEXT_BYTES_PER_TX: usize = 400_000;
-/// Only texts shorter than this are saved, in bytes. A row holds 64 KiB.
-const MAX_SAVED_TEXT_BYTES: usize = 60_000;
 /// How many earlier batches are searched for texts of the same samples.
 const MAX_EARLIER_BATCHES: usize = 2;
 
@@ -52,10 +50,7 @@
         if last < saved_event + MIN_NEW_EVENTS {
             return saved_event;
         }
-        if let Some(saved) = text
-            .saved(false)
-            .filter(|saved| saved.text.len() < MAX_SAVED_TEXT_BYTES)
-        {
+        if let Some(saved) = text.saved(false) {
             lock(&self.waiting).insert(sample.clone(), saved);
         }
         last
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -182,11 +182,11 @@
 
 /// Ends a run whose answer does not fit the text.
 ///
-/// The text so far is kept, unless the run would continue it with another software
+/// The text so far is kept, unless it is too long or the run would continue it with another software
 /// version, or with another weights version although the sample allows a single one.
 fn on_text_error(error: &TextError) -> RunEnd {
     match error {
-        TextError::Mixed(..) | TextError::OtherSoftware(..) => {
+        TextError::Mixed(..) | TextError::OtherSoftware(..) | TextError::TooLong => {
             RunEnd::TextUnusable(error.to_string())
         }
         TextError::OutOfOrder(..) | TextError::TooOld(..) | TextError::NoVersion => {
@@ -233,9 +233,18 @@
                 record_weights_version(server, &in_flight.endpoint, &job.model, version);
             }
             if let Err(error) = text.on_event(&event) {
+                if matches!(error, TextError::TooLong)
+                    && let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
+                {
+                    known.on_failure(now_ms());
+                }
                 return on_text_error(&error);
             }
         }
+        if parser.is_event_too_long() {
+            let error = ExchangeError::TooLong("an event".to_owned());
+            return on_exchange_error(job, in_flight, &error).await;
+        }
         saved_event = job
             .unsaved_texts
             .put_if_grown(&job.sample.id, text, saved_event);
--- a/tests/loads/cut_streams_resume_whole.rs
+++ b/tests/loads/cut_streams_resume_whole.rs
@@ -153,3 +153,29 @@
     assert_eq!(text.on_event(&event(2)), Err(TextError::NoVersion));
     assert_eq!(text.weights_versions(), [1]);
 }
+
+/// Guards against an event, or a text, that grows for as long as a sampler sends.
+#[test]
+fn events_and_texts_are_bounded() {
+    let mut parser = EventParser::new(VERSION_FIELD);
+    assert!(parser.push(b"id: 1\ndata: ").is_empty());
+    let pushes = (0..1_000).take_while(|_| {
+        parser.push(&[b'x'; 1_024]);
+        !parser.is_event_too_long()
+    });
+    // The line also holds the name of its field.
+    assert_eq!(pushes.count(), 63);
+    let mut text = SampleText::new(1, false);
+    text.on_run_start(Some(1), &origin())
+        .expect("it is the first");
+    let error = (1..=100).find_map(|id| {
+        let event = Event {
+            id: Some(id),
+            data: "x".repeat(1_000).into(),
+            weights_version: None,
+        };
+        text.on_event(&event).err()
+    });
+    assert_eq!(error, Some(TextError::TooLong));
+    assert!(text.text().len() <= 60_000);
+}
