End a caller's stream at its deadline

What callers saw: a stream that an endpoint does not end was passed on for as long as the connection stayed open, and held a slot of the endpoint.

Cause: the deadline bounded the wait for the head of a stream only. The deadline is now checked before each part that is passed on; a stream that always has bytes would never time out by itself.

--- a/src/server/attempt.rs
+++ b/src/server/attempt.rs
@@ -127,7 +127,13 @@
         tracing::info!(id = %outgoing.id, %endpoint, service = %in_flight.origin.service,
             software = %in_flight.origin.software, is_resumed = outgoing.is_resumed,
             resumed_request = outgoing.resumed_request.as_deref(), "stream runs");
-        return Ok(stream_response(server, outgoing.id, reply, in_flight));
+        return Ok(stream_response(
+            server,
+            outgoing.id,
+            reply,
+            in_flight,
+            outgoing.caller_deadline_ms,
+        ));
     }
     let reply = match reply
         .read_bounded(endpoint_exchange::MAX_ANSWER_BYTES)
