Bound the questions that waiting score calls and samples ask for permits

What operators would see: while score calls wait for limited endpoints at each VM, all VMs ask for each endpoint as soon as it may have a token. At 360 VMs and 100 endpoints this is 210 questions a VM and second, over 100 KB/s where 15 are allowed.

Cause: only the time of the next token held a VM back, not the number of endpoints for which it waits. A VM now asks 12.5 questions a second for samples and score calls; those of callers are bounded by their requests.

Evidence: loads::waiting_score_calls_cost_a_bounded_number_of_questions failed with 210.6 questions and a use of 1.00, and with 20 questions at the start of each second with a use of 0.45; spread over the second it gives 12.8 and 1.00.

A failed try, reverted: telling each denied score call its own turn.

--- a/src/core/rate_limit/mod.rs
+++ b/src/core/rate_limit/mod.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod named;
 mod purpose;
+mod question_budget;
 mod ranking;
 
 pub use self::{
@@ -18,5 +19,6 @@
     limit::RateLimit,
     named::NamedLimit,
     purpose::Purpose,
+    question_budget::QuestionBudget,
     ranking::{issued_share, issuers},
 };
--- a/src/core/rate_limit/purpose.rs
+++ b/src/core/rate_limit/purpose.rs
@@ -30,3 +30,11 @@
     /// An order to load weights, or the report that it needs.
     Order,
 }
+
+impl Purpose {
+    /// Returns whether no caller waits for the request.
+    #[must_use]
+    pub const fn is_background(self) -> bool {
+        matches!(self, Self::Sample | Self::Score)
+    }
+}
--- a/src/server/permits.rs
+++ b/src/server/permits.rs
@@ -28,6 +28,9 @@
 const SILENT_ISSUER_MS: u64 = 1_000;
 /// How long an endpoint gets no request after no issuer has answered, in milliseconds.
 const NO_ISSUER_RETRY_MS: u64 = 250;
+/// How long an endpoint gets no request after this VM has asked too many questions, in
+/// milliseconds.
+const NO_QUESTION_RETRY_MS: u64 = 100;
 /// How late a permit may be used, in milliseconds: a VM that was frozen meanwhile must
 /// not use it.
 const MAX_PERMIT_DELAY_MS: u64 = 500;
@@ -181,6 +184,12 @@
     if silent_until_ms.is_some_and(|until_ms| now_ms() < until_ms) {
         return PermitAnswer::NotIssuer;
     }
+    if query.purpose.is_background() && !lock(&server.permit_questions).take(now_ms()) {
+        return PermitAnswer::Denied {
+            retry_after_ms: NO_QUESTION_RETRY_MS,
+            is_reduced: false,
+        };
+    }
     let body: Bytes = match rmp_serde::to_vec(query) {
         Ok(body) => body.into(),
         Err(error) => {
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -22,7 +22,7 @@
         leader_lease::LeaderLease,
         pool::Pool,
         quarantine::{LateRetryPolicy, Quarantine, RunEnd},
-        rate_limit::{IssuerAuthority, PermitIssuer},
+        rate_limit::{IssuerAuthority, PermitIssuer, QuestionBudget},
         roster::Roster,
         routes::RouteTable,
         streams::{SoftwareHistory, StreamOrigin, StreamOrigins},
@@ -62,6 +62,7 @@
     pub(crate) crash_pointer: watch::Sender<Option<u64>>,
     /// The permits that this VM issues.
     pub(crate) permit_issuer: Mutex<PermitIssuer>,
+    pub(crate) permit_questions: Mutex<QuestionBudget>,
     pub(crate) issuer_authority: Mutex<IssuerAuthority>,
     /// The VMs that issued no permit because they did not answer, and until when they
     /// are not asked.
@@ -104,6 +105,7 @@
             crash_rows_unwritten: Notify::new(),
             crash_pointer: watch::Sender::new(None),
             permit_issuer: Mutex::default(),
+            permit_questions: Mutex::default(),
             issuer_authority: Mutex::default(),
             silent_issuers: Mutex::default(),
             stream_origins: Mutex::default(),
--- a/tests/loads/limits_hold_over_vms.rs
+++ b/tests/loads/limits_hold_over_vms.rs
@@ -7,7 +7,7 @@
     Name,
     rate_limit::{
         IssuedShare, IssuerAuthority, NamedLimit, PermitAnswer, PermitIssuer, PermitQuery, Purpose,
-        RateLimit, issued_share, issuers,
+        QuestionBudget, RateLimit, issued_share, issuers,
     },
     roster::{Roster, VmRow},
 };
@@ -524,3 +524,49 @@
     assert_eq!(issued_share("vm-2", &vms, true), Some(IssuedShare::Reduced));
     assert_eq!(issued_share("vm-3", &vms, true), None);
 }
+
+/// Guards against score calls that wait for limited endpoints at each VM of the planned
+/// size and ask in vain, and against limits that are left unused for fear of this.
+#[test]
+fn waiting_score_calls_cost_a_bounded_number_of_questions() {
+    const VMS: usize = 360;
+    const ENDPOINTS: usize = 100;
+    const END_S: u32 = 10;
+    let mut issuers = vec![PermitIssuer::default(); ENDPOINTS];
+    let mut limits = vec![[NamedLimit::default(); ENDPOINTS]; VMS];
+    let mut budgets = [QuestionBudget::default(); VMS];
+    let query = query(Purpose::Score);
+    let (mut granted, mut asked) = (0_u32, 0_u32);
+    for now_ms in (0..u64::from(END_S) * 1_000).step_by(15) {
+        for (vm, (limits, budget)) in limits.iter_mut().zip(&mut budgets).enumerate() {
+            for turn in 0..ENDPOINTS {
+                let endpoint = (vm * 7 + turn) % ENDPOINTS;
+                let known = &mut limits[endpoint];
+                if now_ms == 0 {
+                    known.on_named(0, query.limit, true);
+                }
+                if !known.allows(now_ms, Purpose::Score) {
+                    continue;
+                }
+                if !budget.take(now_ms) {
+                    known.on_denied(now_ms + 100);
+                    continue;
+                }
+                asked += 1;
+                match issuers[endpoint].issue(now_ms, &query, IssuedShare::Whole) {
+                    PermitAnswer::Granted { .. } => granted += 1,
+                    PermitAnswer::Denied { retry_after_ms, .. } => {
+                        known.on_denied(now_ms + retry_after_ms);
+                    }
+                    PermitAnswer::NotIssuer => {}
+                }
+            }
+        }
+    }
+    let used = f64::from(granted) / (query.limit.per_s() * f64::from(END_S) * as_f64(ENDPOINTS));
+    let per_vm_and_s = f64::from(asked) / as_f64(VMS) / f64::from(END_S);
+    println!("use {used:.2}, {per_vm_and_s:.1} questions a VM and second");
+    assert!(used >= 0.9, "{used}");
+    // Each question costs its sender and, on average, one receiver.
+    assert!(per_vm_and_s * PERMIT_BYTES * 2.0 < 15_000.0, "{per_vm_and_s}");
+}
