--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod event_stream;
 mod row_store;
 mod sampler;
+mod sampler_answers;
 mod store_server;
 
 pub use self::{
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -11,17 +11,15 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use hyper::{Method, Request, StatusCode, body::Incoming, header::HeaderValue};
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
 
 use super::{
     AnswerFault, StoreServer, StoreWriter, WhenDown,
-    answer_fault::truncate_body,
     down::{fill_accept_queue, listen},
-    event_stream::event_stream,
+    sampler_answers::handle,
 };
-use crate::http::{Answer, bytes_answer, json_answer, read_bytes, serve, status_answer};
+use crate::http::serve;
 
 /// The behaviour of a sampler.
 #[derive(Clone, Copy, Debug)]
@@ -47,40 +45,40 @@
 
 #[derive(Debug)]
 pub(super) struct Shared {
-    id: String,
-    service: String,
-    address: SocketAddr,
-    store: StoreWriter,
+    pub(super) id: String,
+    pub(super) service: String,
+    pub(super) address: SocketAddr,
+    pub(super) store: StoreWriter,
     pub(super) settings: SamplerSettings,
     /// The name and weights version of the loaded model.
-    model: Mutex<Option<(String, u64)>>,
-    orders: Mutex<Vec<Value>>,
+    pub(super) model: Mutex<Option<(String, u64)>>,
+    pub(super) orders: Mutex<Vec<Value>>,
     /// The requests that started to run, in order.
-    runs: Mutex<Vec<RunStart>>,
+    pub(super) runs: Mutex<Vec<RunStart>>,
     pub(super) active_streams: AtomicU32,
     /// The faults of the next answers, of which the last one is used first.
-    answer_faults: Mutex<Vec<AnswerFault>>,
+    pub(super) answer_faults: Mutex<Vec<AnswerFault>>,
     /// The ids of requests that fail whenever they run.
-    failing_request_ids: Mutex<BTreeSet<String>>,
+    pub(super) failing_request_ids: Mutex<BTreeSet<String>>,
     /// The bodies of requests that crash the sampler as soon as they run.
-    crashing_bodies: Mutex<BTreeSet<Bytes>>,
+    pub(super) crashing_bodies: Mutex<BTreeSet<Bytes>>,
     /// Whether it is about to leave, which its answers say and its entry does not.
-    is_leaving: AtomicBool,
+    pub(super) is_leaving: AtomicBool,
     /// The version of its software, as its entry states it.
-    software: Mutex<String>,
+    pub(super) software: Mutex<String>,
     /// The request limit that its answers name.
-    request_limit: Mutex<Option<String>>,
+    pub(super) request_limit: Mutex<Option<String>>,
     /// The times at which requests of all kinds arrived.
-    arrivals: Mutex<Vec<Instant>>,
+    pub(super) arrivals: Mutex<Vec<Instant>>,
     /// Whether it answers a request that crashes it, under the id of another one.
-    answers_before_crash: AtomicBool,
-    when_down: Mutex<WhenDown>,
+    pub(super) answers_before_crash: AtomicBool,
+    pub(super) when_down: Mutex<WhenDown>,
     /// How long the sampler is down after a crash, in milliseconds.
-    restart_ms: AtomicU64,
+    pub(super) restart_ms: AtomicU64,
     /// The times of its crashes.
-    crashes: Mutex<Vec<Instant>>,
-    is_up: AtomicBool,
-    crash_requested: Notify,
+    pub(super) crashes: Mutex<Vec<Instant>>,
+    pub(super) is_up: AtomicBool,
+    pub(super) crash_requested: Notify,
 }
 
 /// The start of a run of a request.
@@ -289,9 +287,6 @@
 /// The start of the first incarnation, in milliseconds since the Unix epoch.
 const FIRST_START_UNIX_MS: u64 = 1_700_000_000_000;
 
-/// How long after the answer to another request a sampler crashes.
-const CRASH_AFTER_ANSWER: Duration = Duration::from_millis(20);
-
 /// Serves requests; closes all connections at a crash and restarts after a while
 /// under the same id and address.
 async fn run_and_restart(shared: Arc<Shared>, first_listener: TcpListener) {
@@ -344,7 +339,7 @@
         }
     }
 
-    fn crash(&self) {
+    pub(super) fn crash(&self) {
         if self.is_up.swap(false, Ordering::SeqCst) {
             lock(&self.crashes).push(Instant::now());
             self.crash_requested.notify_one();
@@ -353,7 +348,7 @@
 
     /// Writes the sampler's entry to the store, at the start and after each
     /// change of weights.
-    fn register(&self) {
+    pub(super) fn register(&self) {
         let restarts = u64::try_from(lock(&self.crashes).len()).unwrap_or(u64::MAX);
         let started_unix_ms = FIRST_START_UNIX_MS + restarts * 1_000;
         let models: Vec<Value> = lock(&self.model)
@@ -374,172 +369,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-fn header(request: &Request<Incoming>, name: &str) -> Option<String> {
-    let value = request.headers().get(name)?;
-    value.to_str().ok().map(str::to_owned)
-}
-
-async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
-    lock(&shared.arrivals).push(Instant::now());
-    let mut answer = handle_request(shared.clone(), request).await;
-    if shared.is_leaving.load(Ordering::SeqCst) {
-        let value = HeaderValue::from_static("1");
-        answer.headers_mut().insert("server-leaving", value);
-    }
-    let limit = lock(&shared.request_limit).clone();
-    if let Some(value) = limit.and_then(|limit| HeaderValue::from_str(&limit).ok()) {
-        answer.headers_mut().insert("server-limit", value);
-    }
-    answer
-}
-
-async fn handle_request(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
-    shared.continue_if_up().await;
-    let expected = header(&request, "x-expect-instance");
-    if expected.is_some_and(|expected| expected != shared.id) {
-        return not_run(StatusCode::MISDIRECTED_REQUEST);
-    }
-    let path = request.uri().path().to_owned();
-    match (request.method().clone(), path.as_str()) {
-        (Method::GET, "/v1/report") => {
-            let seq = lock(&shared.orders).len();
-            json_answer(&json!({"stage": "both", "busy": false, "seq": seq}))
-        }
-        (Method::POST, "/v1/order") => handle_order(&shared, request).await,
-        _ => handle_run(shared, request).await,
-    }
-}
-
-fn not_run(code: StatusCode) -> Answer {
-    let mut answer = status_answer(code, "not run");
-    answer
-        .headers_mut()
-        .insert("x-not-run", HeaderValue::from_static("1"));
-    answer
-}
-
-async fn handle_order(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
-    let body = match read_bytes(request).await {
-        Ok(body) => body,
-        Err(answer) => return answer,
-    };
-    let Ok(order) = serde_json::from_slice::<Value>(&body) else {
-        return status_answer(StatusCode::BAD_REQUEST, "not JSON");
-    };
-    {
-        let mut orders = lock(&shared.orders);
-        if order["expect_rev"].as_u64() != u64::try_from(orders.len()).ok() {
-            return status_answer(StatusCode::CONFLICT, "another number of orders");
-        }
-        orders.push(order.clone());
-    }
-    let shared = shared.clone();
-    tokio::spawn(async move {
-        tokio::time::sleep(Duration::from_millis(shared.settings.load_ms)).await;
-        if let (Some(model), Some(version)) = (order["model"].as_str(), order["version"].as_u64()) {
-            *lock(&shared.model) = Some((model.to_owned(), version));
-            shared.register();
-        }
-    });
-    status_answer(StatusCode::ACCEPTED, "")
-}
-
-async fn handle_run(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
-    let id = header(&request, "x-request-id").unwrap_or_default();
-    let after: Option<u64> = header(&request, "last-event-id").and_then(|text| text.parse().ok());
-    let deadline_ms = header(&request, "x-deadline-ms").and_then(|text| text.parse().ok());
-    let method = request.method().clone();
-    let path = request.uri().path().to_owned();
-    let body = match read_bytes(request).await {
-        Ok(body) => body,
-        Err(answer) => return answer,
-    };
-    let is_refused = lock(&shared.answer_faults).pop_if(|fault| *fault == AnswerFault::Refused);
-    if is_refused.is_some() {
-        return not_run(StatusCode::SERVICE_UNAVAILABLE);
-    }
-    lock(&shared.runs).push(RunStart {
-        id: id.clone(),
-        body: body.clone(),
-        after_event: after,
-        at: Instant::now(),
-        deadline_ms,
-    });
-    if lock(&shared.crashing_bodies).contains(&body) {
-        if shared.answers_before_crash.load(Ordering::Relaxed) {
-            let crashing = shared.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(CRASH_AFTER_ANSWER).await;
-                crashing.crash();
-            });
-            let answer = bytes_answer(Bytes::from_static(b"late"));
-            return with_headers(&shared, answer, &id, Some(AnswerFault::Foreign));
-        }
-        shared.crash();
-        // The connection closes before any answer is sent.
-        std::future::pending::<()>().await;
-    }
-    let fault = lock(&shared.answer_faults).pop();
-    if lock(&shared.failing_request_ids).contains(&id) {
-        let answer = status_answer(StatusCode::INTERNAL_SERVER_ERROR, "failed");
-        return with_headers(&shared, answer, &id, None);
-    }
-    let version = lock(&shared.model).as_ref().map(|(_, version)| *version);
-    let mut answer = if let Some(version) = version {
-        let mut answer = event_stream(shared.clone(), &id, after.unwrap_or(0), fault);
-        // After the last event nothing is generated, so no weights version applies.
-        let has_events_left = after.is_none_or(|after| after < shared.settings.events);
-        if has_events_left && fault != Some(AnswerFault::Versionless) {
-            answer
-                .headers_mut()
-                .insert("x-weight-versions", version.into());
-        }
-        answer
-    } else {
-        tokio::time::sleep(Duration::from_millis(shared.settings.work_ms)).await;
-        shared.continue_if_up().await;
-        let text = match fault {
-            Some(fault) => format!("spoilt: {fault:?}"),
-            None => format!("{method} {path} {} bytes", body.len()),
-        };
-        bytes_answer(text.into_bytes().into())
-    };
-    if version.is_none() && fault == Some(AnswerFault::Cut) {
-        answer = truncate_body(answer).await;
-    }
-    with_headers(&shared, answer, &id, fault)
-}
-
-fn with_headers(
-    shared: &Shared,
-    mut answer: Answer,
-    id: &str,
-    fault: Option<AnswerFault>,
-) -> Answer {
-    let active_streams = shared.active_streams.load(Ordering::Relaxed);
-    let stated_id = if fault == Some(AnswerFault::Foreign) {
-        "another"
-    } else {
-        id
-    };
-    let mut headers = vec![
-        ("x-request-id", stated_id.to_owned()),
-        ("x-server-load", format!("{active_streams},0,8")),
-    ];
-    if fault != Some(AnswerFault::Unstamped) {
-        headers.push(("x-response-stamp", format!("stamp-{}-{id}", shared.id)));
-    }
-    if fault == Some(AnswerFault::Encoded) {
-        headers.push(("content-encoding", "gzip".to_owned()));
-    }
-    for (name, text) in headers {
-        if let Ok(value) = text.parse() {
-            answer.headers_mut().insert(name, value);
-        }
-    }
-    answer
-}
