Count only the head of a response against the limit of heads

What trainers and callers saw: 503 for the body of a sample at a VM that had to read the batch from the store, shares that start late, and whole answers of over 128 KiB that were given up as heads without end.

Cause: the limit of counted all bytes that a connection brought until the task that had sent the request noted the head. Bytes of the body that were read together with the head counted too, so that a body of over 128 KiB that arrives at once, such as the object of a batch, failed the connection.

--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -419,10 +419,7 @@
         .set_nodelay(true)
         .map_err(|error| not_sent(format!("cannot set TCP_NODELAY for {address}: {error}")))?;
     let head_limit = HeadLimit::new();
-    let limited = LimitedStream {
-        stream,
-        limit: head_limit.clone(),
-    };
+    let limited = LimitedStream::new(stream, head_limit.clone());
     let (sender, connection) = http1::handshake(TokioIo::new(limited))
         .await
         .map_err(|error| not_sent(format!("cannot start HTTP with {address}: {error}")))?;
--- a/tests/process_serve/answers_without_end.rs
+++ b/tests/process_serve/answers_without_end.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use hyper::Method;
 use rstest::rstest;
@@ -12,7 +13,7 @@
     net::TcpStream,
 };
 
-use crate::fleet::{Fleet, HOST, SAMPLER_SETTINGS};
+use crate::fleet::{Fleet, HOST, SAMPLER_SETTINGS, batch_body};
 
 /// The memory of the smallest VMs of the users.
 const MAX_MEMORY_BYTES: u64 = 88 * 1024 * 1024;
@@ -152,3 +153,30 @@
     assert!(received > 0, "nothing was passed on");
     assert_given_up(&fleet, &endless).await;
 }
+
+/// Guards against whole answers that are taken for heads without end, since the start of
+/// their bodies is read together with their heads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_body_that_comes_with_its_head_is_read() {
+    const BATCHES: usize = 8;
+    const SAMPLES: usize = 32;
+    const BODY_BYTES: usize = 16 * 1024;
+    let fleet = Fleet::start(2, SAMPLER_SETTINGS).await;
+    for batch in 0..BATCHES {
+        let batch = format!("b{batch}");
+        let mut spec = batch_body(&batch, SAMPLES, 1);
+        for sample in spec["requests"].as_array_mut().expect("a list") {
+            sample["body"] = STANDARD.encode("x".repeat(BODY_BYTES)).into();
+        }
+        let callers = [0, 1].map(|vm: usize| fleet.vms[vm].addresses["callers"]);
+        let path = format!("/lots/{batch}");
+        let body = Bytes::from(spec.to_string());
+        let accepted = fleet.call(Method::POST, callers[0], &path, &batch, body);
+        assert_eq!(accepted.await.map(|answer| answer.status), Some(200));
+        // The other VM reads the batch from the store.
+        let path = format!("/v1/items/{batch}?id={batch}-s0");
+        let answer = fleet.get(callers[1], &path, "reader").await;
+        let answer = answer.expect("the VM answers");
+        assert_eq!((answer.status, answer.body.len()), (200, BODY_BYTES));
+    }
+}
