Keep texts of samples that are longer than a row of the store

What trainers saw: samples with texts of over 60,000 bytes were generated, discarded and generated again until the trainer gave up.

Cause: took the bound of a text from the size of a row, in which it was kept. The users' pages bound it by what a trainer reads at once, 1 MB of JSON.

A text, saved or listed, that does not fit into a row goes into an object, whose name holds its digest; the row names it. One that cannot be written holds up no other. The bound of texts and events is now the trainer's read, counted in JSON. All texts of a VM together take a tenth of its memory; beyond that only the longest grows, others start anew (retry reason memory_full). Texts are saved again after growing by an eighth. The sizes of rows and objects and the memory come with the settings. A trainer's read takes one page of rows instead of up to 200 texts. Objects of texts go with their batch.

The stand-in store refuses what the platform refuses: long rows, large transactions, large objects. events_and_texts_are_bounded asked for the wrong bound; its successor bounds events and texts by the trainer's read, escapes included.

--- a/crates/standins/src/fleet/event_stream.rs
+++ b/crates/standins/src/fleet/event_stream.rs
@@ -43,7 +43,8 @@
         if fault == Some(AnswerFault::Gap) && number == faulty_event {
             return Some((Ok(Frame::data(Bytes::new())), (guard, id, number)));
         }
-        let event = format!("id: {number}\ndata: {id} event {number}\n\n");
+        let padding = "x".repeat(settings.padding_bytes);
+        let event = format!("id: {number}\ndata: {id} event {number}{padding}\n\n");
         if fault == Some(AnswerFault::Cut) && number > faulty_event {
             let broken = io::Error::from(io::ErrorKind::ConnectionReset);
             return Some((Err(broken), (guard, id, settings.events)));
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -16,5 +16,5 @@
     endless::{EndlessPart, EndlessSampler},
     row_store::{Row, RowStore},
     sampler::{RunStart, Sampler, SamplerSettings},
-    store_server::{StoreServer, StoreWriter},
+    store_server::{OBJECT_BYTES, ROW_BYTES, StoreServer, StoreWriter},
 };
--- a/crates/standins/src/fleet/row_store.rs
+++ b/crates/standins/src/fleet/row_store.rs
@@ -102,6 +102,27 @@
         Ok(self.version)
     }
 
+    /// Returns which limit of the platform a transaction exceeds, if any.
+    #[must_use]
+    pub fn excess(body: &Value, row_bytes: usize, entries: usize) -> Option<&'static str> {
+        let none = Vec::new();
+        let lists = ["expect_rev", "set_keys", "remove"];
+        let count: usize = lists
+            .iter()
+            .map(|list| body[*list].as_array().map_or(0, Vec::len))
+            .sum();
+        let is_too_long = |entry: &Value| {
+            let value = entry["value"].as_str().unwrap_or_default();
+            let padding = value.bytes().rev().take_while(|byte| *byte == b'=').count();
+            value.len() / 4 * 3 - padding > row_bytes
+        };
+        if count > entries {
+            return Some("the transaction has too many entries");
+        }
+        let mut set = body["set_keys"].as_array().unwrap_or(&none).iter();
+        set.any(is_too_long).then_some("a row is too long")
+    }
+
     fn write(&mut self, key: RowKey, value: Option<String>) {
         self.history.push((self.version, key.clone()));
         if self.history.len() > MAX_HISTORY_ENTRIES {
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -28,6 +28,8 @@
     pub events: u64,
     /// The time between two events, in milliseconds.
     pub event_ms: u64,
+    /// The number of bytes that are added to the data of each event.
+    pub padding_bytes: usize,
     /// The time that a plain request takes, in milliseconds.
     pub work_ms: u64,
     /// The time that loading weights takes, in milliseconds.
--- a/src/core/batch/event.rs
+++ b/src/core/batch/event.rs
@@ -1,3 +1,4 @@
+use super::MAX_TEXT_BYTES;
 use crate::core::Name;
 
 /// A complete event of a stream.
@@ -11,9 +12,6 @@
     pub weights_version: Option<u64>,
 }
 
-/// The most bytes of an event that is not complete.
-const MAX_EVENT_BYTES: usize = 64 * 1024;
-
 /// An incremental parser for a stream of server-sent events.
 ///
 /// An event is complete once the empty line after it has been read, so an
@@ -78,11 +76,16 @@
         !self.unparsed.is_empty() || self.has_fields
     }
 
-    /// Returns whether the event that the bytes so far end in is longer than is allowed.
+    /// Returns the number of bytes of the event that is not complete.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.unparsed.len() + self.data.as_ref().map_or(0, String::len)
+    }
+
+    /// Returns whether the event that the bytes so far end in is longer than a text.
     #[must_use]
     pub fn is_event_too_long(&self) -> bool {
-        let data_len = self.data.as_ref().map_or(0, String::len);
-        self.unparsed.len() + data_len > MAX_EVENT_BYTES
+        self.pending_bytes() > MAX_TEXT_BYTES
     }
 
     fn parse_line(&mut self, line: &str) -> Option<Event> {
--- a/src/core/batch/mod.rs
+++ b/src/core/batch/mod.rs
@@ -6,12 +6,14 @@
 mod sample_text;
 mod share;
 mod spec;
+mod text_memory;
 
 pub use self::{
     event::{Event, EventParser},
     order::run_order,
     pace::{RunPace, RunVerdict, start_wait_factor},
-    sample_text::{SampleText, SavedText, TextError},
+    sample_text::{MAX_TEXT_BYTES, SampleText, SavedText, TextError, json_bytes},
     share::{share_count, share_of_group},
     spec::{BatchHead, BatchSpec, ListedSample, ListedState, SampleSpec, ScoreCall},
+    text_memory::TextMemory,
 };
--- a/src/core/batch/sample_text.rs
+++ b/src/core/batch/sample_text.rs
@@ -4,8 +4,28 @@
 use super::Event;
 use crate::core::{Name, streams::StreamOrigin};
 
-/// The most bytes of a text: a row of the platform's store holds 64 KiB.
-const MAX_TEXT_BYTES: usize = 60_000;
+/// The most bytes of a text in JSON: a trainer reads results of up to 1 MB, which hold
+/// the sample's other fields too.
+pub const MAX_TEXT_BYTES: usize = 990_000;
+
+/// Returns the number of bytes of a text in JSON, without its quotes.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::batch::json_bytes;
+///
+/// assert_eq!(json_bytes("a\n\"b\"\u{1}"), 1 + 2 + 5 + 6);
+/// ```
+#[must_use]
+pub fn json_bytes(text: &str) -> usize {
+    let escaped = text.bytes().map(|byte| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+        0..0x20 => 6,
+        _ => 1,
+    });
+    escaped.sum()
+}
 
 quick_error! {
     /// An error for a run whose output cannot be added to the sample's text.
@@ -83,6 +103,8 @@
     min_weights_version: u64,
     is_single_version: bool,
     text: String,
+    /// The number of bytes of the text in JSON.
+    json_bytes: usize,
     last_event: Option<u64>,
     /// The weights version that the current run has stated last.
     run_version: Option<u64>,
@@ -99,6 +121,7 @@
             min_weights_version,
             is_single_version,
             text: String::new(),
+            json_bytes: 0,
             last_event: None,
             run_version: None,
             versions: Vec::new(),
@@ -150,6 +173,7 @@
             min_weights_version,
             is_single_version,
             text: saved.text.to_string(),
+            json_bytes: json_bytes(&saved.text),
             last_event: Some(saved.last_event),
             run_version: None,
             versions: versions.clone(),
@@ -205,7 +229,7 @@
     ///
     /// Returns [`TextError::OutOfOrder`] if the event is not the next one,
     /// [`TextError::NoVersion`] if its weights version is unknown,
-    /// [`TextError::TooLong`] if the text would be too long to be stored, and
+    /// [`TextError::TooLong`] if the text would be too long for a trainer's read, and
     /// [`TextError::TooOld`] or [`TextError::Mixed`] if the sample does not
     /// allow the version.
     pub fn on_event(&mut self, event: &Event) -> Result<(), TextError> {
@@ -216,9 +240,12 @@
         let version = event.weights_version.or(self.run_version);
         let version = version.ok_or(TextError::NoVersion)?;
         self.check_version(version)?;
-        if self.text.len() + event.data.len() > MAX_TEXT_BYTES {
+        // Two bytes for the line break between events.
+        let new_bytes = json_bytes(&event.data) + 2;
+        if self.json_bytes + new_bytes > MAX_TEXT_BYTES {
             return Err(TextError::TooLong);
         }
+        self.json_bytes += new_bytes;
         self.run_version = Some(version);
         if self.versions.last() != Some(&version) && !self.versions.contains(&version) {
             self.versions.push(version);
@@ -250,6 +277,12 @@
         &self.versions
     }
 
+    /// Returns the number of bytes of the text collected so far.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.text.len()
+    }
+
     /// Returns the text collected so far.
     #[must_use]
     pub fn text(&self) -> Name {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,7 +7,7 @@
 pub mod admission;
 pub mod batch;
 pub mod config;
-mod digest;
+pub(crate) mod digest;
 pub mod endpoint;
 pub mod explain;
 pub mod guard;
--- a/src/core/retry/reason.rs
+++ b/src/core/retry/reason.rs
@@ -18,6 +18,8 @@
     AnswerStalled,
     /// The response was longer than is allowed.
     AnswerTooLong,
+    /// The texts of the samples that run take too much memory together.
+    MemoryFull,
     /// The response violated the protocol.
     AnswerInvalid,
     /// A sample was generated too slowly, and resumes at another endpoint.
--- a/src/platform/batches.rs
+++ b/src/platform/batches.rs
@@ -8,7 +8,7 @@
 use super::callers::CallerHead;
 use crate::core::{
     Name,
-    batch::{BatchSpec, ListedSample, SampleSpec, ScoreCall},
+    batch::{BatchSpec, ListedSample, SampleSpec, ScoreCall, json_bytes},
 };
 
 const BATCHES_PATH: &str = "/v1/lots/";
@@ -185,6 +185,9 @@
     Ok(decoded.into())
 }
 
+/// About the most bytes of a result without its text.
+pub(crate) const OTHER_RESULT_BYTES: usize = 300;
+
 #[derive(Serialize)]
 struct WireResults<'a> {
     total: usize,
@@ -215,8 +218,7 @@
     let mut bytes = 0;
     let fits = |sample: &&ListedSample| {
         let is_first = bytes == 0;
-        // Adds an estimate for escapes, field names and quotes to the text.
-        bytes += sample.text.len() + sample.text.len() / 8 + 300;
+        bytes += json_bytes(&sample.text) + OTHER_RESULT_BYTES;
         is_first || bytes <= max_bytes
     };
     let results: Vec<WireResult<'_>> = listed
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,7 +11,7 @@
 mod wire_rows;
 
 pub(crate) use self::{
-    batches::{BatchCall, decode_batch, encode_results, parse_batch_call},
+    batches::{BatchCall, OTHER_RESULT_BYTES, decode_batch, encode_results, parse_batch_call},
     callers::{
         CallerHead, REQUEST_ID_HEADER, encode_addresses, forwardable_headers, is_address_query,
         is_readiness_check, parse_address_query, parse_caller_head,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -203,16 +203,11 @@
         let mut rows = Vec::new();
         let mut from = from.to_owned();
         loop {
-            let page_rows = (limit - rows.len()).min(MAX_ROWS_PER_PAGE);
-            let page_rows = page_rows.to_string();
-            let mut pairs = vec![("table", table), ("part", part), ("from", &from)];
-            pairs.extend(to.map(|to| ("to", to)));
-            pairs.push(("limit", &page_rows));
-            let path = format!("/v1/rows-get?{}", encode_query(&pairs));
-            let answer = self.get_rows(&path, CALL_TIMEOUT_MS).await?;
-            rows.extend(answer.rows.into_iter().map(decode_row));
-            if !answer.has_more || rows.len() >= limit {
-                let version = answer.row_version;
+            let limit_left = limit - rows.len();
+            let (page, has_more) = self.read_page(table, part, &from, to, limit_left).await?;
+            rows.extend(page.rows);
+            if !has_more || rows.len() >= limit {
+                let version = page.version;
                 return Ok(Rows { rows, version });
             }
             let last_row: &Row = rows.last().ok_or_else(|| {
@@ -225,6 +220,29 @@
         }
     }
 
+    /// Reads up to `limit` rows with one call, and whether there are more. The store
+    /// bounds the bytes of an answer.
+    pub(crate) async fn read_page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+        limit: usize,
+    ) -> Result<(Rows, bool), StoreError> {
+        let limit = limit.min(MAX_ROWS_PER_PAGE).to_string();
+        let mut pairs = vec![("table", table), ("part", part), ("from", from)];
+        pairs.extend(to.map(|to| ("to", to)));
+        pairs.push(("limit", &limit));
+        let path = format!("/v1/rows-get?{}", encode_query(&pairs));
+        let answer = self.get_rows(&path, CALL_TIMEOUT_MS).await?;
+        let rows = Rows {
+            rows: answer.rows.into_iter().map(decode_row).collect(),
+            version: answer.row_version,
+        };
+        Ok((rows, answer.has_more))
+    }
+
     /// Reads all parts of a table.
     pub(crate) async fn read_table(&self, table: &str) -> Result<Rows, StoreError> {
         #[derive(Deserialize)]
@@ -316,6 +334,34 @@
         }
     }
 
+    /// Returns the names of the objects that begin with `prefix`.
+    pub(crate) async fn list_objects(&self, prefix: &str) -> Result<Vec<Name>, StoreError> {
+        #[derive(Deserialize)]
+        struct Objects {
+            names: Vec<Name>,
+            #[serde(default)]
+            has_more: bool,
+        }
+        let (mut names, mut after) = (Vec::<Name>::new(), None::<Name>);
+        loop {
+            let mut pairs = vec![("prefix", prefix)];
+            pairs.extend(after.as_deref().map(|after| ("after", after)));
+            let path = format!("/v1/blob-list?{}", encode_query(&pairs));
+            let reply = self
+                .call(Method::GET, &path, Bytes::new(), &[], CALL_TIMEOUT_MS)
+                .await?;
+            if reply.status != StatusCode::OK {
+                return Err(status_error(&reply));
+            }
+            let page: Objects = decode_json(&reply.body)?;
+            names.extend(page.names);
+            match names.last() {
+                Some(last) if page.has_more => after = Some(last.clone()),
+                _ => return Ok(names),
+            }
+        }
+    }
+
     /// Deletes an object, if it exists.
     pub(crate) async fn delete_object(&self, name: &str) -> Result<(), StoreError> {
         let path = format!("/v1/blob-drop/{name}");
--- a/src/server/clean.rs
+++ b/src/server/clean.rs
@@ -6,7 +6,7 @@
     claims::BATCH_TABLE,
     crash_rows::{self, CRASH_POINTER_KEY},
     failures::FAILURE_TABLE,
-    listing::LISTING_TABLE,
+    listing::{LISTING_TABLE, text_object_prefix},
     progress::SAVED_TEXT_TABLE,
     state::{Server, lock},
 };
@@ -71,11 +71,18 @@
     due
 }
 
-/// Deletes a batch: first its listing, texts and failures, then its object, and last the
+/// Deletes a batch: first its listing, texts and failures, then its objects, and last the
 /// rows by which it is found.
 async fn delete_batch(server: &Server, batch: &Name, object: &str) -> Result<(), StoreError> {
     for table in [LISTING_TABLE, SAVED_TEXT_TABLE, FAILURE_TABLE, BATCH_TABLE] {
         if table == BATCH_TABLE {
+            for text in server
+                .store
+                .list_objects(&text_object_prefix(batch))
+                .await?
+            {
+                server.store.delete_object(&text).await?;
+            }
             server.store.delete_object(object).await?;
         }
         loop {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -33,6 +33,7 @@
 mod read_batch;
 pub(crate) mod relay;
 mod response;
+mod row_values;
 mod run;
 mod run_once;
 mod sample;
@@ -42,6 +43,7 @@
 mod state;
 mod stream;
 mod streams;
+mod text_share;
 
 pub use self::run::run;
 pub(crate) use self::{
--- a/src/server/progress.rs
+++ b/src/server/progress.rs
@@ -11,7 +11,8 @@
 use futures_util::future::join_all;
 
 use super::{
-    listing::{read_listed, read_listed_positions},
+    listing::{read_listed, read_listed_positions, text_object_prefix},
+    row_values::{load_value, object_name, store_value},
     state::{Server, lock},
 };
 use crate::{
@@ -31,6 +32,9 @@
 /// How many events a text has to grow by to be saved again. Shorter runs end
 /// sooner than their text could be read again.
 const MIN_NEW_EVENTS: u64 = 12;
+/// A text is saved again once it has grown by a part of its events, so that the bytes
+/// written stay in proportion to the text.
+const NEW_EVENTS_DIVISOR: u64 = 8;
 /// The number of bytes of text above which a transaction takes no further text.
 const MAX_TEXT_BYTES_PER_TX: usize = 400_000;
 /// How many earlier batches are searched for texts of the same samples.
@@ -47,7 +51,8 @@
     /// `saved_event`; returns the last event that is saved or queued.
     pub(crate) fn put_if_grown(&self, sample: &Name, text: &SampleText, saved_event: u64) -> u64 {
         let last = text.last_event().unwrap_or(0);
-        if last < saved_event + MIN_NEW_EVENTS {
+        let new_events = MIN_NEW_EVENTS.max(saved_event / NEW_EVENTS_DIVISOR);
+        if last < saved_event + new_events {
             return saved_event;
         }
         if let Some(saved) = text.saved(false) {
@@ -79,28 +84,71 @@
 
 /// Saves the texts of a share at intervals until the task is aborted.
 pub(crate) async fn save_texts(server: Arc<Server>, batch: Name, unsaved: Arc<UnsavedTexts>) {
+    // The objects that hold the texts too long for a row, by sample.
+    let mut objects: BTreeMap<Name, Name> = BTreeMap::new();
     loop {
         tokio::time::sleep(Duration::from_millis(TEXT_SAVE_INTERVAL_MS)).await;
-        let mut tx = Tx {
-            part: batch.clone(),
-            ..Tx::default()
-        };
-        for (name, saved) in unsaved.take_for_tx() {
-            match rmp_serde::to_vec_named(&saved) {
-                Ok(bytes) => tx.set.push((SAVED_TEXT_TABLE, name, bytes)),
-                Err(error) => {
-                    tracing::error!(%batch, sample = %name, %error,
-                        "text of a sample cannot be encoded");
-                }
-            }
-        }
-        if tx.set.is_empty() {
+        let texts = unsaved.take_for_tx();
+        if texts.is_empty() {
             continue;
         }
         // Not retried: a text is saved again once it has grown, and a lost one
         // costs only the time to generate it again.
-        if let Err(error) = server.store.transact(&tx).await {
-            tracing::info!(%batch, texts = tx.set.len(), %error, "texts not saved");
+        match save(&server, &batch, texts).await {
+            Ok(rows) => delete_superseded(&server, &mut objects, rows).await,
+            Err(error) => tracing::info!(%batch, %error, "texts not saved"),
+        }
+    }
+}
+
+/// Writes the rows of texts, and returns the object of each that is too long for a row.
+async fn save(
+    server: &Server,
+    batch: &Name,
+    texts: Vec<(Name, SavedText)>,
+) -> Result<Vec<(Name, Option<Name>)>, StoreError> {
+    let prefix = text_object_prefix(batch);
+    let rows = texts.into_iter().map(async |(sample, saved)| {
+        let value = rmp_serde::to_vec_named(&saved).map_err(|error| {
+            StoreError::NotDone(format!("text of {sample} cannot be encoded: {error}"))
+        })?;
+        Ok::<_, StoreError>((sample, store_value(server, &prefix, value).await?))
+    });
+    let mut tx = Tx {
+        part: batch.clone(),
+        ..Tx::default()
+    };
+    let mut objects = Vec::new();
+    for row in join_all(rows).await {
+        match row {
+            Ok((sample, row)) => {
+                objects.push((sample.clone(), object_name(&row).map(Name::from)));
+                tx.set.push((SAVED_TEXT_TABLE, sample, row));
+            }
+            Err(error) => tracing::info!(%batch, %error, "text not saved"),
+        }
+    }
+    if !tx.set.is_empty() {
+        server.store.transact(&tx).await?;
+    }
+    Ok(objects)
+}
+
+/// Deletes the objects to which no row of a saved text leads any more.
+async fn delete_superseded(
+    server: &Server,
+    objects: &mut BTreeMap<Name, Name>,
+    saved: Vec<(Name, Option<Name>)>,
+) {
+    for (sample, object) in saved {
+        let before = match object.clone() {
+            Some(object) => objects.insert(sample, object),
+            None => objects.remove(&sample),
+        };
+        if let Some(before) = before.filter(|before| Some(before) != object.as_ref())
+            && let Err(error) = server.store.delete_object(&before).await
+        {
+            tracing::info!(object = %before, %error, "object not deleted: left to the cleaning");
         }
     }
 }
@@ -218,7 +266,14 @@
     };
     for row in rows.iter().filter(|row| samples.contains(&row.key)) {
         let bytes = row.bytes.as_deref().unwrap_or_default();
-        let saved: SavedText = match rmp_serde::from_slice(bytes) {
+        let value = match load_value(server, bytes).await {
+            Ok(value) => value,
+            Err(error) => {
+                tracing::info!(%batch, sample = %row.key, %error, "saved text not read");
+                continue;
+            }
+        };
+        let saved: SavedText = match rmp_serde::from_slice(&value) {
             Ok(saved) => saved,
             Err(error) => {
                 tracing::error!(%batch, sample = %row.key, %error, "saved text cannot be decoded");
--- a/src/server/read_batch.rs
+++ b/src/server/read_batch.rs
@@ -20,8 +20,6 @@
     platform::{BatchCall, StoreError, Tx, encode_results},
 };
 
-/// The most results in one answer.
-const MAX_RESULTS_PER_ANSWER: usize = 200;
 /// The most bytes of results in one answer.
 const MAX_RESULT_BYTES_PER_ANSWER: usize = 900_000;
 /// How often the listing is read while a reader waits, in milliseconds.
@@ -60,7 +58,7 @@
     let until_ms = now_ms() + wait_ms.min(MAX_READ_WAIT_MS);
     let head = read_head(server, batch).await?;
     loop {
-        let listed = read_listed(server, batch, from, MAX_RESULTS_PER_ANSWER).await;
+        let listed = read_listed(server, batch, from, MAX_RESULT_BYTES_PER_ANSWER).await;
         let listed = listed.map_err(|error| unavailable(&error))?;
         let is_last = from + listed.len() >= head.sample_count;
         let may_wait =
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -182,13 +182,15 @@
 
 /// Ends a run whose answer does not fit the text.
 ///
-/// The text so far is kept, unless it is too long or the run would continue it with another software
-/// version, or with another weights version although the sample allows a single one.
+/// The text so far is kept, unless it is too long or the run would continue it with
+/// another software version, or with another weights version although the sample allows
+/// a single one.
 fn on_text_error(error: &TextError) -> RunEnd {
     match error {
-        TextError::Mixed(..) | TextError::OtherSoftware(..) | TextError::TooLong => {
-            RunEnd::TextUnusable(error.to_string())
+        TextError::Mixed(..) | TextError::OtherSoftware(..) => {
+            RunEnd::TextUnusable(RetryReason::AnswerInvalid, error.to_string())
         }
+        TextError::TooLong => RunEnd::TextUnusable(RetryReason::AnswerTooLong, error.to_string()),
         TextError::OutOfOrder(..) | TextError::TooOld(..) | TextError::NoVersion => {
             RunEnd::Broken(RetryReason::AnswerInvalid, error.to_string())
         }
@@ -241,6 +243,10 @@
                 return on_text_error(&error);
             }
         }
+        if !job.text_share.resize(text.bytes() + parser.pending_bytes()) {
+            let message = "the texts of this VM take too much memory".to_owned();
+            return RunEnd::TextUnusable(RetryReason::MemoryFull, message);
+        }
         if parser.is_event_too_long() {
             let error = ExchangeError::TooLong("an event".to_owned());
             return on_exchange_error(job, in_flight, &error).await;
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -10,6 +10,7 @@
     run_once::run_once,
     score,
     state::{InFlight, Server, lock},
+    text_share::TextShare,
 };
 use crate::{
     core::{
@@ -67,6 +68,8 @@
     pub(crate) slice: EndpointSlice,
     /// How often it has failed under earlier owners of its share.
     pub(crate) failures: SampleFailures,
+    /// The memory that the sample's text takes.
+    pub(crate) text_share: TextShare,
     /// The text that earlier runs generated, if it was saved.
     pub(crate) saved_text: Option<SavedText>,
     /// The texts of its share that are still to be saved.
@@ -102,7 +105,13 @@
     /// It was stopped, to resume at an endpoint that is expected to be faster.
     Moved(RunVerdict),
     /// The text of all runs so far has to be discarded.
-    TextUnusable(String),
+    TextUnusable(RetryReason, String),
+}
+
+/// A sample that can be listed; its text takes memory until it is.
+pub(crate) struct FinishedSample {
+    pub(crate) listed: ListedSample,
+    pub(crate) _text_share: TextShare,
 }
 
 impl SampleJob {
@@ -158,6 +167,13 @@
             score,
         }
     }
+
+    fn into_finished(self, listed: ListedSample) -> FinishedSample {
+        FinishedSample {
+            listed,
+            _text_share: self.text_share,
+        }
+    }
 }
 
 /// The runs of one sample so far, and the text that they generated.
@@ -186,8 +202,10 @@
             let text = SampleText::restore(saved, min_version, is_single_version)?;
             Some((text, saved.is_complete))
         });
-        let (text, is_complete) =
+        let (text, is_complete): (SampleText, bool) =
             restored.unwrap_or_else(|| (SampleText::new(min_version, is_single_version), false));
+        // A text that takes too much memory is discarded with its next event.
+        job.text_share.resize(text.bytes());
         Self {
             failures: job.failures.runs,
             job,
@@ -333,7 +351,12 @@
         }
         tracing::info!(batch = %self.job.batch, sample = %self.job.sample.id, %origin,
             is_served, events = self.text.last_event(), "text discarded: its software has no room");
+        self.discard_text();
+    }
+
+    fn discard_text(&mut self) {
         self.text = SampleText::new(self.job.min_weights_version, self.is_single_version);
+        self.job.text_share.resize(0);
     }
 
     /// Records how a run ended; returns whether the sample is abandoned.
@@ -364,10 +387,9 @@
                 self.avoid.clear();
                 (RetryReason::EndpointRefused, detail)
             }
-            RunEnd::TextUnusable(detail) => {
-                let min_version = self.job.min_weights_version;
-                self.text = SampleText::new(min_version, self.is_single_version);
-                (RetryReason::AnswerInvalid, detail)
+            RunEnd::TextUnusable(reason, detail) => {
+                self.discard_text();
+                (reason, detail)
             }
         };
         self.avoid.insert(endpoint.clone());
@@ -382,6 +404,14 @@
 pub(crate) async fn run_sample(
     mut runs: SampleRuns,
     first_reservation: Result<Reservation, ReservationError>,
+) -> FinishedSample {
+    let listed = run_until_listable(&mut runs, first_reservation).await;
+    runs.job.into_finished(listed)
+}
+
+async fn run_until_listable(
+    runs: &mut SampleRuns,
+    first_reservation: Result<Reservation, ReservationError>,
 ) -> ListedSample {
     let started_ms = now_ms();
     let kept_events = runs.text.last_event();
@@ -431,7 +461,7 @@
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         next_reservation = runs.reserve_endpoint().await;
     }
-    finish_sample(&runs, started_ms, kept_events).await
+    finish_sample(runs, started_ms, kept_events).await
 }
 
 /// Scores a sample whose text is complete, if it asks for a score.
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -10,6 +10,7 @@
     read_batch,
     sample::{self, SampleJob, SampleRuns},
     state::{Server, lock},
+    text_share::TextShare,
 };
 use crate::core::{
     Name,
@@ -84,6 +85,7 @@
                 .get(&missing[index].id)
                 .copied()
                 .unwrap_or_default(),
+            text_share: TextShare::new(&server),
             saved_text: saved_texts.remove(&missing[index].id),
             unsaved_texts: unsaved_texts.clone(),
         };
@@ -91,10 +93,10 @@
         let reservation = runs.reserve_endpoint().await;
         let finished_sender = finished_sender.clone();
         running.spawn(async move {
-            let listed = sample::run_sample(runs, reservation).await;
+            let finished = sample::run_sample(runs, reservation).await;
             // Cannot fail: the listing task receives until all senders are
             // dropped.
-            let _ = finished_sender.send(listed);
+            let _ = finished_sender.send(finished);
         });
     }
     drop(finished_sender);
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -19,6 +19,7 @@
 use crate::{
     core::{
         Name,
+        batch::TextMemory,
         leader_lease::LeaderLease,
         pool::Pool,
         quarantine::{LateRetryPolicy, Quarantine, RunEnd},
@@ -35,6 +36,10 @@
 /// The time from which a run without an answer is logged when it ends, in
 /// milliseconds.
 const MIN_LOGGED_WAIT_MS: u64 = 1_000;
+/// The part of this VM's memory that texts of unlisted samples may take: each is copied
+/// for a short time when it is saved and when it is listed.
+const TEXT_MEMORY_DIVISOR: usize = 10;
+const BYTES_PER_MB: u64 = 1_000_000;
 
 /// The state that all tasks of one VM share; each part has its own lock.
 pub(crate) struct Server {
@@ -69,6 +74,8 @@
     pub(crate) silent_issuers: Mutex<BTreeMap<Name, u64>>,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
     pub(crate) software_history: Mutex<SoftwareHistory>,
+    /// The memory that the texts of unlisted samples take.
+    pub(crate) text_memory: Mutex<TextMemory>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     pub(crate) is_draining: AtomicBool,
@@ -83,6 +90,7 @@
     pub(crate) fn new(settings: VmSettings, incarnation: u64) -> Self {
         let http = Arc::new(ExchangeClient::default());
         let vm = settings.vm.clone();
+        let memory_bytes = usize::try_from(settings.memory_mb * BYTES_PER_MB).unwrap_or(usize::MAX);
         Self {
             incarnation,
             store: Store::new(
@@ -110,6 +118,7 @@
             silent_issuers: Mutex::default(),
             stream_origins: Mutex::default(),
             software_history: Mutex::default(),
+            text_memory: Mutex::new(TextMemory::new(memory_bytes / TEXT_MEMORY_DIVISOR)),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             is_draining: AtomicBool::new(false),
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -26,6 +26,12 @@
     pub metrics_address: SocketAddr,
     /// The address of the platform's store.
     pub store_address: SocketAddr,
+    /// The most bytes of a row of the platform's store.
+    pub row_bytes: usize,
+    /// The most bytes of an object of the platform's store.
+    pub object_bytes: usize,
+    /// The memory that the process may use, in megabytes.
+    pub memory_mb: u64,
     /// The share of a core that the process may use.
     pub cpu_share: f64,
     /// How long callers may cache the answer on which VMs to use, in seconds.
@@ -85,7 +91,11 @@
             fault(path, &value.to_string(), "a number greater than 0");
         }
     }
+    let as_u64 = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
     let positive_integers = [
+        ("row_bytes", as_u64(settings.row_bytes)),
+        ("object_bytes", as_u64(settings.object_bytes)),
+        ("memory_mb", settings.memory_mb),
         ("keep_addresses_s", settings.keep_addresses_s),
         ("keep_batches_ms", settings.keep_batches_ms),
     ];
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -11,6 +11,7 @@
     mod invalid_answers_and_ended_batches;
     mod leaving_samplers_get_no_requests;
     mod limited_samplers;
+    mod long_texts;
     mod requests_that_crash_samplers;
     mod soak;
     mod stops_cut_no_request;
--- a/tests/process_serve/soak/environment.rs
+++ b/tests/process_serve/soak/environment.rs
@@ -32,6 +32,7 @@
     events: 25,
     event_ms: 20,
     work_ms: 20,
+    padding_bytes: 0,
     load_ms: 200,
 };
 /// How long a silent sampler stays listed.
