Log each run of a sample and each finished sample, scored or not

Cause: samples without a score call left no line on their runs, so that logs couldn't tell what the last sample of a late step had waited for: its start, its endpoint's speed, or moves. Inputs: events, time to the first event, time an event.

One line a run and one a sample: no more than were written for listings.

--- a/src/core/batch/pace.rs
+++ b/src/core/batch/pace.rs
@@ -97,6 +97,12 @@
         self.last_progress_ms
     }
 
+    /// Returns when the first event arrived.
+    #[must_use]
+    pub const fn first_event_ms(&self) -> Option<u64> {
+        self.first_event_ms
+    }
+
     /// Returns the mean time per event in milliseconds, or `None` before four
     /// events.
     #[must_use]
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -276,7 +276,9 @@
     reply.release_connection().await;
     let events = text.last_event().unwrap_or(0).saturating_sub(event_before);
     let took_s = elapsed_seconds(in_flight.started_ms, now_ms());
-    tracing::debug!(sample = %job.sample.id, endpoint = %in_flight.endpoint, events, took_s,
+    tracing::info!(batch = %job.batch, sample = %job.sample.id, endpoint = %in_flight.endpoint,
+        events, took_ms = now_ms() - in_flight.started_ms, event_ms = pace.ms_per_event(),
+        first_event_ms = pace.first_event_ms().map(|at_ms| at_ms - in_flight.started_ms),
         "run ended");
     if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
         known.on_success();
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -474,15 +474,16 @@
     let text_ms = now_ms();
     let sample_s = elapsed_seconds(started_ms, text_ms);
     job.server.metrics.sample_seconds.observe(sample_s);
-    let Some(call) = &job.sample.score else {
-        return job.to_listed(ListedState::Done, &runs.text, None);
+    let score = match &job.sample.score {
+        Some(call) => score::score_sample(job, call).await,
+        None => None,
     };
-    let score = score::score_sample(job, call).await;
+    let is_scored = score.is_some();
     tracing::info!(batch = %job.batch, sample = %job.sample.id, runs = runs.run_count,
         events = runs.text.last_event(), kept_events, hint = job.sample.length_hint,
-        run_ms = text_ms - started_ms, score_ms = now_ms() - text_ms,
-        is_scored = score.is_some(), "sample finished");
-    let state = if score.is_some() {
+        run_ms = text_ms - started_ms, score_ms = now_ms() - text_ms, is_scored,
+        "sample finished");
+    let state = if is_scored || job.sample.score.is_none() {
         ListedState::Done
     } else {
         ListedState::Dead
