Send the longest samples to the fastest endpoints, and move those that may be late

What trainers saw: steps that waited two seconds for one sample. On further, where four of twelve endpoints take 1.3 times as long for an event, a sample of 192 events ends after 7.4 s at a fast one and after 9.5 s at a slow one; it is due in 7.5 s.

Cause: an endpoint's pace counted alike for all samples; a run was moved only if it was 1.8 times slower than the typical one. And the pace of an endpoint included the wait for the first event, so that short samples made all endpoints look slow.

The pace now counts more the likelier a sample is among the longest of its batch, by its hint. A run that may end after its step is due, by hint and events so far, moves to an endpoint at which it is expected to end earlier, if both the run and its endpoint are slower. Paces leave out the wait for the first event, and are known after eight.

--- a/src/core/batch/mod.rs
+++ b/src/core/batch/mod.rs
@@ -1,6 +1,7 @@
 //! Batches of samples that a trainer submits at once and reads by position.
 
 mod event;
+mod length;
 mod order;
 mod pace;
 mod sample_text;
@@ -10,6 +11,7 @@
 
 pub use self::{
     event::{Event, EventParser},
+    length::{RunInProgress, SampleLengths, length_weight},
     order::run_order,
     pace::{RunPace, RunVerdict, start_wait_factor},
     sample_text::{MAX_TEXT_BYTES, SampleText, SavedText, TextError, json_bytes},
--- a/src/core/batch/pace.rs
+++ b/src/core/batch/pace.rs
@@ -13,6 +13,9 @@
 const SLOW_FACTOR: f64 = 1.8;
 /// The fewest events from which a run's time per event is computed.
 const MIN_MEASURED_EVENTS: u32 = 4;
+/// The fewest events whose pace is about that of the endpoint: it pauses while it reads
+/// the prompts of other requests.
+const MIN_ENDPOINT_EVENTS: u32 = 8;
 
 /// The largest [`start_wait_factor`], given to the shortest samples.
 const MAX_START_WAIT_FACTOR: u64 = 4;
@@ -114,6 +117,21 @@
         Some(f64::from(span_ms) / f64::from(self.events - 1))
     }
 
+    /// Returns the mean time per event in milliseconds once there are enough events for
+    /// it to be about that of the endpoint.
+    #[must_use]
+    pub fn endpoint_ms_per_event(&self) -> Option<f64> {
+        self.ms_per_event()
+            .filter(|_| self.events >= MIN_ENDPOINT_EVENTS)
+    }
+
+    /// Returns whether the last event was the first after which the pace of the run is
+    /// about that of its endpoint.
+    #[must_use]
+    pub const fn is_first_measured(&self) -> bool {
+        self.events == MIN_ENDPOINT_EVENTS
+    }
+
     /// Returns when the run counts as silent if no further event arrives.
     ///
     /// `typical_ms` is the typical time per event.
--- a/src/core/pool/choose.rs
+++ b/src/core/pool/choose.rs
@@ -26,6 +26,10 @@
 /// one: a single slow response may be due to a long request.
 const MAX_PACE_FACTOR: f64 = 8.0;
 
+/// By how much the pace of an endpoint counts more for a request that may be among the
+/// longest, in shares of the typical pace.
+const LONG_REQUEST_PACE_COST: f64 = 3.0;
+
 /// A run is moved only if it is more than this many times slower than the other
 /// endpoint.
 const MIN_MOVE_SPEEDUP: f64 = 1.5;
@@ -51,6 +55,9 @@
     /// What the request is for: an endpoint that has named a request limit gets no
     /// hedged requests.
     pub purpose: Purpose,
+    /// How likely the request is among the longest of its kind, from 0 to 1: a slow
+    /// endpoint prolongs a long request most.
+    pub length_weight: f64,
     /// The slice of endpoints to prefer; `None` if the request has none.
     pub slice: Option<EndpointSlice>,
 }
@@ -135,6 +142,24 @@
         is_faster && endpoint.penalty_until_ms <= now_ms
     }
 
+    /// Returns the pace of the endpoint that a run would move to, if it is known and the
+    /// endpoint has not failed recently.
+    pub fn pace_elsewhere<R>(
+        &self,
+        now_ms: u64,
+        requirements: &EndpointRequirements<'_>,
+        rng: &mut R,
+    ) -> Option<f64>
+    where
+        R: Rng,
+    {
+        let chosen = self.choose(now_ms, requirements, rng)?;
+        let endpoint = self.get(&chosen)?;
+        endpoint
+            .pace
+            .filter(|_| endpoint.penalty_until_ms <= now_ms)
+    }
+
     /// Returns when the first endpoint of a service may get a request again, if all that
     /// accept work have reached their request limits.
     #[must_use]
@@ -230,7 +255,9 @@
     };
     let is_limited = endpoint.named_limit.limit().is_some();
     let limited_cost = if is_limited { LIMITED_COST } else { 0.0 };
+    let long_cost = LONG_REQUEST_PACE_COST * requirements.length_weight * (pace_factor - 1.0);
     pace_factor * (1.0 + occupancy(endpoint, now_ms))
+        + long_cost
         + remote_cost
         + stalled_cost
         + limited_cost
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -244,6 +244,7 @@
             max_occupancy,
             connected: &server.http.connected_addresses(),
             purpose,
+            length_weight: 0.0,
             slice: None,
         };
         lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
--- a/src/server/row_values.rs
+++ b/src/server/row_values.rs
@@ -5,7 +5,7 @@
 use super::state::Server;
 use crate::{core::digest::hex_digest, platform::StoreError};
 
-/// The first byte of a row that names the object with its value. No MessagePack value
+/// The first byte of a row that names the object with its value. No `MessagePack` value
 /// begins with it.
 const OBJECT_MARK: u8 = 0xc1;
 /// The number of bytes of the digest in an object's name.
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -12,7 +12,6 @@
     crash, endpoint_exchange,
     fleet::record_weights_version,
     http_client::{ExchangeError, Reply},
-    metrics::elapsed_seconds,
     permits,
     sample::{Reservation, RunEnd, SampleJob},
     state::{InFlight, Server, lock},
@@ -242,6 +241,9 @@
                 }
                 return on_text_error(&error);
             }
+            if pace.is_first_measured() {
+                record_pace(server, in_flight, &pace);
+            }
         }
         if !job.text_share.resize(text.bytes() + parser.pending_bytes()) {
             let message = "the texts of this VM take too much memory".to_owned();
@@ -259,13 +261,12 @@
             let message = format!("no event within {RUN_STALL_TIMEOUT_MS} ms");
             return RunEnd::Broken(RetryReason::AnswerStalled, message);
         }
-        if verdict != RunVerdict::Steady && may_move && job.has_better_endpoint(in_flight, &pace) {
-            if let (Some(known), Some(event_ms)) = (
-                lock(&server.pool).get_mut(&in_flight.endpoint),
-                pace.ms_per_event(),
-            ) {
-                known.on_pace(event_ms);
-            }
+        let is_slow = verdict != RunVerdict::Steady;
+        let should_move = may_move
+            && (is_slow && job.has_better_endpoint(in_flight, &pace)
+                || job.should_move_to_be_in_time(in_flight, text, &pace));
+        if should_move {
+            record_pace(server, in_flight, &pace);
             return RunEnd::Moved(verdict);
         }
     }
@@ -275,22 +276,27 @@
     }
     reply.release_connection().await;
     let events = text.last_event().unwrap_or(0).saturating_sub(event_before);
-    let took_s = elapsed_seconds(in_flight.started_ms, now_ms());
     tracing::info!(batch = %job.batch, sample = %job.sample.id, endpoint = %in_flight.endpoint,
         events, took_ms = now_ms() - in_flight.started_ms, event_ms = pace.ms_per_event(),
         first_event_ms = pace.first_event_ms().map(|at_ms| at_ms - in_flight.started_ms),
         "run ended");
     if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
         known.on_success();
-        if let Ok(events) = u32::try_from(events)
-            && events > 0
-        {
-            known.on_pace(took_s * 1_000.0 / f64::from(events));
-        }
     }
+    record_pace(server, in_flight, &pace);
     RunEnd::Complete
 }
 
+/// Records an endpoint's time per event, without the wait for the first event: how long
+/// that is depends on what else runs there.
+fn record_pace(server: &Server, in_flight: &InFlight, pace: &RunPace) {
+    if let Some(event_ms) = pace.endpoint_ms_per_event()
+        && let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
+    {
+        known.on_pace(event_ms);
+    }
+}
+
 fn sample_headers(sample: &SampleSpec) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for (name, text) in &sample.headers {
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use rand::rngs::SmallRng;
+
 use super::{
     content_runs::{self, StartOutcome},
     failures::{self, FailedCall, PERMANENT_FAILURE_COUNT, SampleFailures},
@@ -16,9 +18,10 @@
     core::{
         Name,
         batch::{
-            ListedSample, ListedState, RunPace, RunVerdict, SampleSpec, SampleText, SavedText,
+            ListedSample, ListedState, RunInProgress, RunPace, RunVerdict, SampleSpec, SampleText,
+            SavedText,
         },
-        pool::{EndpointRequirements, EndpointSlice},
+        pool::{EndpointRequirements, EndpointSlice, Pool},
         rate_limit::Purpose,
         retry::RetryReason,
         routes::Route,
@@ -62,6 +65,10 @@
     pub(crate) sample: SampleSpec,
     /// The fingerprint of the sample's content.
     pub(crate) content: Name,
+    /// When the sample is due, by the platform's clock.
+    pub(crate) due_platform_ms: u64,
+    /// How likely the sample is among the longest of its batch.
+    pub(crate) length_weight: f64,
     /// The multiple of the usual silence that its runs may take to start.
     pub(crate) start_wait_factor: u64,
     /// The endpoints that its share prefers.
@@ -117,6 +124,51 @@
 impl SampleJob {
     /// Returns whether a run is expected to do better at another endpoint.
     pub(crate) fn has_better_endpoint(&self, in_flight: &InFlight, pace: &RunPace) -> bool {
+        let event_ms = pace.ms_per_event();
+        self.search_elsewhere(in_flight, |pool, requirements, rng| {
+            pool.has_better_endpoint(now_ms(), requirements, event_ms, rng)
+        })
+    }
+
+    /// Returns whether a run that may be late is expected to end earlier elsewhere.
+    pub(crate) fn should_move_to_be_in_time(
+        &self,
+        in_flight: &InFlight,
+        text: &SampleText,
+        pace: &RunPace,
+    ) -> bool {
+        let endpoint_ms = lock(&self.server.pool)
+            .get(&in_flight.endpoint)
+            .and_then(|known| known.pace);
+        let clock = self.server.store.clock_bounds_ms();
+        let (Some(run_ms), Some(endpoint_ms), Some((platform_ms, _))) =
+            (pace.endpoint_ms_per_event(), endpoint_ms, clock)
+        else {
+            return false;
+        };
+        // A run may be slow for a moment, and an endpoint may no longer be slow.
+        let here_ms = run_ms.min(endpoint_ms);
+        let run = RunInProgress {
+            events: text.last_event().unwrap_or(0),
+            hinted_events: lock(&self.server.sample_lengths)
+                .hinted_events(&self.model, self.sample.length_hint),
+            due_ms: self.due_platform_ms,
+        };
+        // No endpoint is expected to need less than nothing: the search is spared for
+        // runs that would not move anywhere.
+        if !run.should_move(platform_ms, here_ms, 0.0) {
+            return false;
+        }
+        let there_ms = self.search_elsewhere(in_flight, |pool, requirements, rng| {
+            pool.pace_elsewhere(now_ms(), requirements, rng)
+        });
+        there_ms.is_some_and(|there_ms| run.should_move(platform_ms, here_ms, there_ms))
+    }
+
+    fn search_elsewhere<F, T>(&self, in_flight: &InFlight, search: F) -> T
+    where
+        F: FnOnce(&Pool, &EndpointRequirements<'_>, &mut SmallRng) -> T,
+    {
         let avoid = BTreeSet::from([in_flight.endpoint.clone()]);
         let requirements = EndpointRequirements {
             service: &in_flight.origin.service,
@@ -127,16 +179,11 @@
             max_occupancy: MAX_MOVE_OCCUPANCY,
             connected: &self.server.http.connected_addresses(),
             purpose: Purpose::Hedge,
+            length_weight: self.length_weight,
             slice: Some(self.slice),
         };
-        let event_ms = pace.ms_per_event();
         let pool = lock(&self.server.pool);
-        pool.has_better_endpoint(
-            now_ms(),
-            &requirements,
-            event_ms,
-            &mut *lock(&self.server.rng),
-        )
+        search(&pool, &requirements, &mut lock(&self.server.rng))
     }
 
     /// Returns the time until the sample expires, in milliseconds, or the timeout of a
@@ -312,6 +359,7 @@
             max_occupancy: MAX_RUN_OCCUPANCY,
             connected: &server.http.connected_addresses(),
             purpose: Purpose::Sample,
+            length_weight: job.length_weight,
             slice: Some(job.slice),
         };
         lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
@@ -474,6 +522,11 @@
     let text_ms = now_ms();
     let sample_s = elapsed_seconds(started_ms, text_ms);
     job.server.metrics.sample_seconds.observe(sample_s);
+    lock(&job.server.sample_lengths).on_complete(
+        &job.model,
+        job.sample.length_hint,
+        runs.text.last_event().unwrap_or(0),
+    );
     let score = match &job.sample.score {
         Some(call) => score::score_sample(job, call).await,
         None => None,
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -130,6 +130,7 @@
         connected: &server.http.connected_addresses(),
         purpose: Purpose::Score,
         software: None,
+        length_weight: 0.0,
         slice: None,
     };
     lock(&server.pool).choose(now_ms(), &requirements, &mut *lock(&server.rng))
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -14,7 +14,7 @@
 };
 use crate::core::{
     Name,
-    batch::{BatchSpec, SampleSpec, run_order, share_of_group, start_wait_factor},
+    batch::{BatchSpec, SampleSpec, length_weight, run_order, share_of_group, start_wait_factor},
     pool::EndpointSlice,
     quarantine::content_fingerprint,
 };
@@ -28,8 +28,7 @@
 /// `is_first` tells that the share has had no owner before, so that none of its
 /// samples is listed or has a saved text in this batch.
 pub(crate) async fn run_share(server: Arc<Server>, batch: Name, share: u32, is_first: bool) {
-    let Some((spec, listed, expires_platform_ms)) =
-        read_batch_and_listing(&server, &batch, is_first).await
+    let Some((spec, listed, deadlines)) = read_batch_and_listing(&server, &batch, is_first).await
     else {
         return;
     };
@@ -76,9 +75,11 @@
             host: spec.host.clone(),
             model: spec.model.clone(),
             min_weights_version: spec.min_weights_version,
-            expires_platform_ms,
+            expires_platform_ms: deadlines.expires_platform_ms,
             content: content_fingerprint(&spec.host, &missing[index].path, &missing[index].body),
             sample: missing[index].clone(),
+            due_platform_ms: deadlines.due_platform_ms,
+            length_weight: length_weight(missing[index].length_hint, longest_hint),
             start_wait_factor: start_wait_factor(missing[index].length_hint, longest_hint),
             slice: EndpointSlice { share, share_count },
             failures: failures
@@ -105,14 +106,21 @@
     claims::release_share(&server, &batch, share, true).await;
 }
 
-/// Returns a batch, the positions of its listed samples and its time limit.
+/// The deadlines of a batch, by the platform's clock.
+struct BatchDeadlines {
+    due_platform_ms: u64,
+    /// When its samples may be given up.
+    expires_platform_ms: u64,
+}
+
+/// Returns a batch, the positions of its listed samples and its deadlines.
 ///
 /// Reads that fail are retried. Returns `None` if the batch is not known.
 async fn read_batch_and_listing(
     server: &Server,
     batch: &Name,
     is_first: bool,
-) -> Option<(Arc<BatchSpec>, BTreeMap<Name, usize>, u64)> {
+) -> Option<(Arc<BatchSpec>, BTreeMap<Name, usize>, BatchDeadlines)> {
     loop {
         let head = lock(&server.batches).get(batch)?.head.clone()?;
         let positions = async {
@@ -124,11 +132,14 @@
         match (read_batch::read_spec(server, batch).await, positions.await) {
             (Ok(spec), Ok(listed)) => {
                 let routes = server.routes();
-                let limit_ms = routes
-                    .find(&spec.host, &spec.path)
-                    .map_or(0, |route| route.queue_limit_ms);
-                let expires_platform_ms = head.accepted_platform_ms + limit_ms;
-                return Some((spec, listed, expires_platform_ms));
+                let route = routes.find(&spec.host, &spec.path);
+                let accepted_ms = head.accepted_platform_ms;
+                let deadlines = BatchDeadlines {
+                    due_platform_ms: accepted_ms + route.map_or(0, |route| route.batch_target_ms),
+                    expires_platform_ms: accepted_ms
+                        + route.map_or(0, |route| route.queue_limit_ms),
+                };
+                return Some((spec, listed, deadlines));
             }
             (Err(error), _) => tracing::warn!(%batch, %error, "batch not read"),
             (_, Err(error)) => tracing::warn!(%batch, %error, "listing not read"),
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -19,7 +19,7 @@
 use crate::{
     core::{
         Name,
-        batch::TextMemory,
+        batch::{SampleLengths, TextMemory},
         leader_lease::LeaderLease,
         pool::Pool,
         quarantine::{LateRetryPolicy, Quarantine, RunEnd},
@@ -76,6 +76,7 @@
     pub(crate) software_history: Mutex<SoftwareHistory>,
     /// The memory that the texts of unlisted samples take.
     pub(crate) text_memory: Mutex<TextMemory>,
+    pub(crate) sample_lengths: Mutex<SampleLengths>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     pub(crate) is_draining: AtomicBool,
@@ -119,6 +120,7 @@
             stream_origins: Mutex::default(),
             software_history: Mutex::default(),
             text_memory: Mutex::new(TextMemory::new(memory_bytes / TEXT_MEMORY_DIVISOR)),
+            sample_lengths: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             is_draining: AtomicBool::new(false),
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -8,6 +8,7 @@
     mod cut_streams_resume_whole;
     mod frequent_weights_leave_samplers_usable;
     mod limits_hold_over_vms;
+    mod long_samples_get_fast_samplers;
     mod long_texts_share_memory;
     mod longest_samples_start_first;
     mod many_vms_count_crashes_together;
--- a/tests/loads/bursts_spread_over_samplers.rs
+++ b/tests/loads/bursts_spread_over_samplers.rs
@@ -28,6 +28,7 @@
         connected: const { &BTreeSet::new() },
         software: None,
         purpose: Purpose::Sample,
+        length_weight: 0.0,
         slice: None,
     }
 }
--- a/tests/loads/refusals_pause_a_sampler.rs
+++ b/tests/loads/refusals_pause_a_sampler.rs
@@ -27,6 +27,7 @@
         connected: &BTreeSet::new(),
         software: None,
         purpose: Purpose::Sample,
+        length_weight: 0.0,
         slice: None,
     };
     pool.choose(now_ms, &requirements, &mut SmallRng::seed_from_u64(now_ms))
--- a/tests/loads/runs_move_off_slow_samplers.rs
+++ b/tests/loads/runs_move_off_slow_samplers.rs
@@ -41,6 +41,7 @@
         connected: const { &BTreeSet::new() },
         software: None,
         purpose: Purpose::Sample,
+        length_weight: 0.0,
         slice: None,
     }
 }
--- a/tests/loads/shares_prefer_their_endpoint_slices.rs
+++ b/tests/loads/shares_prefer_their_endpoint_slices.rs
@@ -56,6 +56,7 @@
             connected: &connected,
             software: None,
             purpose: Purpose::Sample,
+            length_weight: 0.0,
             slice,
         };
         let chosen = self
