Move a slow run only if the rest of its sample gains by it

Cause: four events decided, and a pause of 150 ms, in which an endpoint reads the prompts of others, makes four events look twice as slow as they are.

Eight events decide now, and the rest of the sample, by its hint or half of its events so far, has to take less time elsewhere, the move included.

--- a/src/core/batch/length.rs
+++ b/src/core/batch/length.rs
@@ -79,6 +79,27 @@
 }
 
 impl RunInProgress {
+    /// Returns whether the rest of the sample is expected to take less time at an
+    /// endpoint that takes `there_ms` an event than here, with the move.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chicoryreach::core::batch::RunInProgress;
+    ///
+    /// let run = RunInProgress { events: 8, hinted_events: Some(30.0), due_ms: 7_500 };
+    /// assert!(run.gains_by_move(100.0, 40.0));
+    /// assert!(!RunInProgress { hinted_events: Some(9.0), ..run }.gains_by_move(100.0, 40.0));
+    /// ```
+    #[must_use]
+    pub fn gains_by_move(&self, here_ms: f64, there_ms: f64) -> bool {
+        let events = to_f64(self.events);
+        let hinted = self.hinted_events.unwrap_or(events * HINTED_LENGTH_FACTOR);
+        // A sample that is longer than its hint is about half done again.
+        let left = (hinted - events).max(events / 2.0);
+        left * (here_ms - there_ms) > MOVE_MS
+    }
+
     /// Returns whether the sample may end too late at the endpoint that runs it, which
     /// takes `here_ms` an event, and earlier at one that takes `there_ms`.
     ///
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -261,10 +261,13 @@
             let message = format!("no event within {RUN_STALL_TIMEOUT_MS} ms");
             return RunEnd::Broken(RetryReason::AnswerStalled, message);
         }
-        let is_slow = verdict != RunVerdict::Steady;
+        let is_better_elsewhere = || match verdict {
+            RunVerdict::Steady => false,
+            RunVerdict::Slow => job.gains_by_move(in_flight, text, &pace),
+            RunVerdict::Silent => job.has_better_endpoint(in_flight, &pace),
+        };
         let should_move = may_move
-            && (is_slow && job.has_better_endpoint(in_flight, &pace)
-                || job.should_move_to_be_in_time(in_flight, text, &pace));
+            && (is_better_elsewhere() || job.should_move_to_be_in_time(in_flight, text, &pace));
         if should_move {
             record_pace(server, in_flight, &pace);
             return RunEnd::Moved(verdict);
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -122,6 +122,32 @@
 }
 
 impl SampleJob {
+    /// Returns whether a slow run is expected to end earlier at another endpoint.
+    pub(crate) fn gains_by_move(
+        &self,
+        in_flight: &InFlight,
+        text: &SampleText,
+        pace: &RunPace,
+    ) -> bool {
+        let Some(here_ms) = pace.endpoint_ms_per_event() else {
+            return false;
+        };
+        let run = self.run_in_progress(text);
+        let there_ms = self.search_elsewhere(in_flight, |pool, requirements, rng| {
+            pool.pace_elsewhere(now_ms(), requirements, rng)
+        });
+        there_ms.is_some_and(|there_ms| run.gains_by_move(here_ms, there_ms))
+    }
+
+    fn run_in_progress(&self, text: &SampleText) -> RunInProgress {
+        RunInProgress {
+            events: text.last_event().unwrap_or(0),
+            hinted_events: lock(&self.server.sample_lengths)
+                .hinted_events(&self.model, self.sample.length_hint),
+            due_ms: self.due_platform_ms,
+        }
+    }
+
     /// Returns whether a run is expected to do better at another endpoint.
     pub(crate) fn has_better_endpoint(&self, in_flight: &InFlight, pace: &RunPace) -> bool {
         let event_ms = pace.ms_per_event();
@@ -148,12 +174,7 @@
         };
         // A run may be slow for a moment, and an endpoint may no longer be slow.
         let here_ms = run_ms.min(endpoint_ms);
-        let run = RunInProgress {
-            events: text.last_event().unwrap_or(0),
-            hinted_events: lock(&self.server.sample_lengths)
-                .hinted_events(&self.model, self.sample.length_hint),
-            due_ms: self.due_platform_ms,
-        };
+        let run = self.run_in_progress(text);
         // No endpoint is expected to need less than nothing: the search is spared for
         // runs that would not move anywhere.
         if !run.should_move(platform_ms, here_ms, 0.0) {
--- a/tests/loads/long_samples_get_fast_samplers.rs
+++ b/tests/loads/long_samples_get_fast_samplers.rs
@@ -263,3 +263,26 @@
         "late samples: {late_before} without lengths, {late_after} with lengths"
     );
 }
+
+/// Guards against runs that move, which costs a connection, since their sampler paused
+/// once to read the prompts of others.
+#[test]
+fn a_pause_moves_no_short_run_and_a_slow_sampler_moves_all() {
+    let pace_of = |event_ms: u64, pause_ms: u64| {
+        let mut pace = RunPace::new(0);
+        for event in 1..=8 {
+            let pause_ms = if event > 4 { pause_ms } else { 0 };
+            pace.on_event(event * event_ms + pause_ms);
+        }
+        pace.endpoint_ms_per_event().expect("eight events")
+    };
+    let run = |hinted_events: f64| RunInProgress {
+        events: 8,
+        hinted_events: Some(hinted_events),
+        due_ms: 7_500,
+    };
+    let (paused_ms, slow_ms) = (pace_of(40, 300), pace_of(140, 0));
+    assert!(!run(10.0).gains_by_move(paused_ms, FAST_EVENT_MS));
+    assert!(run(20.0).gains_by_move(slow_ms, FAST_EVENT_MS));
+    assert!(run(80.0).gains_by_move(slow_ms, FAST_EVENT_MS));
+}
