Ask an endpoint that goes on refusing less often

Cause: after 100 ms a refusal was forgotten, and the endpoint counted as empty, at all VMs whose samples waited for a place.

The pause doubles twice, to 400 ms, until the endpoint takes a request of this VM.

--- a/src/core/pool/load.rs
+++ b/src/core/pool/load.rs
@@ -17,6 +17,9 @@
 /// many requests run, a slot becomes free or an endpoint finishes loading weights
 /// within about a tenth of a second.
 const REFUSAL_LIFETIME_MS: u64 = 100;
+/// How often this time is doubled at most while an endpoint refuses: other VMs fill the
+/// slots that become free.
+const MAX_REFUSAL_DOUBLINGS: u32 = 2;
 
 /// The number of requests at one endpoint.
 ///
@@ -28,6 +31,8 @@
     pub in_flight: u32,
     others_in_flight: u32,
     others_expire_at_ms: u64,
+    /// The refusals since the endpoint last took a request of this VM.
+    refusals: u32,
 }
 
 impl Load {
@@ -35,6 +40,7 @@
         in_flight: 0,
         others_in_flight: 0,
         others_expire_at_ms: 0,
+        refusals: 0,
     };
 
     /// Records a load report from a response to one of this VM's requests.
@@ -44,10 +50,17 @@
         self.others_expire_at_ms = now_ms + REPORT_LIFETIME_MS;
     }
 
+    /// Records that the endpoint took a request.
+    pub const fn on_accepted(&mut self) {
+        self.refusals = 0;
+    }
+
     /// Records a refusal: the endpoint counts as full, whatever it reported.
     pub fn on_refusal(&mut self, now_ms: u64, slots: u32) {
         self.others_in_flight = self.others_in_flight.max(slots);
-        self.others_expire_at_ms = now_ms + REFUSAL_LIFETIME_MS;
+        let lifetime_ms = REFUSAL_LIFETIME_MS << self.refusals.min(MAX_REFUSAL_DOUBLINGS);
+        self.refusals += 1;
+        self.others_expire_at_ms = now_ms + lifetime_ms;
     }
 
     /// Returns the estimated number of requests at the endpoint.
--- a/src/server/attempt.rs
+++ b/src/server/attempt.rs
@@ -195,6 +195,8 @@
     }
     if head.is_not_run {
         known.on_refusal(now_ms());
+    } else {
+        known.load.on_accepted();
     }
 }
 
--- a/tests/loads/refusals_pause_a_sampler.rs
+++ b/tests/loads/refusals_pause_a_sampler.rs
@@ -74,6 +74,29 @@
     assert_eq!(choose(&pool, 101, 1.0), Some(endpoint_name(0)));
 }
 
+/// Guards against VMs that all ask a full sampler ten times a second.
+#[test]
+fn a_sampler_that_goes_on_refusing_is_tried_less_often() {
+    let mut pool = pool(1, SLOTS, &[]);
+    let tries_within = |pool: &mut Pool, from_ms: u64, until_ms: u64| {
+        let tries = (from_ms..until_ms).filter(|now_ms| {
+            let is_tried = choose(pool, *now_ms, 1.0).is_some();
+            if is_tried {
+                let endpoint = pool.get_mut(&endpoint_name(0)).expect("listed");
+                endpoint.on_refusal(*now_ms);
+            }
+            is_tried
+        });
+        tries.count()
+    };
+    // With a pause that stays the same there would be twenty.
+    assert!(tries_within(&mut pool, 0, 2_000) <= 10);
+    let endpoint = pool.get_mut(&endpoint_name(0)).expect("listed");
+    endpoint.load.on_accepted();
+    endpoint.on_refusal(2_000);
+    assert_eq!(choose(&pool, 2_101, 1.0), Some(endpoint_name(0)));
+}
+
 #[test]
 fn callers_may_still_queue_at_a_refusing_sampler() {
     let mut pool = pool(1, SLOTS, &[]);
