Accept batches that are larger than an object of the store

What trainers saw: 503, platform_unavailable, each time, for a batch of more than 8 MiB; a step of 8,192 samples, the size to design for, is about 10 MB.

Cause: the batch is kept as one object, and the store's limit of an object was not looked at. Same class as the bound of texts.

The batch is split over objects as long as the store allows; its head says how many. A head of an older build means one.

Evidence: process_serve::large_batches, 503 with one object (413 of the store), passes now: accepted, bodies read at the other VM, 32 results whole.

--- a/src/core/batch/mod.rs
+++ b/src/core/batch/mod.rs
@@ -16,6 +16,8 @@
     pace::{RunPace, RunVerdict, start_wait_factor},
     sample_text::{MAX_TEXT_BYTES, SampleText, SavedText, TextError, json_bytes},
     share::{share_count, share_of_group},
-    spec::{BatchHead, BatchSpec, ListedSample, ListedState, SampleSpec, ScoreCall},
+    spec::{
+        BatchHead, BatchSpec, ListedSample, ListedState, SampleSpec, ScoreCall, object_part_names,
+    },
     text_memory::TextMemory,
 };
--- a/src/core/batch/spec.rs
+++ b/src/core/batch/spec.rs
@@ -62,8 +62,11 @@
 /// The metadata of an accepted batch, stored separately from its samples.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BatchHead {
-    /// The object that holds the [`BatchSpec`].
+    /// The object that holds the [`BatchSpec`], or its first part.
     pub object: Name,
+    /// The number of objects that the [`BatchSpec`] is split over.
+    #[serde(default = "one_part")]
+    pub object_parts: usize,
     /// When the batch was accepted, in milliseconds of the platform's clock.
     pub accepted_platform_ms: u64,
     /// The number of samples.
@@ -84,6 +87,34 @@
     pub min_weights_version: u64,
 }
 
+impl BatchHead {
+    /// Returns the names of the objects that hold the [`BatchSpec`], in order.
+    pub fn object_names(&self) -> impl Iterator<Item = Name> {
+        object_part_names(&self.object, self.object_parts)
+    }
+}
+
+/// Returns the names of the objects of a batch that is split into `parts`.
+///
+/// # Examples
+///
+/// ```
+/// use chicoryreach::core::batch::object_part_names;
+///
+/// let names: Vec<_> = object_part_names(&"batch-7".into(), 2).collect();
+/// assert_eq!(names, ["batch-7".into(), "batch-7-1".into()]);
+/// ```
+pub fn object_part_names(first: &Name, parts: usize) -> impl Iterator<Item = Name> {
+    (0..parts).map(move |part| match part {
+        0 => first.clone(),
+        part => format!("{first}-{part}").into(),
+    })
+}
+
+const fn one_part() -> usize {
+    1
+}
+
 /// The final state of a sample.
 #[derive(
     Clone, Copy, Debug, Deserialize, Display, EnumString, Eq, IntoStaticStr, PartialEq, Serialize,
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+use futures_util::future::join_all;
 use hyper::{Response, StatusCode};
 
 use super::{
@@ -19,7 +21,7 @@
 use crate::{
     core::{
         Name,
-        batch::{BatchHead, share_count},
+        batch::{BatchHead, object_part_names, share_count},
         routes::Route,
     },
     daemon::now_ms,
@@ -83,14 +85,16 @@
             format!("batch {} cannot be encoded: {error}", spec.id),
         )
     })?;
-    let put = server.store.put_object(&object, bytes.into()).await;
-    put.map_err(|error| unavailable(&error))?;
+    let object_parts = put_parts(server, &object, bytes.into())
+        .await
+        .map_err(|error| unavailable(&error))?;
     let Some((platform_ms, _)) = server.store.clock_bounds_ms() else {
         let message = "the store's clock is not known yet";
         return Err(Refusal::new(ErrorKind::PlatformUnavailable, message));
     };
     let head = BatchHead {
         object,
+        object_parts,
         accepted_platform_ms: platform_ms,
         sample_count: spec.samples.len(),
         tokens: spec.samples.iter().map(|sample| sample.length_hint).sum(),
@@ -126,6 +130,22 @@
     Ok(empty_response(StatusCode::ACCEPTED))
 }
 
+/// Writes the objects of a batch, each as long as the store allows; returns how many.
+async fn put_parts(server: &Server, object: &Name, bytes: Bytes) -> Result<usize, StoreError> {
+    let part_bytes = server.settings.object_bytes;
+    let parts = bytes.len().div_ceil(part_bytes).max(1);
+    let names = object_part_names(object, parts).enumerate();
+    let puts = names.map(async |(part, name)| {
+        let end = ((part + 1) * part_bytes).min(bytes.len());
+        let slice = bytes.slice(part * part_bytes..end);
+        server.store.put_object(&name, slice).await
+    });
+    for put in join_all(puts).await {
+        put?;
+    }
+    Ok(parts)
+}
+
 /// Writes the head of a batch unless the batch has one.
 ///
 /// The write is retried until its outcome is known. It is conditional on the
--- a/src/server/clean.rs
+++ b/src/server/clean.rs
@@ -26,8 +26,8 @@
 pub(crate) async fn delete_old_batches(server: Arc<Server>) {
     loop {
         tokio::time::sleep(Duration::from_millis(OLD_BATCH_SCAN_INTERVAL_MS)).await;
-        for (batch, object) in due_batches(&server) {
-            match delete_batch(&server, &batch, &object).await {
+        for (batch, objects) in due_batches(&server) {
+            match delete_batch(&server, &batch, &objects).await {
                 Ok(()) => tracing::info!(%batch, "batch deleted"),
                 Err(error) => tracing::warn!(%batch, %error, "batch not deleted yet"),
             }
@@ -50,7 +50,7 @@
 }
 
 /// Returns the batches that this VM is to delete, with their objects.
-fn due_batches(server: &Server) -> Vec<(Name, Name)> {
+fn due_batches(server: &Server) -> Vec<(Name, Vec<Name>)> {
     let Some((earliest_ms, _)) = server.store.clock_bounds_ms() else {
         return Vec::new();
     };
@@ -65,7 +65,7 @@
         let is_old = batch.is_ended && earliest_ms > head.accepted_platform_ms + keep_ms;
         let chosen = rendezvous::choose(&live, id, 1);
         if is_old && chosen.first() == Some(&server.settings.vm) {
-            due.push((id.clone(), head.object.clone()));
+            due.push((id.clone(), head.object_names().collect()));
         }
     }
     due
@@ -73,7 +73,7 @@
 
 /// Deletes a batch: first its listing, texts and failures, then its objects, and last the
 /// rows by which it is found.
-async fn delete_batch(server: &Server, batch: &Name, object: &str) -> Result<(), StoreError> {
+async fn delete_batch(server: &Server, batch: &Name, objects: &[Name]) -> Result<(), StoreError> {
     for table in [LISTING_TABLE, SAVED_TEXT_TABLE, FAILURE_TABLE, BATCH_TABLE] {
         if table == BATCH_TABLE {
             for text in server
@@ -83,7 +83,9 @@
             {
                 server.store.delete_object(&text).await?;
             }
-            server.store.delete_object(object).await?;
+            for object in objects {
+                server.store.delete_object(object).await?;
+            }
         }
         loop {
             let rows = server
--- a/src/server/read_batch.rs
+++ b/src/server/read_batch.rs
@@ -168,17 +168,18 @@
         return Ok(spec);
     }
     let head = read_head(server, batch).await?;
-    let bytes = server
-        .store
-        .get_object(&head.object)
-        .await
-        .map_err(|error| unavailable(&error))?;
-    let bytes = bytes.ok_or_else(|| {
-        Refusal::new(
-            ErrorKind::Internal,
-            format!("object {} of batch {batch} is missing", head.object),
-        )
-    })?;
+    let mut bytes = Vec::new();
+    for object in head.object_names() {
+        let part = server.store.get_object(&object).await;
+        let part = part.map_err(|error| unavailable(&error))?;
+        let part = part.ok_or_else(|| {
+            Refusal::new(
+                ErrorKind::Internal,
+                format!("object {object} of batch {batch} is missing"),
+            )
+        })?;
+        bytes.extend_from_slice(&part);
+    }
     let spec: BatchSpec = rmp_serde::from_slice(&bytes).map_err(|error| {
         Refusal::new(
             ErrorKind::Internal,
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -9,6 +9,7 @@
     mod budgets_on_busy_machines;
     mod crashes_without_a_closed_connection;
     mod invalid_answers_and_ended_batches;
+    mod large_batches;
     mod leaving_samplers_get_no_requests;
     mod limited_samplers;
     mod long_texts;
