Show what becomes of streams after all VMs were killed at once

No stream is joined from two versions (ORDER): with both versions in service, with the old one just gone, with a second kill, and with a store that turns a VM away.

Cause: who began a stream is known to three VMs and nowhere else, and a VM that has just started has not watched the versions for as long as streams last.

Evidence: process_serve::streams_after_all_vms_are_lost. No product code is changed.

--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -16,5 +16,6 @@
     mod requests_that_crash_samplers;
     mod soak;
     mod stops_cut_no_request;
+    mod streams_after_all_vms_are_lost;
     mod streams_keep_their_software;
 }
--- a/tests/process_serve/streams_keep_their_software.rs
+++ b/tests/process_serve/streams_keep_their_software.rs
@@ -35,15 +35,15 @@
 
 /// What a caller got of a stream.
 #[derive(Debug, Default)]
-struct Received {
-    status: u16,
+pub struct Received {
+    pub status: u16,
     /// The software version of the sampler that answered.
-    software: Option<String>,
-    events: u64,
+    pub software: Option<String>,
+    pub events: u64,
 }
 
 /// Reads a stream until it holds some events, then closes the connection.
-async fn read_stream(
+pub async fn read_stream(
     software: &BTreeMap<String, String>,
     vm: SocketAddr,
     id: &str,
@@ -105,7 +105,7 @@
 
 /// Lets one of the samplers run another version of the software; returns the version
 /// of each.
-async fn release_one(fleet: &Fleet) -> BTreeMap<String, String> {
+pub async fn release_one(fleet: &Fleet) -> BTreeMap<String, String> {
     fleet.model_samplers[2].set_software("v2");
     for vm in &fleet.vms {
         let deadline = Instant::now() + WAIT_TIMEOUT;
