Take an answer that names a request for no answer to an order

An endpoint may send a second copy of an answer, late, on a connection that is in use again; if an order or the question for accepted orders was sent there next, the copy was its answer. A 200 means that the endpoint holds the version: it was noted for good and never ordered again.

Cause: callers' requests, samples and score calls compare the id of the answer; orders and reports have none to compare, and took any answer.

An answer that names a request, where none was named, is to another one: the order counts as unanswered, and is planned again once it can no longer be carried out.

Evidence: process_serve::late_copies_of_answers, one late copy at each of three samplers: without the check no order is sent again (0 of 3 loaded after 12 s), with it all load (8.2 s).

--- a/crates/standins/src/fleet/answer_fault.rs
+++ b/crates/standins/src/fleet/answer_fault.rs
@@ -13,6 +13,9 @@
     Refused,
     /// It names the id of another request.
     Foreign,
+    /// It is a second copy of an answer to another request, and the order that it comes
+    /// in answer to is not carried out. Applies to orders only.
+    LateCopy,
     /// It does not name the sampler that sent it.
     Unstamped,
     /// It claims a content encoding that the request did not ask for.
--- a/crates/standins/src/fleet/sampler_answers.rs
+++ b/crates/standins/src/fleet/sampler_answers.rs
@@ -73,6 +73,11 @@
     let Ok(order) = serde_json::from_slice::<Value>(&body) else {
         return status_answer(StatusCode::BAD_REQUEST, "not JSON");
     };
+    let is_late_copy = lock(&shared.answer_faults).pop_if(|fault| *fault == AnswerFault::LateCopy);
+    if is_late_copy.is_some() {
+        let answer = bytes_answer(Bytes::from_static(b"late"));
+        return with_headers(shared, answer, "another", None);
+    }
     {
         let mut orders = lock(&shared.orders);
         if order["expect_rev"].as_u64() != u64::try_from(orders.len()).ok() {
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -144,12 +144,12 @@
         .map_or(StatedLimit::Invalid, StatedLimit::Named)
 }
 
-/// Returns whether an answer names another request than the one that was sent.
+/// Returns whether an answer names another request than the one that was sent, or one
+/// although none was named.
 pub(crate) fn names_other_request(sent: &HeaderMap, received: &HeaderMap) -> bool {
-    match (sent.get(REQUEST_ID_HEADER), received.get(REQUEST_ID_HEADER)) {
-        (Some(sent), Some(received)) => sent != received,
-        _ => false,
-    }
+    let received = received.get(REQUEST_ID_HEADER);
+    let received = received.filter(|id| !id.is_empty());
+    received.is_some() && received != sent.get(REQUEST_ID_HEADER)
 }
 
 fn parse_load_report(text: &str) -> Option<LoadReport> {
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -10,6 +10,7 @@
     mod crashes_without_a_closed_connection;
     mod invalid_answers_and_ended_batches;
     mod large_batches;
+    mod late_copies_of_answers;
     mod leaving_samplers_get_no_requests;
     mod limited_samplers;
     mod long_texts;
