--- a/src/core/batch/spec.rs
+++ b/src/core/batch/spec.rs
@@ -34,10 +34,23 @@
     pub group: Name,
     /// The trainer's estimate of how many tokens the sample generates.
     pub length_hint: u64,
+    /// The most tokens that the sample may generate, if the trainer names any.
+    #[serde(default)]
+    pub max_tokens: Option<u64>,
     /// The request that scores the sample, if any.
     pub score: Option<ScoreCall>,
 }
 
+impl SampleSpec {
+    /// Returns whether the sample can have an event of this number: each event holds at
+    /// least one token.
+    #[must_use]
+    pub fn allows_event(&self, number: u64) -> bool {
+        self.max_tokens
+            .is_none_or(|max_tokens| number <= max_tokens)
+    }
+}
+
 /// A batch as its trainer submitted it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BatchSpec {
--- a/src/platform/batches.rs
+++ b/src/platform/batches.rs
@@ -173,6 +173,7 @@
         path: wire.path,
         group: wire.group,
         length_hint: hint.unwrap_or(max_tokens),
+        max_tokens: (max_tokens > 0).then_some(max_tokens),
         score: score.transpose()?,
         headers: wire.headers.into_iter().collect(),
     })
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -233,6 +233,13 @@
             if let Some(version) = event.weights_version {
                 record_weights_version(server, &in_flight.endpoint, &job.model, version);
             }
+            if event.id.is_some_and(|id| !job.sample.allows_event(id)) {
+                if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint) {
+                    known.on_failure(now_ms());
+                }
+                let message = "more events than the sample may have tokens".to_owned();
+                return RunEnd::TextUnusable(RetryReason::AnswerTooLong, message);
+            }
             if let Err(error) = text.on_event(&event) {
                 if matches!(error, TextError::TooLong)
                     && let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
--- a/tests/loads/cut_streams_resume_whole.rs
+++ b/tests/loads/cut_streams_resume_whole.rs
@@ -204,3 +204,14 @@
     }
     assert_eq!(text.last_event(), Some(EVENTS));
 }
+
+/// Guards against a VM that is kept busy by a sampler whose small events do not end: a
+/// sample has no more events than its trainer allows tokens.
+#[test]
+fn a_sample_has_no_more_events_than_tokens() {
+    let mut sample = super::support::sample(1, 1, 400);
+    assert!(sample.allows_event(u64::MAX));
+    sample.max_tokens = Some(400);
+    assert!(sample.allows_event(400));
+    assert!(!sample.allows_event(401));
+}
--- a/tests/loads/support.rs
+++ b/tests/loads/support.rs
@@ -73,6 +73,7 @@
         body: Bytes::new(),
         group: format!("group-{group}").into(),
         length_hint,
+        max_tokens: None,
         score: None,
     }
 }
