Decide in one place whether an answer is to the request that was sent

Cause: an endpoint's second copy of an answer, late, comes where the next answer on the connection is expected. Each hop read an answer in an order of its own: the headers that say "not run" before the id, an answer without an id as one to any request, and orders and questions, which have no id, on connections that they share.

Now endpoint_exchange::send decides before anything else of an answer is read; what is not to the request is ExchangeError::Misplaced, the request may have run, and the connection is closed. A request without an id goes only over a connection that has carried no other one: a late copy there names a request, so that it can be told.

--- a/crates/standins/src/fleet/answer_fault.rs
+++ b/crates/standins/src/fleet/answer_fault.rs
@@ -16,6 +16,16 @@
     /// It is a second copy of an answer to another request, and the order that it comes
     /// in answer to is not carried out. Applies to orders only.
     LateCopy,
+    /// It is a second copy of the answer to an earlier order or question on the same
+    /// connection, if there was one, and the order that it comes in answer to is not
+    /// carried out. Applies to orders only.
+    LateUnnamedCopy,
+    /// It is a second copy of a refusal of another request, and the request that it comes
+    /// in answer to runs.
+    LateRefusal,
+    /// It is a refusal that names no request, and the request that it comes in answer to
+    /// runs.
+    UnnamedRefusal,
     /// It does not name the sampler that sent it.
     Unstamped,
     /// It claims a content encoding that the request did not ask for.
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -58,6 +58,8 @@
     /// The requests that started to run, in order.
     pub(super) runs: Mutex<Vec<RunStart>>,
     pub(super) active_streams: AtomicU32,
+    /// The senders of orders or questions, which have no id, by their connections.
+    pub(super) unnamed_connections: Mutex<BTreeSet<SocketAddr>>,
     /// The faults of the next answers, of which the last one is used first.
     pub(super) answer_faults: Mutex<Vec<AnswerFault>>,
     /// The ids of requests that fail whenever they run.
@@ -126,6 +128,7 @@
             orders: Mutex::default(),
             runs: Mutex::default(),
             active_streams: AtomicU32::new(0),
+            unnamed_connections: Mutex::default(),
             answer_faults: Mutex::default(),
             failing_request_ids: Mutex::default(),
             crashing_bodies: Mutex::default(),
--- a/crates/standins/src/fleet/sampler_answers.rs
+++ b/crates/standins/src/fleet/sampler_answers.rs
@@ -1,6 +1,7 @@
 //! How a sampler answers requests.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -28,7 +29,20 @@
 /// Answers a request as its sampler is set to.
 pub(super) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
     lock(&shared.arrivals).push(Instant::now());
+    let id = request.headers().get("x-request-id").cloned();
     let mut answer = handle_request(shared.clone(), request).await;
+    if let Some(id) = id
+        && !answer.headers().contains_key("x-request-id")
+    {
+        answer.headers_mut().insert("x-request-id", id);
+    }
+    if answer
+        .headers()
+        .get("x-request-id")
+        .is_some_and(HeaderValue::is_empty)
+    {
+        answer.headers_mut().remove("x-request-id");
+    }
     if shared.is_leaving.load(Ordering::SeqCst) {
         let value = HeaderValue::from_static("1");
         answer.headers_mut().insert("server-leaving", value);
@@ -47,7 +61,14 @@
         return not_run(StatusCode::MISDIRECTED_REQUEST);
     }
     let path = request.uri().path().to_owned();
+    let is_unnamed = header(&request, "x-request-id").is_none();
+    let peer = request.extensions().get::<SocketAddr>().copied();
+    let is_first_unnamed =
+        is_unnamed && peer.is_some_and(|peer| lock(&shared.unnamed_connections).insert(peer));
     match (request.method().clone(), path.as_str()) {
+        (Method::POST, "/v1/order") if !is_first_unnamed && is_late_unnamed_copy(&shared) => {
+            status_answer(StatusCode::OK, "late")
+        }
         (Method::GET, "/v1/report") => {
             let seq = lock(&shared.orders).len();
             json_answer(&json!({"stage": "both", "busy": false, "seq": seq}))
@@ -57,6 +78,12 @@
     }
 }
 
+fn is_late_unnamed_copy(shared: &Shared) -> bool {
+    let mut faults = lock(&shared.answer_faults);
+    let fault = faults.pop_if(|fault| *fault == AnswerFault::LateUnnamedCopy);
+    fault.is_some()
+}
+
 fn not_run(code: StatusCode) -> Answer {
     let mut answer = status_answer(code, "not run");
     answer
@@ -117,6 +144,22 @@
         at: Instant::now(),
         deadline_ms,
     });
+    let refusal = lock(&shared.answer_faults).pop_if(|fault| {
+        matches!(
+            fault,
+            AnswerFault::LateRefusal | AnswerFault::UnnamedRefusal
+        )
+    });
+    if let Some(refusal) = refusal {
+        let stated_id = match refusal {
+            AnswerFault::LateRefusal => "another",
+            _ => "",
+        };
+        let mut answer = not_run(StatusCode::SERVICE_UNAVAILABLE);
+        let value = HeaderValue::from_static(stated_id);
+        answer.headers_mut().insert("x-request-id", value);
+        return answer;
+    }
     if lock(&shared.crashing_bodies).contains(&body) {
         if shared.answers_before_crash.load(Ordering::Relaxed) {
             let crashing = shared.clone();
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -29,6 +29,9 @@
 }
 
 /// Serves requests until the future is dropped, which closes all connections.
+///
+/// Each request carries the address of its sender, which tells connections apart, as an
+/// extension.
 pub async fn serve<H, F>(listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -38,11 +41,12 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                let Ok((stream, _)) = accepted else { continue };
+                let Ok((stream, peer)) = accepted else { continue };
                 // Without this, a small answer waits for the peer's acknowledgement.
                 let _ = stream.set_nodelay(true);
                 let handler = handler.clone();
-                let service = service_fn(move |request| {
+                let service = service_fn(move |mut request: Request<Incoming>| {
+                    request.extensions_mut().insert(peer);
                     let answer = handler(request);
                     async move { Ok::<_, Infallible>(answer.await) }
                 });
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,8 +23,7 @@
     samplers::{
         AnswerHead, EVENT_VERSION_FIELD, Order, OrderOutcome, RequestHeaders, StatedLimit,
         announces_leaving, build_order_request, build_report_request, build_request,
-        decode_orders_accepted, names_other_request, order_outcome, parse_answer_head,
-        stated_limit,
+        decode_orders_accepted, named_request, order_outcome, parse_answer_head, stated_limit,
     },
     store::{Condition, Row, Rows, Store, StoreError, Tx, TxOutcome, WatchOutcome},
 };
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -2,7 +2,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, StatusCode, header};
+use hyper::{
+    HeaderMap, Method, Request, StatusCode,
+    header::{self, HeaderValue},
+};
 use serde::{Deserialize, Serialize};
 
 use super::callers::{LAST_EVENT_HEADER, REQUEST_ID_HEADER};
@@ -80,8 +83,6 @@
     pub(crate) is_not_run: bool,
     /// The endpoint's signature. A success without it is not the endpoint's.
     pub(crate) stamp: Option<Name>,
-    /// Whether the answer names this request, or none.
-    pub(crate) is_for_request: bool,
     /// Whether the body is encoded, and so not the endpoint's own bytes.
     pub(crate) is_encoded: bool,
     pub(crate) load: Option<LoadReport>,
@@ -89,25 +90,19 @@
 }
 
 impl AnswerHead {
-    /// Returns whether the answer is the endpoint's own one to this request.
+    /// Returns whether the body is the endpoint's own.
     pub(crate) const fn is_own_answer(&self) -> bool {
-        self.is_for_request && !self.is_encoded && self.stamp.is_some()
+        !self.is_encoded && self.stamp.is_some()
     }
 }
 
-/// Parses the head of an answer to a request.
-pub(crate) fn parse_answer_head(
-    request_id: &str,
-    status: StatusCode,
-    headers: &HeaderMap,
-) -> AnswerHead {
+/// Parses the head of an answer.
+pub(crate) fn parse_answer_head(status: StatusCode, headers: &HeaderMap) -> AnswerHead {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     AnswerHead {
         is_not_run: text(NOT_RUN_HEADER).is_some() || is_misdirected,
         stamp: text(STAMP_HEADER).map(Into::into),
-        // An endpoint may refuse a request before it has read the id.
-        is_for_request: text(REQUEST_ID_HEADER).is_none_or(|id| id == request_id),
         is_encoded: text(header::CONTENT_ENCODING.as_str()).is_some(),
         load: text(LOAD_HEADER).and_then(parse_load_report),
         weights_version: text(WEIGHTS_VERSION_HEADER).and_then(|text| text.trim().parse().ok()),
@@ -144,12 +139,9 @@
         .map_or(StatedLimit::Invalid, StatedLimit::Named)
 }
 
-/// Returns whether an answer names another request than the one that was sent, or one
-/// although none was named.
-pub(crate) fn names_other_request(sent: &HeaderMap, received: &HeaderMap) -> bool {
-    let received = received.get(REQUEST_ID_HEADER);
-    let received = received.filter(|id| !id.is_empty());
-    received.is_some() && received != sent.get(REQUEST_ID_HEADER)
+/// Returns the id of a request, from its headers or those of the answer to it.
+pub(crate) fn named_request(headers: &HeaderMap) -> Option<&HeaderValue> {
+    headers.get(REQUEST_ID_HEADER).filter(|id| !id.is_empty())
 }
 
 fn parse_load_report(text: &str) -> Option<LoadReport> {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -469,9 +469,9 @@
                 ExchangeError::NotSent(detail) | ExchangeError::NotPermitted(detail) => {
                     StoreError::NotDone(detail)
                 }
-                ExchangeError::Incomplete(detail) | ExchangeError::TooLong(detail) => {
-                    StoreError::Unknown(detail)
-                }
+                ExchangeError::Incomplete(detail)
+                | ExchangeError::TooLong(detail)
+                | ExchangeError::Misplaced(detail) => StoreError::Unknown(detail),
             }
         })
     }
--- a/src/server/attempt.rs
+++ b/src/server/attempt.rs
@@ -101,7 +101,7 @@
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
-    let head = parse_answer_head(outgoing.id, reply.status, &reply.headers);
+    let head = parse_answer_head(reply.status, &reply.headers);
     record_answer_head(server, endpoint, &head);
     if head.is_not_run {
         in_flight.mark_incomplete();
@@ -109,11 +109,8 @@
         reply.drain_refusal().await;
         return Err(AttemptError::NotRun(RetryReason::EndpointRefused, message));
     }
-    if !head.is_for_request
-        || head.is_encoded
-        || (reply.status.is_success() && head.stamp.is_none())
-    {
-        let message = "answer is to another request, encoded or unsigned".to_owned();
+    if head.is_encoded || (reply.status.is_success() && head.stamp.is_none()) {
+        let message = "answer is encoded or unsigned".to_owned();
         return Err(AttemptError::MayHaveRun(
             RetryReason::AnswerInvalid,
             message,
@@ -154,22 +151,21 @@
     error: &ExchangeError,
 ) -> AttemptError {
     if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
-        && !matches!(error, ExchangeError::NotPermitted(_))
+        && !matches!(
+            error,
+            ExchangeError::NotPermitted(_) | ExchangeError::Misplaced(_)
+        )
     {
         known.on_failure(now_ms());
     }
     crash::on_broken_run(server, in_flight, id, error).await;
+    let reason = endpoint_exchange::retry_reason(error);
     match error {
         ExchangeError::NotPermitted(message) => AttemptError::NotPermitted(message.clone()),
-        ExchangeError::NotSent(message) => {
-            AttemptError::NotRun(RetryReason::ConnectFailed, message.clone())
-        }
-        ExchangeError::TooLong(message) => {
-            AttemptError::MayHaveRun(RetryReason::AnswerTooLong, message.clone())
-        }
-        ExchangeError::Incomplete(message) => {
-            AttemptError::MayHaveRun(RetryReason::AnswerCut, message.clone())
-        }
+        ExchangeError::NotSent(message) => AttemptError::NotRun(reason, message.clone()),
+        ExchangeError::TooLong(message)
+        | ExchangeError::Misplaced(message)
+        | ExchangeError::Incomplete(message) => AttemptError::MayHaveRun(reason, message.clone()),
     }
 }
 
--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -36,7 +36,10 @@
         return;
     }
     // This VM closed the connection: whether the endpoint crashes is still to be seen.
-    if matches!(error, ExchangeError::TooLong(_)) {
+    if matches!(
+        error,
+        ExchangeError::TooLong(_) | ExchangeError::Misplaced(_)
+    ) {
         return;
     }
     let endpoint = &in_flight.endpoint;
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -4,17 +4,17 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
 
 use super::{
-    http_client::{ExchangeError, Reply, WholeReply, within},
+    http_client::{ExchangeError, Reply, ResponseOrder, WholeReply, within},
     permits::Permit,
     state::{Server, lock},
 };
 use crate::{
-    core::{pool::PoolEndpoint, rate_limit::RateLimit},
+    core::{pool::PoolEndpoint, rate_limit::RateLimit, retry::RetryReason},
     daemon::now_ms,
-    platform::{StatedLimit, announces_leaving, names_other_request, stated_limit},
+    platform::{StatedLimit, announces_leaving, named_request, stated_limit},
 };
 
 /// The most bytes of the body of an endpoint's whole answer.
@@ -22,9 +22,14 @@
 
 /// Sends a request to an endpoint and waits for the head of its answer.
 ///
+/// An endpoint may send a second copy of an earlier answer where the next one is
+/// expected. All that is read of an answer, a refusal included, is read here or by
+/// callers of this function, after the answer was found to be to this request.
+///
 /// # Errors
 ///
-/// Returns `NotPermitted` if the permit has expired, and the errors of
+/// Returns `NotPermitted` if the permit has expired, `Misplaced` if the answer is to
+/// another request, and the errors of
 /// [`ExchangeClient::send`](super::http_client::ExchangeClient).
 pub(crate) async fn send(
     server: &Server,
@@ -42,11 +47,51 @@
         headers: request.headers().clone(),
         permit,
     };
-    let reply = server.http.send(address, request).await?;
+    let order = match named_request(&sent.headers) {
+        Some(_) => ResponseOrder::Named,
+        None => ResponseOrder::Unnamed,
+    };
+    let reply = server.http.send(address, request, order).await?;
+    if reply.status != StatusCode::MISDIRECTED_REQUEST {
+        on_heard(server, endpoint);
+    }
+    check_request(endpoint, &sent.headers, &reply)?;
     on_answer(server, endpoint, &sent, reply.status, &reply.headers);
     Ok(reply)
 }
 
+/// Returns an error unless an answer names the request that was sent, or neither has a
+/// name.
+fn check_request(endpoint: &str, sent: &HeaderMap, reply: &Reply) -> Result<(), ExchangeError> {
+    let (expected, received) = (named_request(sent), named_request(&reply.headers));
+    if expected == received {
+        return Ok(());
+    }
+    let text =
+        |id: Option<&HeaderValue>| id.map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned());
+    let (expected, received) = (text(expected), text(received));
+    let message = format!("{endpoint} answered {received:?} instead of {expected:?}");
+    tracing::info!(
+        id = expected,
+        endpoint,
+        received,
+        status = reply.status.as_u16(),
+        "answer discarded: it is to another request"
+    );
+    Err(ExchangeError::Misplaced(message))
+}
+
+/// Returns the reason for which a request is sent again after a failed exchange.
+pub(crate) const fn retry_reason(error: &ExchangeError) -> RetryReason {
+    match error {
+        ExchangeError::NotSent(_) => RetryReason::ConnectFailed,
+        ExchangeError::NotPermitted(_) => RetryReason::LimitReached,
+        ExchangeError::TooLong(_) => RetryReason::AnswerTooLong,
+        ExchangeError::Misplaced(_) => RetryReason::AnswerInvalid,
+        ExchangeError::Incomplete(_) => RetryReason::AnswerCut,
+    }
+}
+
 /// Sends a request to an endpoint and reads its whole answer before a deadline.
 ///
 /// # Errors
@@ -88,8 +133,8 @@
     permit: Permit,
 }
 
-/// Records what an answer tells of its endpoint: that it was heard, whether it leaves
-/// and its request limit, unless it has started again since the request was sent.
+/// Records what an answer tells of its endpoint: whether it leaves and its request
+/// limit, unless it has started again since the request was sent.
 ///
 /// A misdirected request was answered by another endpoint at the same address.
 fn on_answer(
@@ -106,7 +151,6 @@
     let Some(known) = pool.get_mut(endpoint) else {
         return;
     };
-    known.on_heard(now_ms());
     if sent.incarnation != Some(known.record.started_unix_ms) {
         return;
     }
@@ -119,9 +163,7 @@
             "endpoint leaves: its answer says so"
         );
     }
-    if !names_other_request(&sent.headers, headers) {
-        record_limit(server, known, &sent.permit, headers);
-    }
+    record_limit(server, known, &sent.permit, headers);
 }
 
 /// Records the request limit that an answer names, or that it names none any more.
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -57,6 +57,11 @@
         TooLong(message: String) {
             display("sent, but the response is too long: {message}")
         }
+        /// The request was sent and may have been processed, but the response that came
+        /// is to another request.
+        Misplaced(message: String) {
+            display("sent, but the response is to another request: {message}")
+        }
         /// The request was sent and may have been processed, but its response
         /// is missing or incomplete.
         Incomplete(message: String) {
@@ -79,6 +84,17 @@
     Silent,
 }
 
+/// What ties a response to its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ResponseOrder {
+    /// The other side sends one response to each request, in order.
+    Reliable,
+    /// The other side may send a response twice, but each one names its request.
+    Named,
+    /// The other side may send a response twice, and this request has no name.
+    Unnamed,
+}
+
 /// A client that pools connections and sends one request at a time on each.
 ///
 /// Its errors tell whether the other side may have processed the request.
@@ -95,14 +111,29 @@
     expires_at_ms: u64,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now_ms: u64) -> bool {
+        self.expires_at_ms > now_ms && self.connection.sender.is_ready()
+    }
+}
+
 /// A connection, which is closed on drop.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
+    /// Whether a request without a name was sent: a late copy of its response cannot be
+    /// told from the response to another such request.
+    has_carried_unnamed: bool,
     task: AbortHandle,
 }
 
+impl Connection {
+    const fn may_carry(&self, order: ResponseOrder) -> bool {
+        !matches!(order, ResponseOrder::Unnamed) || !self.has_carried_unnamed
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -135,7 +166,8 @@
     /// Sends a request and waits for the head of its response.
     ///
     /// If an idle connection turns out to be closed before the request is
-    /// written, the request is sent on another connection.
+    /// written, the request is sent on another connection. Whether the response is to
+    /// this request is for the sender to check, unless the order is reliable.
     ///
     /// # Errors
     ///
@@ -145,21 +177,23 @@
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        order: ResponseOrder,
     ) -> Result<Reply, ExchangeError> {
         let mut request = request;
-        while let Some(connection) = self.take_idle(address) {
-            match self.exchange(address, connection, request).await {
+        while let Some(connection) = self.take_idle(address, order) {
+            match self.exchange(address, connection, request, order).await {
                 Ok(reply) => return Ok(reply),
                 Err((error, None)) => return Err(error),
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
         let connection = connect(address).await?;
-        let sent = self.exchange(address, connection, request).await;
+        let sent = self.exchange(address, connection, request, order).await;
         sent.map_err(|(error, _)| error)
     }
 
-    /// Sends a request and reads its whole response before a deadline.
+    /// Sends a request to the platform or another VM and reads its whole response
+    /// before a deadline.
     ///
     /// # Errors
     ///
@@ -171,7 +205,10 @@
         request: Request<Full<Bytes>>,
         deadline_ms: u64,
     ) -> Result<WholeReply, ExchangeError> {
-        let exchange = async { self.send(address, request).await?.read_whole().await };
+        let exchange = async {
+            let reply = self.send(address, request, ResponseOrder::Reliable).await?;
+            reply.read_whole().await
+        };
         within(exchange, address, deadline_ms).await
     }
 
@@ -200,8 +237,10 @@
         address: SocketAddr,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
+        order: ResponseOrder,
     ) -> Result<Reply, (ExchangeError, Option<Request<Full<Bytes>>>)> {
         connection.head_limit.on_request();
+        connection.has_carried_unnamed |= order == ResponseOrder::Unnamed;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.head_limit.on_head();
@@ -228,17 +267,15 @@
     }
 
     /// Removes and returns the newest usable idle connection to an address.
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, order: ResponseOrder) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let kept = idle.get_mut(&address)?;
         let now_ms = now_ms();
-        let mut found = None;
-        while let Some(newest) = kept.pop() {
-            if newest.expires_at_ms > now_ms && newest.connection.sender.is_ready() {
-                found = Some(newest.connection);
-                break;
-            }
-        }
+        kept.retain(|entry| entry.is_usable(now_ms));
+        let newest = kept
+            .iter()
+            .rposition(|entry| entry.connection.may_carry(order));
+        let found = newest.map(|index| kept.remove(index).connection);
         if kept.is_empty() {
             idle.remove(&address);
         }
@@ -274,7 +311,7 @@
         let now_ms = now_ms();
         let mut idle = lock(&self.idle);
         for kept in idle.values_mut() {
-            kept.retain(|entry| entry.expires_at_ms > now_ms && entry.connection.sender.is_ready());
+            kept.retain(|entry| entry.is_usable(now_ms));
         }
         idle.retain(|_, kept| !kept.is_empty());
     }
@@ -431,6 +468,7 @@
     Ok(Connection {
         sender,
         head_limit,
+        has_carried_unnamed: false,
         task: task.abort_handle(),
     })
 }
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -2,11 +2,8 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::HeaderMap;
-
 use super::{
     endpoint_exchange,
-    http_client::WholeReply,
     members::{LEADER_LEASE_KEY, VM_TABLE},
     permits,
     state::{Server, lock},
@@ -21,7 +18,7 @@
     daemon::now_ms,
     platform::{
         Condition, Order, OrderOutcome, Tx, TxOutcome, build_order_request, build_report_request,
-        decode_orders_accepted, names_other_request, order_outcome,
+        decode_orders_accepted, order_outcome,
     },
 };
 
@@ -226,11 +223,6 @@
             .await;
     let (endpoint, version) = (&load_order.endpoint, load_order.version);
     let outcome = match reply {
-        Ok(reply) if is_to_other_request(&reply) => {
-            tracing::warn!(%endpoint, version, fence, orders_accepted,
-                "order not answered: the answer is to another request");
-            None
-        }
         Ok(reply) => {
             let outcome = order_outcome(reply.status);
             tracing::info!(%endpoint, version, fence, orders_accepted, ?outcome, "ordered");
@@ -245,12 +237,6 @@
     record_outcome(server, load_order, outcome, orders_accepted);
 }
 
-/// Returns whether an answer to an order or to a question names a request: those have no
-/// id, so that it is a late copy of an earlier answer on the connection.
-fn is_to_other_request(reply: &WholeReply) -> bool {
-    names_other_request(&HeaderMap::new(), &reply.headers)
-}
-
 async fn read_orders_accepted(
     server: &Arc<Server>,
     load_order: &LoadOrder,
@@ -265,9 +251,6 @@
         endpoint_exchange::exchange_whole(server, endpoint, address, request, permit, deadline_ms)
             .await;
     let reply = reply.map_err(|error| error.to_string())?;
-    if is_to_other_request(&reply) {
-        return Err("the answer is to another request".to_owned());
-    }
     decode_orders_accepted(reply.status, &reply.body)
 }
 
--- a/src/server/relay.rs
+++ b/src/server/relay.rs
@@ -62,7 +62,9 @@
     let reply = http.exchange_whole(peer, request, deadline_ms).await;
     let reply = reply.map_err(|error| match error {
         ExchangeError::NotSent(detail) | ExchangeError::NotPermitted(detail) => not_done(detail),
-        ExchangeError::Incomplete(detail) | ExchangeError::TooLong(detail) => unknown(detail),
+        ExchangeError::Incomplete(detail)
+        | ExchangeError::TooLong(detail)
+        | ExchangeError::Misplaced(detail) => unknown(detail),
     })?;
     match reply.status {
         StatusCode::OK => {}
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -93,7 +93,7 @@
         HeadWait::SlowStart => return RunEnd::Moved(RunVerdict::Silent),
         HeadWait::TimedOut => return on_head_timeout(server, &endpoint, address),
     };
-    let head = parse_answer_head(&job.sample.id, reply.status, &reply.headers);
+    let head = parse_answer_head(reply.status, &reply.headers);
     record_answer_head(server, &endpoint, &head);
     if head.is_not_run {
         in_flight.mark_incomplete();
@@ -104,7 +104,7 @@
     if !head.is_own_answer() {
         return RunEnd::Broken(
             RetryReason::AnswerInvalid,
-            "answer is to another request, encoded or unsigned".to_owned(),
+            "answer is encoded or unsigned".to_owned(),
         );
     }
     if !reply.status.is_success() {
@@ -324,16 +324,13 @@
         in_flight.mark_incomplete();
         return RunEnd::Refused(error.to_string());
     }
-    if let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint) {
+    if !matches!(error, ExchangeError::Misplaced(_))
+        && let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint)
+    {
         known.on_failure(now_ms());
     }
     crash::on_broken_run(&job.server, in_flight, &job.sample.id, error).await;
-    let reason = match error {
-        ExchangeError::NotSent(_) | ExchangeError::NotPermitted(_) => RetryReason::ConnectFailed,
-        ExchangeError::Incomplete(_) => RetryReason::AnswerCut,
-        ExchangeError::TooLong(_) => RetryReason::AnswerTooLong,
-    };
-    RunEnd::Broken(reason, error.to_string())
+    RunEnd::Broken(endpoint_exchange::retry_reason(error), error.to_string())
 }
 
 fn on_head_timeout(server: &Server, endpoint: &Name, address: std::net::SocketAddr) -> RunEnd {
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -204,10 +204,11 @@
             if now_ms() >= deadline_ms {
                 return CallEnd::TimedOut;
             }
-            return CallEnd::Retry(RetryReason::AnswerCut, error.to_string());
+            let reason = endpoint_exchange::retry_reason(&error);
+            return CallEnd::Retry(reason, error.to_string());
         }
     };
-    let head = parse_answer_head(&call.id, reply.status, &reply.headers);
+    let head = parse_answer_head(reply.status, &reply.headers);
     record_answer_head(server, endpoint, &head);
     in_flight.record_answer(&head);
     let is_valid = head.is_own_answer() && !head.is_not_run;
