Accept a request while stopping only if it ends before the exit

Cause: a stopping VM accepted all requests until it closed its connections, 5.3 s after the signal, and exited at 7.7 s. Nothing compared the time that a request may take with what was left; accepting, closing and exiting had constants of their own.

StopSchedule holds all three times, and Server::admits compares the latest end of a request with the exit. What does not fit is refused at once as draining: not run, another VM may take it. The log line names how long it might take.

--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -7,6 +7,7 @@
 mod deduplication;
 mod drain;
 mod generation;
+mod stop_schedule;
 mod ticket;
 mod waiters;
 
@@ -22,6 +23,7 @@
         AttemptFailure, Generation, GenerationEffect, GenerationEvent, GenerationSpec,
         STALL_TIMEOUT_MS,
     },
+    stop_schedule::StopSchedule,
     ticket::{MAX_CLOCK_SKEW_MS, TICKET_LIFETIME_MS, Ticket, TicketClock, TicketWindow},
     waiters::{CALLER_GONE_GRACE_MS, Waiters},
 };
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -93,7 +93,8 @@
 ///
 /// # Errors
 ///
-/// Returns `NoEndpoint` if the route has no service or its service no endpoint
+/// Returns `Draining` if this VM may exit before the request ends,
+/// `NoEndpoint` if the route has no service or its service no endpoint
 /// that accepts requests, `Overloaded` if all endpoints are full or no attempt
 /// ran the request, `ContentHeld` if its content has crashed endpoints,
 /// `AttemptsExhausted` if all attempts failed without an error
@@ -108,6 +109,7 @@
     let wait_ms = patience_ms.min(route.timeout_ms);
     let answer_by_ms = (request.started_ms + wait_ms).saturating_sub(ANSWER_MARGIN_MS);
     let caller_deadline_ms = request.started_ms + patience_ms;
+    check_ends_before_exit(server, route, answer_by_ms, caller_deadline_ms)?;
     let draw = rand::Rng::random(&mut *lock(&server.rng));
     let picked = route.pick_service(draw).cloned().ok_or_else(|| {
         Refusal::new(
@@ -177,6 +179,27 @@
     }
 }
 
+/// Refuses a request that may still be in progress when this VM exits.
+fn check_ends_before_exit(
+    server: &Server,
+    route: &Route,
+    answer_by_ms: u64,
+    caller_deadline_ms: u64,
+) -> Result<(), Refusal> {
+    let ends_by_ms = if route.kind.is_stream() {
+        caller_deadline_ms
+    } else {
+        answer_by_ms
+    };
+    if server.admits(ends_by_ms) {
+        return Ok(());
+    }
+    let may_take_ms = ends_by_ms.saturating_sub(now_ms());
+    let message =
+        format!("this VM shuts down, and the request may take up to {may_take_ms} ms more");
+    Err(Refusal::new(ErrorKind::Draining, message))
+}
+
 /// Returns where a stream has to go on, if the request takes one up again.
 async fn resumed_origin(
     server: &Server,
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -16,21 +16,13 @@
     state::Server,
 };
 use crate::{
+    core::request::StopSchedule,
     daemon::{now_ms, sleep_until, unix_ms},
     settings::VmSettings,
 };
 
-/// How long before the end of the grace period the process exits if no caller waits
-/// any more, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 1_200;
-/// How long before the end of the grace period the process exits in any case, in
-/// milliseconds: it is killed when the period is over.
-const KILL_MARGIN_MS: u64 = 300;
 /// How often to check whether callers still wait at the end, in milliseconds.
 const LAST_CALLERS_CHECK_INTERVAL_MS: u64 = 10;
-/// How long before it exits the process closes connections, in milliseconds:
-/// by then callers have refreshed their list of VMs.
-const CONNECTION_CLOSE_LEAD_MS: u64 = 1_500;
 /// The interval between removals of expired idle connections and endpoints, in
 /// milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 500;
@@ -139,24 +131,26 @@
 }
 
 /// Shuts down gracefully: withdraws this VM from the list for callers, releases
-/// its shares, and lets requests in progress finish.
+/// its shares, and lets requests in progress finish. Of those that come meanwhile, only
+/// requests that end before the exit are accepted.
 async fn shut_down(server: &Arc<Server>) {
     let grace_ms = Duration::from_secs_f64(server.settings.stop_grace_s).as_millis();
     let grace_ms = u64::try_from(grace_ms).unwrap_or(u64::MAX);
-    let killed_at_ms = now_ms() + grace_ms;
-    let end_ms = killed_at_ms.saturating_sub(EXIT_MARGIN_MS);
-    tracing::info!(end_ms, "stop: leaving");
-    server.is_draining.store(true, Ordering::SeqCst);
+    let told_ms = now_ms();
+    let stop = *server
+        .stop
+        .get_or_init(|| StopSchedule::new(told_ms, grace_ms));
+    let (close_in_ms, exit_in_ms) = (stop.close_at_ms - told_ms, stop.exit_at_ms - told_ms);
+    tracing::info!(close_in_ms, exit_in_ms, "stop: leaving");
     tokio::join!(
         members::delete_own_row(server),
         claims::release_all_shares(server)
     );
-    sleep_until(end_ms.saturating_sub(CONNECTION_CLOSE_LEAD_MS)).await;
+    sleep_until(stop.close_at_ms).await;
     server.close_connections.send_replace(true);
-    sleep_until(end_ms).await;
-    let last_ms = killed_at_ms.saturating_sub(KILL_MARGIN_MS);
+    sleep_until(stop.idle_exit_at_ms).await;
     let open_connections = || server.caller_connections.load(Ordering::SeqCst);
-    while open_connections() > 0 && now_ms() < last_ms {
+    while open_connections() > 0 && now_ms() < stop.exit_at_ms {
         tokio::time::sleep(Duration::from_millis(LAST_CALLERS_CHECK_INTERVAL_MS)).await;
     }
     tracing::info!(open_connections = open_connections(), "stop: exiting");
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -1,9 +1,6 @@
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic::AtomicUsize},
 };
 
 use rand::{SeedableRng, rngs::SmallRng};
@@ -24,6 +21,7 @@
         pool::Pool,
         quarantine::{LateRetryPolicy, Quarantine, RunEnd},
         rate_limit::{IssuerAuthority, PermitIssuer, QuestionBudget},
+        request::StopSchedule,
         roster::Roster,
         routes::RouteTable,
         streams::{SoftwareHistory, StreamOrigin, StreamOrigins},
@@ -79,7 +77,8 @@
     pub(crate) sample_lengths: Mutex<SampleLengths>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
-    pub(crate) is_draining: AtomicBool,
+    /// When this VM exits, once it was told to stop.
+    pub(crate) stop: OnceLock<StopSchedule>,
     /// The number of open connections of callers.
     pub(crate) caller_connections: AtomicUsize,
     /// Becomes true at shutdown: each connection closes after the request in
@@ -123,7 +122,7 @@
             sample_lengths: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
-            is_draining: AtomicBool::new(false),
+            stop: OnceLock::new(),
             caller_connections: AtomicUsize::new(0),
             close_connections: watch::Sender::new(false),
             settings,
@@ -136,7 +135,13 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::SeqCst)
+        self.stop.get().is_some()
+    }
+
+    /// Returns whether work may begin that ends by `ends_by_ms`: the exit of this VM
+    /// would cut what lasts longer.
+    pub(crate) fn admits(&self, ends_by_ms: u64) -> bool {
+        self.stop.get().is_none_or(|stop| stop.admits(ends_by_ms))
     }
 
     /// Returns whether callers may be directed to this VM.
--- a/tests/process_serve/stops_cut_no_request.rs
+++ b/tests/process_serve/stops_cut_no_request.rs
@@ -17,6 +17,15 @@
 const STOP_GRACE: Duration = Duration::from_secs(4);
 const REQUESTS: u32 = 40;
 const WORK_MS: u64 = 300;
+/// How long a caller waits: a stream that is sent early enough ends before the VM exits.
+const DEADLINE_MS: u64 = 3_200;
+
+const STREAMS: u32 = 24;
+const SLOW_STREAMS: SamplerSettings = SamplerSettings {
+    events: 60,
+    event_ms: 45,
+    ..SAMPLER_SETTINGS
+};
 
 /// Sends a request at a time, on an open connection or a new one, and returns all
 /// that comes back.
@@ -24,6 +33,7 @@
     callers: SocketAddr,
     open: Option<TcpStream>,
     at: Instant,
+    path: &str,
     id: String,
 ) -> (String, String) {
     tokio::time::sleep_until(at).await;
@@ -35,7 +45,7 @@
         return (id, String::new());
     };
     let request = format!(
-        "GET /slips/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 2000\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
     );
     // Errors mean that the VM has closed the connection.
     let _ = connection.write_all(request.as_bytes()).await;
@@ -67,7 +77,7 @@
         };
         let at = stopped_at + STOP_GRACE * number / REQUESTS;
         let id = format!("stop-{number}");
-        sends.push(tokio::spawn(send_at(callers, open, at, id)));
+        sends.push(tokio::spawn(send_at(callers, open, at, "/slips/1", id)));
     }
     fleet.signal(0, Signal::TERM);
     let mut given_up = Vec::new();
@@ -81,3 +91,40 @@
     }
     assert_eq!(given_up, Vec::<String>::new());
 }
+
+/// Guards against streams that a stopping VM accepts and then cuts at its exit: each one
+/// is complete, or refused at once without having run.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_vm_cuts_no_stream_that_it_accepts(
+    #[values(false, true)] is_connection_new: bool,
+) {
+    let fleet = Fleet::start(1, SLOW_STREAMS).await;
+    let callers = fleet.vms[0].addresses["callers"];
+    let stopped_at = Instant::now();
+    let mut sends = Vec::new();
+    for number in 0..STREAMS {
+        let open = if is_connection_new {
+            None
+        } else {
+            Some(TcpStream::connect(callers).await.expect("it connects"))
+        };
+        let at = stopped_at + STOP_GRACE * number / STREAMS;
+        let id = format!("stream-{number}");
+        sends.push(tokio::spawn(send_at(callers, open, at, "/chats/1", id)));
+    }
+    fleet.signal(0, Signal::TERM);
+    let last_event = format!("event {}", SLOW_STREAMS.events);
+    let (mut cut, mut complete) = (Vec::new(), 0);
+    for send in sends {
+        let (id, answer) = send.await.expect("the task ends");
+        let is_complete = answer.contains(&last_event) && answer.ends_with("\r\n0\r\n\r\n");
+        complete += u32::from(is_complete);
+        let has_run = |sampler: &Sampler| sampler.run_request_ids().contains(&id);
+        if !is_complete && fleet.model_samplers.iter().any(has_run) {
+            cut.push(id);
+        }
+    }
+    assert_eq!(cut, Vec::<String>::new());
+    assert!(complete > 0, "no stream was accepted");
+}
