Bound what bodies, answers and batches take of a VM's memory together

Cause: each body was collected whole, and nothing bounded all bodies together. Answers had a bound of 24 MiB whatever the memory, which counted them only until they were read; batches counted nowhere. A body that never ended was awaited for ever.

MemoryShares divides memory_mb. The first 64 KiB of a body count as they come; beyond them the whole body is granted before more is read, in order of arrival, and what is not granted stays unread for a third of its caller's time, then is refused as memory_full with a time to come back. A body counts until the last reference to it is gone, an answer until its caller has taken it. Batches count while they are accepted, read and held; they are decoded without a copy of their text.

--- a/src/core/batch/spec.rs
+++ b/src/core/batch/spec.rs
@@ -80,6 +80,9 @@
     /// The number of objects that the [`BatchSpec`] is split over.
     #[serde(default = "one_part")]
     pub object_parts: usize,
+    /// The bytes of these objects together; 0 in heads that an older build wrote.
+    #[serde(default)]
+    pub spec_bytes: usize,
     /// When the batch was accepted, in milliseconds of the platform's clock.
     pub accepted_platform_ms: u64,
     /// The number of samples.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod leader_lease;
 pub mod lease;
 pub mod membership;
+pub mod memory;
 mod name;
 pub mod pool;
 pub mod quarantine;
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -61,6 +61,8 @@
     /// The content of the request has crashed endpoints and is held until the
     /// stated time.
     ContentHeld,
+    /// This VM has no memory for the body of the request at present.
+    MemoryFull,
     /// The stream cannot go on: the software version that began it serves no more, or
     /// nobody knows it.
     StreamLost,
--- a/src/error/response.rs
+++ b/src/error/response.rs
@@ -49,7 +49,7 @@
             Self::DeadlinePassed => (504, true, RetryAdvice::Never),
             Self::TimedOut => (504, false, RetryAdvice::Never),
             Self::Overloaded => (429, true, RetryAdvice::Later),
-            Self::NoEndpoint | Self::PlatformUnavailable | Self::ContentHeld => {
+            Self::NoEndpoint | Self::PlatformUnavailable | Self::ContentHeld | Self::MemoryFull => {
                 (503, true, RetryAdvice::Later)
             }
             Self::NotConfirmed => (503, false, RetryAdvice::Later),
--- a/src/platform/batches.rs
+++ b/src/platform/batches.rs
@@ -1,5 +1,7 @@
 //! Translates the calls by which trainers submit, read and end batches.
 
+use std::borrow::Cow;
+
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
@@ -80,7 +82,7 @@
 }
 
 #[derive(Deserialize)]
-struct WireBatch {
+struct WireBatch<'a> {
     #[serde(default)]
     step: u64,
     #[serde(default)]
@@ -89,31 +91,33 @@
     min_version: u64,
     #[serde(default)]
     target_groups: usize,
-    requests: Vec<WireSample>,
+    #[serde(borrow)]
+    requests: Vec<WireSample<'a>>,
 }
 
 #[derive(Deserialize)]
-struct WireSample {
+struct WireSample<'a> {
     id: Name,
     path: Name,
     #[serde(default)]
     headers: std::collections::BTreeMap<Name, Name>,
-    #[serde(default)]
-    body: String,
+    #[serde(borrow, default)]
+    body: Cow<'a, str>,
     #[serde(default)]
     tokens: u64,
     #[serde(default)]
     group: Name,
-    scorer: Option<WireScorer>,
+    #[serde(borrow)]
+    scorer: Option<WireScorer<'a>>,
 }
 
 #[derive(Deserialize)]
-struct WireScorer {
+struct WireScorer<'a> {
     id: Name,
     host: Name,
     path: Name,
-    #[serde(default)]
-    body: String,
+    #[serde(borrow, default)]
+    body: Cow<'a, str>,
 }
 
 /// Decodes a batch from the request that submits it.
@@ -127,7 +131,7 @@
         .request_id
         .clone()
         .ok_or("the request that submits the batch has no id")?;
-    let wire: WireBatch = serde_json::from_slice(body)
+    let wire: WireBatch<'_> = serde_json::from_slice(body)
         .map_err(|error| format!("the batch cannot be decoded: {error}"))?;
     if wire.requests.is_empty() {
         return Err("the batch has no samples".to_owned());
@@ -146,7 +150,7 @@
     })
 }
 
-fn decode_sample(wire: WireSample) -> Result<SampleSpec, String> {
+fn decode_sample(wire: WireSample<'_>) -> Result<SampleSpec, String> {
     let header = |header_name: &str| {
         let mut headers = wire.headers.iter();
         let found = headers.find(|(name, _)| name.eq_ignore_ascii_case(header_name));
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -15,6 +15,7 @@
 use super::{
     claims::{BATCH_TABLE, HEAD_KEY},
     front::CallerRequest,
+    loaded_batch::LoadedBatch,
     response::{Body, empty_response},
     state::{Server, lock},
 };
@@ -53,10 +54,18 @@
 pub(crate) async fn accept_batch(
     server: &Arc<Server>,
     route: &Route,
-    call: &CallerRequest,
+    call: CallerRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let spec = decode_batch(&call.head, &call.body)
+    let CallerRequest {
+        head: call_head,
+        body,
+        started_ms,
+        ..
+    } = call;
+    let spec = decode_batch(&call_head, &body)
         .map_err(|error| Refusal::new(ErrorKind::BadRequest, error))?;
+    // The body is copied into the spec, and the spec once more when it is encoded.
+    drop(body);
     if lock(&server.batches)
         .get(&spec.id)
         .is_some_and(|known| known.head.is_some())
@@ -70,12 +79,6 @@
             "this VM is shutting down",
         ));
     }
-    let unavailable = |error: &StoreError| {
-        Refusal::new(
-            ErrorKind::PlatformUnavailable,
-            format!("write of the object of batch {}: {error}", spec.id),
-        )
-    };
     let number = NEXT_OBJECT_NUMBER.fetch_add(1, Ordering::Relaxed);
     let vm = &server.settings.vm;
     let object: Name = format!("batch-{}-{vm}-{}-{number}", spec.id, server.incarnation).into();
@@ -85,9 +88,14 @@
             format!("batch {} cannot be encoded: {error}", spec.id),
         )
     })?;
+    let spec_bytes = bytes.len();
+    let spec = LoadedBatch::new(spec, server.request_memory.large.take(spec_bytes));
     let object_parts = put_parts(server, &object, bytes.into())
         .await
-        .map_err(|error| unavailable(&error))?;
+        .map_err(|error| {
+            let message = format!("write of the object of batch {}: {error}", spec.id);
+            Refusal::new(ErrorKind::PlatformUnavailable, message)
+        })?;
     let Some((platform_ms, _)) = server.store.clock_bounds_ms() else {
         let message = "the store's clock is not known yet";
         return Err(Refusal::new(ErrorKind::PlatformUnavailable, message));
@@ -95,6 +103,7 @@
     let head = BatchHead {
         object,
         object_parts,
+        spec_bytes,
         accepted_platform_ms: platform_ms,
         sample_count: spec.samples.len(),
         tokens: spec.samples.iter().map(|sample| sample.length_hint).sum(),
@@ -109,17 +118,11 @@
         model: spec.model.clone(),
         min_weights_version: spec.min_weights_version,
     };
-    write_head(
-        server,
-        &spec.id,
-        &head,
-        call.started_ms + HEAD_RETRY_WINDOW_MS,
-    )
-    .await?;
+    write_head(server, &spec.id, &head, started_ms + HEAD_RETRY_WINDOW_MS).await?;
     server.metrics.batches_accepted.inc();
     tracing::info!(batch = %spec.id, route = %route.name, step = spec.step, model = %spec.model,
         min_version = spec.min_weights_version, samples = spec.samples.len(),
-        groups_wanted = spec.target_groups, took_ms = now_ms() - call.started_ms,
+        groups_wanted = spec.target_groups, took_ms = now_ms() - started_ms,
         "batch accepted");
     let mut batches = lock(&server.batches);
     let known = batches.known.entry(spec.id.clone()).or_default();
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -7,13 +7,14 @@
 
 use super::{
     follow::{TableLayout, TableUpdate, follow_table},
+    loaded_batch::LoadedBatch,
     share,
     state::{Server, lock},
 };
 use crate::{
     core::{
         Name,
-        batch::{BatchHead, BatchSpec},
+        batch::BatchHead,
         rendezvous,
         roster::{Presence, Roster},
     },
@@ -64,7 +65,7 @@
     owners: BTreeMap<u32, (OwnerRow, u64)>,
     /// When each share was first seen without an owner.
     unowned_since_ms: BTreeMap<u32, u64>,
-    pub(crate) spec: Option<Arc<BatchSpec>>,
+    pub(crate) spec: Option<Arc<LoadedBatch>>,
     /// The tasks of the shares that run on this VM.
     running: BTreeMap<u32, AbortHandle>,
 }
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -16,10 +16,13 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    accept, crash_rows, directory, forward,
+    accept,
+    caller_body::{BodyTerms, read_caller_body},
+    crash_rows, directory, forward,
     held::{self, HELD_PATH},
     permits, read_batch, relay,
     response::{Body, empty_response, full_body, json_response, refusal_response},
@@ -28,7 +31,7 @@
     streams,
 };
 use crate::{
-    core::routes::RouteKind,
+    core::routes::{RouteKind, RouteTable},
     daemon::now_ms,
     error::{ErrorKind, Refusal},
     platform::{
@@ -64,8 +67,11 @@
 /// How long a connection may stay idle until a configuration is known, in
 /// milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
-/// The largest request body until a configuration is known, in bytes.
-const DEFAULT_MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// The most bytes of a connection that are read ahead of the request in progress, its
+/// head included.
+const MAX_READ_BUFFER_BYTES: usize = 128 * 1024;
+/// The most bytes of a connection that the kernel holds unread, about.
+const MAX_UNREAD_BYTES: usize = 256 * 1024;
 /// The largest body of a notice or question of another VM, in bytes.
 const MAX_PEER_BODY_BYTES: usize = 1024 * 1024;
 /// The delay after a connection could not be accepted, in milliseconds: if too
@@ -84,6 +90,10 @@
 /// Accepts connections for as long as the process runs, those of callers until it
 /// closes connections: a request on a later one could be cut by the exit.
 pub(crate) async fn serve(server: Arc<Server>, listener: TcpListener, kind: ListenerKind) {
+    // Accepted connections inherit the limit.
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(MAX_UNREAD_BYTES) {
+        tracing::warn!(%error, listener = ?kind, "receive buffers not limited");
+    }
     let mut close = server.close_connections.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -123,6 +133,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let _open = (kind == ListenerKind::Callers).then(|| OpenConnection::new(&server));
@@ -189,13 +200,7 @@
             )
         }
         ListenerKind::Peers if method == Method::POST && path == relay::RELAY_PATH => {
-            match request.into_body().collect().await {
-                Ok(body) => relay::execute_call(&server, &body.to_bytes()).await,
-                Err(error) => {
-                    tracing::debug!(%error, "body of a relayed call not read");
-                    empty_response(StatusCode::BAD_REQUEST)
-                }
-            }
+            relay::answer_call(&server, request.into_body()).await
         }
         ListenerKind::Metrics if method == Method::GET => {
             Response::new(full_body(server.metrics.to_text()))
@@ -226,6 +231,17 @@
     }
 }
 
+/// Returns how many times its length the body of a request takes at most: a batch is
+/// decoded, and encoded again.
+fn body_copies(routes: &RouteTable, head: &CallerHead) -> usize {
+    let route = routes.find(&head.host, &head.path);
+    if route.is_some_and(|route| route.kind == RouteKind::Batch) {
+        2
+    } else {
+        1
+    }
+}
+
 async fn respond_to_caller(server: &Arc<Server>, request: Request<Incoming>) -> Response<Body> {
     let started_ms = now_ms();
     server.metrics.requests.inc();
@@ -241,22 +257,14 @@
             Err(refusal) => refusal_response(server, id, &refusal),
         };
     }
-    let routes = server.routes();
-    let max_bytes = routes
-        .caller_limits()
-        .map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
-    let body = match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            let (kind, message) = if error.is::<http_body_util::LengthLimitError>() {
-                let message = format!("the request body exceeds {max_bytes} bytes");
-                (ErrorKind::BodyTooLarge, message)
-            } else {
-                let message = format!("the request body cannot be read: {error}");
-                (ErrorKind::BadRequest, message)
-            };
-            return refusal_response(server, &id, &Refusal::new(kind, message));
-        }
+    let terms = BodyTerms {
+        started_ms,
+        patience_ms: head.patience_ms,
+        copies: body_copies(&server.routes(), &head),
+    };
+    let body = match read_caller_body(server, body, terms).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal_response(server, &id, &refusal),
     };
     let request = CallerRequest {
         head,
@@ -287,7 +295,7 @@
         );
     };
     let result = if route.kind == RouteKind::Batch {
-        accept::accept_batch(server, &route, &request).await
+        accept::accept_batch(server, &route, request).await
     } else {
         forward::forward_request(server, &route, &request).await
     };
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -22,9 +22,9 @@
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use super::{
-    buffered_bytes::BufferedBytes,
     head_limit::{HeadLimit, LimitedStream},
     lock,
+    memory::{BodyBuffer, BodyError, BodyMemory, BodyPlan, stated_bytes},
 };
 use crate::daemon::now_ms;
 
@@ -37,6 +37,9 @@
 /// How long before the other side closes an idle connection it is no longer
 /// used, in milliseconds: a request sent at that moment would be lost.
 const IDLE_MARGIN_MS: u64 = 700;
+/// How long an answer may wait for memory, unread, in milliseconds; its request may give
+/// up sooner.
+const MEMORY_WAIT_MS: u64 = 10_000;
 /// The maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -98,11 +101,11 @@
 /// A client that pools connections and sends one request at a time on each.
 ///
 /// Its errors tell whether the other side may have processed the request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ExchangeClient {
     idle: Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
-    /// The answers of endpoints that are being collected.
-    buffered: BufferedBytes,
+    /// The memory for whole answers of endpoints.
+    answer_memory: BodyMemory,
 }
 
 #[derive(Debug)]
@@ -163,6 +166,13 @@
 }
 
 impl ExchangeClient {
+    pub(crate) fn new(answer_memory: BodyMemory) -> Self {
+        Self {
+            idle: Mutex::default(),
+            answer_memory,
+        }
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// If an idle connection turns out to be closed before the request is
@@ -350,40 +360,52 @@
         while let Some(bytes) = self.next_bytes().await? {
             body.extend_from_slice(&bytes);
         }
-        Ok(self.into_whole(body).await)
+        Ok(self.into_whole(body.freeze()).await)
     }
 
     /// Reads the whole body of an endpoint's response, of at most `max_bytes`, and keeps
     /// the connection for the next request.
     ///
+    /// A long body stays unread until there is memory for it. The memory is returned
+    /// when the last reference to the body is dropped.
+    ///
     /// # Errors
     ///
     /// Returns `Incomplete` if the connection fails before the end of the body, and
-    /// `TooLong` if the body is longer, or if all bodies that are being read are too
-    /// long together.
+    /// `TooLong` if the body is longer, or if there is no memory for it in time.
     pub(crate) async fn read_bounded(
         mut self,
         max_bytes: usize,
     ) -> Result<WholeReply, ExchangeError> {
-        let mut body = BytesMut::new();
-        let mut buffered = self.client.buffered.begin();
+        let plan = BodyPlan {
+            max_bytes,
+            stated_bytes: stated_bytes(&self.body),
+            copies: 1,
+            wait_until_ms: now_ms() + MEMORY_WAIT_MS,
+        };
+        let address = self.address;
+        let too_long = |error| {
+            let message = match error {
+                BodyError::TooLong => format!("body from {address} of over {max_bytes} bytes"),
+                BodyError::NoMemory => format!("no memory for a body from {address}"),
+            };
+            ExchangeError::TooLong(message)
+        };
+        let mut buffer = BodyBuffer::new(&self.client.answer_memory, plan);
+        buffer.check_stated().map_err(too_long)?;
         while let Some(bytes) = self.next_bytes().await? {
-            if !buffered.add(bytes.len(), max_bytes) {
-                let message = format!("body from {} of over {} bytes", self.address, body.len());
-                return Err(ExchangeError::TooLong(message));
-            }
-            body.extend_from_slice(&bytes);
+            buffer.push(&bytes).await.map_err(too_long)?;
         }
-        Ok(self.into_whole(body).await)
+        Ok(self.into_whole(buffer.finish()).await)
     }
 
-    async fn into_whole(self, body: BytesMut) -> WholeReply {
+    async fn into_whole(self, body: Bytes) -> WholeReply {
         let (status, headers) = (self.status, self.headers.clone());
         self.release_connection().await;
         WholeReply {
             status,
             headers,
-            body: body.freeze(),
+            body,
         }
     }
 
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -7,7 +7,7 @@
 
 mod accept;
 mod attempt;
-mod buffered_bytes;
+mod caller_body;
 mod claims;
 mod clean;
 mod content_runs;
@@ -24,7 +24,9 @@
 mod held;
 mod http_client;
 mod listing;
+mod loaded_batch;
 mod members;
+mod memory;
 mod metrics;
 mod orders;
 mod peer_call;
--- a/src/server/read_batch.rs
+++ b/src/server/read_batch.rs
@@ -7,6 +7,8 @@
 use super::{
     claims::{BATCH_TABLE, END_KEY, HEAD_KEY},
     listing::read_listed,
+    loaded_batch::LoadedBatch,
+    memory::MemoryShare,
     response::{Body, empty_response, full_body, json_response},
     state::{Server, lock},
 };
@@ -24,6 +26,8 @@
 const MAX_RESULT_BYTES_PER_ANSWER: usize = 900_000;
 /// How often the listing is read while a reader waits, in milliseconds.
 const LISTING_POLL_INTERVAL_MS: u64 = 200;
+/// How long reading a batch waits for memory, in milliseconds.
+const SPEC_MEMORY_WAIT_MS: u64 = 500;
 /// The longest time that a reader waits for results, in milliseconds.
 const MAX_READ_WAIT_MS: u64 = 1_000;
 
@@ -70,7 +74,7 @@
                 &listed,
                 MAX_RESULT_BYTES_PER_ANSWER,
             );
-            return Ok(json_response(body));
+            return Ok(json_response(server.answer_memory.count(body)));
         }
         tokio::time::sleep(Duration::from_millis(LISTING_POLL_INTERVAL_MS)).await;
     }
@@ -160,7 +164,7 @@
 ///
 /// Those of `read_head`; also `Internal` if the batch's object is missing or
 /// cannot be decoded.
-pub(crate) async fn read_spec(server: &Server, batch: &Name) -> Result<Arc<BatchSpec>, Refusal> {
+pub(crate) async fn read_spec(server: &Server, batch: &Name) -> Result<Arc<LoadedBatch>, Refusal> {
     let known = lock(&server.batches)
         .get(batch)
         .and_then(|known| known.spec.clone());
@@ -168,6 +172,7 @@
         return Ok(spec);
     }
     let head = read_head(server, batch).await?;
+    let mut share = reserve_spec(server, &head).await;
     let mut bytes = Vec::new();
     for object in head.object_names() {
         let part = server.store.get_object(&object).await;
@@ -189,9 +194,30 @@
             ),
         )
     })?;
-    let spec = Arc::new(spec);
+    share.shrink_to(bytes.len());
+    let spec = Arc::new(LoadedBatch::new(spec, share));
     if let Some(known) = lock(&server.batches).known.get_mut(batch) {
         known.spec = Some(spec.clone());
     }
     Ok(spec)
 }
+
+/// Waits for the memory that reading a batch takes, and takes it after a while in any
+/// case: the samples of an accepted batch have to run.
+async fn reserve_spec(server: &Server, head: &BatchHead) -> MemoryShare {
+    let most_bytes = head.object_parts * server.settings.object_bytes;
+    let spec_bytes = if head.spec_bytes == 0 {
+        most_bytes
+    } else {
+        head.spec_bytes
+    };
+    // The objects, and the batch that is decoded from them.
+    let bytes = spec_bytes * 2;
+    let memory = &server.request_memory.large;
+    let reserved = memory.reserve(bytes, now_ms() + SPEC_MEMORY_WAIT_MS).await;
+    reserved.unwrap_or_else(|| {
+        tracing::warn!(object = %head.object, bytes, used = memory.used_bytes(),
+            waiting = memory.waiting_count(), "batch read without free memory");
+        memory.take(bytes)
+    })
+}
--- a/src/server/relay.rs
+++ b/src/server/relay.rs
@@ -3,12 +3,17 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header,
+};
 use serde::{Deserialize, Serialize};
 
 use super::{
     http_client::{ExchangeClient, ExchangeError, WholeReply},
+    memory::{BodyBuffer, BodyPlan, stated_bytes},
     response::{Body, empty_response, full_body},
     state::Server,
 };
@@ -20,6 +25,13 @@
 /// round trip between two VMs.
 const RELAY_ROUND_TRIP_MS: u64 = 200;
 
+/// The most bytes of a call besides its body.
+const MAX_CALL_HEAD_BYTES: usize = 64 * 1024;
+/// How many times its length a call takes: as it was received, and decoded.
+const CALL_COPIES: usize = 2;
+/// How long a call may wait for memory, unread, in milliseconds.
+const MEMORY_WAIT_MS: u64 = 500;
+
 /// A call to the store, as one VM sends it to another to relay.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct StoreCall {
@@ -94,11 +106,41 @@
     })
 }
 
-/// Executes a call for another VM over this VM's direct connection to the store.
+/// Reads a call of another VM and executes it over this VM's direct connection to the
+/// store.
 ///
 /// The call is not relayed further. The response is 503 if the call was not
 /// executed, and 502 if its outcome is unknown.
-pub(crate) async fn execute_call(server: &Server, body: &[u8]) -> Response<Body> {
+pub(crate) async fn answer_call(server: &Server, body: Incoming) -> Response<Body> {
+    match read_call(server, body).await {
+        Ok(body) => execute_call(server, &body).await,
+        Err(status) => empty_response(status),
+    }
+}
+
+async fn read_call(server: &Server, mut body: Incoming) -> Result<Bytes, StatusCode> {
+    let plan = BodyPlan {
+        max_bytes: server.settings.object_bytes + MAX_CALL_HEAD_BYTES,
+        stated_bytes: stated_bytes(&body),
+        copies: CALL_COPIES,
+        wait_until_ms: now_ms() + MEMORY_WAIT_MS,
+    };
+    let mut buffer = BodyBuffer::new(&server.request_memory, plan);
+    while let Some(frame) = body.frame().await {
+        let data = frame.map(Frame::into_data).map_err(|error| {
+            tracing::debug!(%error, "body of a relayed call not read");
+            StatusCode::BAD_REQUEST
+        })?;
+        let Ok(data) = data else { continue };
+        buffer.push(&data).await.map_err(|error| {
+            tracing::info!(?error, ?plan, "relayed call not read");
+            StatusCode::SERVICE_UNAVAILABLE
+        })?;
+    }
+    Ok(buffer.finish())
+}
+
+async fn execute_call(server: &Server, body: &[u8]) -> Response<Body> {
     let call: StoreCall = match rmp_serde::from_slice(body) {
         Ok(call) => call,
         Err(error) => {
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -36,7 +36,10 @@
 }
 
 /// Returns a response with a JSON body.
-pub(crate) fn json_response(bytes: Vec<u8>) -> Response<Body> {
+pub(crate) fn json_response<B>(bytes: B) -> Response<Body>
+where
+    B: Into<Bytes>,
+{
     let mut response = Response::new(full_body(bytes));
     let value = header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, value);
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -6,6 +6,7 @@
 
 use super::{
     claims, failures, listing,
+    loaded_batch::LoadedBatch,
     progress::{self, UnsavedTexts},
     read_batch,
     sample::{self, SampleJob, SampleRuns},
@@ -120,7 +121,7 @@
     server: &Server,
     batch: &Name,
     is_first: bool,
-) -> Option<(Arc<BatchSpec>, BTreeMap<Name, usize>, BatchDeadlines)> {
+) -> Option<(Arc<LoadedBatch>, BTreeMap<Name, usize>, BatchDeadlines)> {
     loop {
         let head = lock(&server.batches).get(batch)?.head.clone()?;
         let positions = async {
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -11,6 +11,7 @@
     crash,
     crash_rows::{self, CrashRows},
     http_client::ExchangeClient,
+    memory::BodyMemory,
     metrics::Metrics,
 };
 use crate::{
@@ -18,6 +19,7 @@
         Name,
         batch::{SampleLengths, TextMemory},
         leader_lease::LeaderLease,
+        memory::MemoryShares,
         pool::Pool,
         quarantine::{LateRetryPolicy, Quarantine, RunEnd},
         rate_limit::{IssuerAuthority, PermitIssuer, QuestionBudget},
@@ -34,9 +36,6 @@
 /// The time from which a run without an answer is logged when it ends, in
 /// milliseconds.
 const MIN_LOGGED_WAIT_MS: u64 = 1_000;
-/// The part of this VM's memory that texts of unlisted samples may take: each is copied
-/// for a short time when it is saved and when it is listed.
-const TEXT_MEMORY_DIVISOR: usize = 10;
 const BYTES_PER_MB: u64 = 1_000_000;
 
 /// The state that all tasks of one VM share; each part has its own lock.
@@ -72,6 +71,10 @@
     pub(crate) silent_issuers: Mutex<BTreeMap<Name, u64>>,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
     pub(crate) software_history: Mutex<SoftwareHistory>,
+    /// The memory for bodies of requests and for batches.
+    pub(crate) request_memory: BodyMemory,
+    /// The memory for answers.
+    pub(crate) answer_memory: BodyMemory,
     /// The memory that the texts of unlisted samples take.
     pub(crate) text_memory: Mutex<TextMemory>,
     pub(crate) sample_lengths: Mutex<SampleLengths>,
@@ -88,9 +91,12 @@
 
 impl Server {
     pub(crate) fn new(settings: VmSettings, incarnation: u64) -> Self {
-        let http = Arc::new(ExchangeClient::default());
         let vm = settings.vm.clone();
         let memory_bytes = usize::try_from(settings.memory_mb * BYTES_PER_MB).unwrap_or(usize::MAX);
+        let shares = MemoryShares::of(memory_bytes);
+        let request_memory = BodyMemory::new(shares.small_bodies_bytes, shares.large_bodies_bytes);
+        let answer_memory = BodyMemory::new(shares.small_answers_bytes, shares.large_answers_bytes);
+        let http = Arc::new(ExchangeClient::new(answer_memory.clone()));
         Self {
             incarnation,
             store: Store::new(
@@ -118,7 +124,9 @@
             silent_issuers: Mutex::default(),
             stream_origins: Mutex::default(),
             software_history: Mutex::default(),
-            text_memory: Mutex::new(TextMemory::new(memory_bytes / TEXT_MEMORY_DIVISOR)),
+            request_memory,
+            answer_memory,
+            text_memory: Mutex::new(TextMemory::new(shares.texts_bytes)),
             sample_lengths: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -6,6 +6,7 @@
 mod process_serve {
     mod answers_without_end;
     mod batches_under_vm_and_store_faults;
+    mod bodies_share_memory;
     mod budgets_on_busy_machines;
     mod crashes_without_a_closed_connection;
     mod invalid_answers_and_ended_batches;
