Let 1,024 connections wait to be accepted

Callers that connect in a burst, or while a VM stands still, waited for a second or three: the kernel dropped connections beyond the default length of the queue and tried again later.

--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -1,11 +1,12 @@
 use std::{
     io,
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
     signal::unix::{Signal, SignalKind, signal},
 };
 
@@ -21,6 +22,9 @@
     settings::VmSettings,
 };
 
+/// How many connections may wait to be accepted: the kernel drops further ones, and
+/// their callers try again only after a second.
+const MAX_UNACCEPTED_CONNECTIONS: u32 = 1_024;
 /// How often to check whether callers still wait at the end, in milliseconds.
 const LAST_CALLERS_CHECK_INTERVAL_MS: u64 = 10;
 /// The interval between removals of expired idle connections and endpoints, in
@@ -45,7 +49,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let settings_at_start = settings.clone();
-    let (settings, listeners) = bind(settings).await?;
+    let (settings, listeners) = bind(settings)?;
     let server = Arc::new(Server::new(settings, unix_ms()));
     let bound = &server.settings;
     tracing::info!(vm = %bound.vm, data_centre = %bound.data_centre,
@@ -83,9 +87,7 @@
 
 /// Binds the addresses in the settings, and replaces each port 0 by the port
 /// that the kernel chose.
-async fn bind(
-    mut settings: VmSettings,
-) -> io::Result<(VmSettings, Vec<(TcpListener, ListenerKind)>)> {
+fn bind(mut settings: VmSettings) -> io::Result<(VmSettings, Vec<(TcpListener, ListenerKind)>)> {
     let addresses = [
         (&mut settings.caller_address, ListenerKind::Callers),
         (&mut settings.readiness_address, ListenerKind::Readiness),
@@ -95,7 +97,7 @@
     ];
     let mut listeners = Vec::new();
     for (address, kind) in addresses {
-        let listener = TcpListener::bind(*address).await.map_err(|error| {
+        let listener = listen(*address).map_err(|error| {
             io::Error::new(error.kind(), format!("cannot bind {address}: {error}"))
         })?;
         *address = listener.local_addr()?;
@@ -104,6 +106,18 @@
     Ok((settings, listeners))
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    // A VM that starts again binds its addresses although old connections linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(MAX_UNACCEPTED_CONNECTIONS)
+}
+
 /// Waits for SIGTERM or SIGINT, and checks the settings on each SIGHUP.
 async fn wait_for_stop<R>(
     settings_at_start: &VmSettings,
