Place items again whatever crashed under them

Trainers missed samples: in a burst of crashes several endpoints died under the same sound item, which was then never placed again (report of other operators; here by test).

What is handed in for later is owed.

permit_owed holds such a content for 2 s after its third crash and 4 s after each further one, then runs it as a trial: one run at a time, away from other suspects.

The 31 process tests of crashes and leaving pass unchanged.

--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -14,7 +14,8 @@
     late_retries::{LATE_RETRY_DELAY_MS, LateRetryPolicy, MAX_LATE_RETRIES},
     permit::{Permit, RunEnd},
     quarantine::{
-        BLAME_DURATION_MS, CRASH_REPORT_WAIT_MS, MAX_CRASHES, MAX_SHARED_CRASHES, Quarantine,
+        BLAME_DURATION_MS, CRASH_REPORT_WAIT_MS, MAX_CRASHES, MAX_OWED_DELAY_MS,
+        MAX_SHARED_CRASHES, Quarantine,
     },
     row::{QuarantineRow, claim_key},
 };
--- a/src/core/quarantine/quarantine.rs
+++ b/src/core/quarantine/quarantine.rs
@@ -4,7 +4,7 @@
 };
 
 use super::{
-    LateRetryPolicy, Permit, RunEnd,
+    LATE_RETRY_DELAY_MS, LateRetryPolicy, Permit, RunEnd,
     late_retries::LateRetries,
     unanswered::{UnansweredRun, UnansweredRuns},
 };
@@ -26,6 +26,9 @@
 pub const CRASH_REPORT_WAIT_MS: u64 = 500;
 /// How long a content is blamed for a crash.
 pub const BLAME_DURATION_MS: u64 = 24 * 3_600_000;
+/// The longest time after a crash for which a content that was handed in for later is
+/// held, in milliseconds.
+pub const MAX_OWED_DELAY_MS: u64 = 4_000;
 /// For how long the completion of a run counts in favour of its content, in
 /// milliseconds.
 const COMPLETION_KEEP_MS: u64 = 10_000;
@@ -158,6 +161,46 @@
         }
     }
 
+    /// Returns whether and how a content may run now that was handed in for later.
+    ///
+    /// Such a content is owed, whatever crashed under it: after [`MAX_CRASHES`] it runs as
+    /// a trial, the later the more crashes there were, up to [`MAX_OWED_DELAY_MS`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chicoryreach::core::quarantine::{
+    ///     LateRetryPolicy, MAX_OWED_DELAY_MS, Permit, Quarantine,
+    /// };
+    ///
+    /// let mut quarantine = Quarantine::new(LateRetryPolicy::Claimed);
+    /// let content = "content".into();
+    /// for now_ms in 1_000..1_009 {
+    ///     quarantine.on_start(&"sampler-1".into(), &content, now_ms);
+    ///     quarantine.on_crash(now_ms, &"sampler-1".into(), now_ms, now_ms);
+    /// }
+    /// let until_ms = 1_008 + MAX_OWED_DELAY_MS;
+    /// assert_eq!(quarantine.permit_owed(2_000, &content), Permit::Held { until_ms });
+    /// let permit = quarantine.permit_owed(until_ms, &content);
+    /// assert!(matches!(permit, Permit::Trial { .. }));
+    /// ```
+    #[must_use]
+    pub fn permit_owed(&self, now_ms: u64, fingerprint: &Arc<str>) -> Permit {
+        let permit = self.permit(now_ms, fingerprint);
+        if !matches!(permit, Permit::Held { .. } | Permit::Claim { .. }) {
+            return permit;
+        }
+        let blame = self.blame.get(fingerprint).copied().unwrap_or_default();
+        let more_crashes = u64::from(blame.crashes.saturating_sub(MAX_CRASHES));
+        let delay_ms = LATE_RETRY_DELAY_MS * (1 + more_crashes);
+        let until_ms = blame.last_at_ms + delay_ms.min(MAX_OWED_DELAY_MS);
+        if now_ms < until_ms {
+            Permit::Held { until_ms }
+        } else {
+            self.permit_trial(fingerprint)
+        }
+    }
+
     fn permit_while_shared(&self, now_ms: u64, fingerprint: &Arc<str>, blame: Blame) -> Permit {
         let has_waited_for_reports = now_ms >= blame.last_at_ms + CRASH_REPORT_WAIT_MS;
         match blame.crashes {
--- a/src/server/content_runs.rs
+++ b/src/server/content_runs.rs
@@ -10,6 +10,7 @@
     core::{
         Name,
         quarantine::{BLAME_DURATION_MS, Permit},
+        rate_limit::Purpose,
     },
     daemon::now_ms,
     error::{ErrorKind, Refusal},
@@ -33,10 +34,16 @@
     },
 }
 
-/// Starts a run if the quarantine permits it without a claim.
+/// Starts a run if the quarantine permits it without a claim. One whose purpose is in the
+/// background needs none: it was handed in for later, and is owed.
 ///
 /// `choose` returns an endpoint that is not in the given set.
-pub(crate) fn try_start<F>(server: &Arc<Server>, content: &Name, choose: F) -> StartOutcome
+pub(crate) fn try_start<F>(
+    server: &Arc<Server>,
+    content: &Name,
+    purpose: Purpose,
+    choose: F,
+) -> StartOutcome
 where
     F: FnOnce(&BTreeSet<Name>) -> Option<Name>,
 {
@@ -46,7 +53,12 @@
     let now_ms = now_ms();
     // Held until the run is recorded, so that no second trial starts concurrently.
     let mut quarantine = lock(&server.quarantine);
-    let avoid = match quarantine.permit(now_ms, content) {
+    let permit = if purpose.is_background() {
+        quarantine.permit_owed(now_ms, content)
+    } else {
+        quarantine.permit(now_ms, content)
+    };
+    let avoid = match permit {
         Permit::Unrestricted => BTreeSet::new(),
         Permit::Trial { avoid } => avoid,
         Permit::Wait => return StartOutcome::Wait,
@@ -72,7 +84,7 @@
 }
 
 /// Claims a late retry and starts it.
-pub(crate) async fn claim_and_start<F>(
+async fn claim_and_start<F>(
     server: &Arc<Server>,
     content: &Name,
     number: u32,
@@ -114,7 +126,7 @@
         return Err(Refusal::new(ErrorKind::ConfigTooOld, message));
     }
     loop {
-        match try_start(server, content, &choose) {
+        match try_start(server, content, Purpose::Caller, &choose) {
             StartOutcome::Started(in_flight) => return Ok(Some(in_flight)),
             StartOutcome::NoEndpoint => return Ok(None),
             StartOutcome::Held { until_ms } => return Err(held_refusal(server, content, until_ms)),
@@ -141,7 +153,7 @@
 }
 
 /// Returns until when a content is held at least.
-pub(crate) fn held_until_ms(server: &Server, content: &Name) -> u64 {
+fn held_until_ms(server: &Server, content: &Name) -> u64 {
     let now_ms = now_ms();
     match lock(&server.quarantine).permit(now_ms, content) {
         Permit::Held { until_ms } => until_ms,
@@ -150,7 +162,7 @@
 }
 
 /// Returns the refusal of a content that must not run before a time.
-pub(crate) fn held_refusal(server: &Server, content: &Name, until_ms: u64) -> Refusal {
+fn held_refusal(server: &Server, content: &Name, until_ms: u64) -> Refusal {
     let crashes = lock(&server.quarantine).crash_count(content);
     let message = format!("content {content} has crashed {crashes} endpoints");
     Refusal::new(ErrorKind::ContentHeld, message).with_retry_at(until_ms)
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -300,7 +300,7 @@
             let avoid = &state.tried | suspects;
             self.choose_endpoint(&avoid, purpose)
         };
-        match content_runs::try_start(self.server, &self.content, choose) {
+        match content_runs::try_start(self.server, &self.content, purpose, choose) {
             StartOutcome::Started(in_flight) => Some(self.attempt(state, in_flight, purpose)),
             StartOutcome::Held { until_ms } => {
                 state.held_until_ms = Some(until_ms);
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -315,14 +315,11 @@
                 self.choose_endpoint(&route, &(&avoid | suspects), self.text.origin())
             };
             let content = &self.job.content;
-            let in_flight = match content_runs::try_start(&server, content, choose) {
+            let started = content_runs::try_start(&server, content, Purpose::Sample, choose);
+            let in_flight = match started {
                 StartOutcome::Started(in_flight) => Some(in_flight),
                 StartOutcome::NoEndpoint => None,
-                StartOutcome::Unclaimed(number) => {
-                    let claimed = content_runs::claim_and_start(&server, content, number, choose);
-                    Some(claimed.await.ok_or(ReservationError::Held)?)
-                }
-                StartOutcome::Wait | StartOutcome::Held { .. } => {
+                StartOutcome::Wait | StartOutcome::Unclaimed(_) | StartOutcome::Held { .. } => {
                     return Err(ReservationError::Held);
                 }
             };
@@ -348,10 +345,9 @@
             }
             if !is_logged {
                 let job = &self.job;
-                let until_ms = content_runs::held_until_ms(&job.server, &job.content);
+                let crashes = lock(&job.server.quarantine).crash_count(&job.content);
                 tracing::info!(batch = %job.batch, sample = %job.sample.id,
-                    content = %job.content, held_ms = until_ms.saturating_sub(now_ms()),
-                    "sample held: its content has crashed endpoints");
+                    content = %job.content, crashes, "sample held: endpoints crashed under it");
                 is_logged = true;
             }
             tokio::time::sleep(Duration::from_millis(HELD_CHECK_INTERVAL_MS)).await;
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -71,12 +71,10 @@
             return None;
         }
         let choose = |suspects: &BTreeSet<Name>| choose_endpoint(job, &route, &(&avoid | suspects));
-        let in_flight = match content_runs::try_start(server, &content, choose) {
+        let started = content_runs::try_start(server, &content, Purpose::Score, choose);
+        let in_flight = match started {
             StartOutcome::Started(in_flight) => Some(in_flight),
-            StartOutcome::Unclaimed(number) => {
-                content_runs::claim_and_start(server, &content, number, choose).await
-            }
-            StartOutcome::NoEndpoint | StartOutcome::Wait => None,
+            StartOutcome::NoEndpoint | StartOutcome::Wait | StartOutcome::Unclaimed(_) => None,
             StartOutcome::Held { .. } => {
                 tokio::time::sleep(Duration::from_millis(HELD_CHECK_INTERVAL_MS)).await;
                 continue;
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -21,4 +21,5 @@
     mod streams_after_all_vms_are_lost;
     mod streams_at_a_vm_out_of_step;
     mod streams_keep_their_software;
+    mod unlucky_items_are_owed;
 }
