--- a/src/core/quarantine/quarantine.rs
+++ b/src/core/quarantine/quarantine.rs
@@ -170,17 +170,18 @@
     ///
     /// ```
     /// use chicoryreach::core::quarantine::{
-    ///     LateRetryPolicy, MAX_OWED_DELAY_MS, Permit, Quarantine,
+    ///     LateRetryPolicy, MAX_OWED_DELAY_MS, Permit, Quarantine, RunEnd,
     /// };
     ///
     /// let mut quarantine = Quarantine::new(LateRetryPolicy::Claimed);
-    /// let content = "content".into();
-    /// for now_ms in 1_000..1_009 {
-    ///     quarantine.on_start(&"sampler-1".into(), &content, now_ms);
-    ///     quarantine.on_crash(now_ms, &"sampler-1".into(), now_ms, now_ms);
+    /// let (sampler, content) = ("sampler-1".into(), "content".into());
+    /// for now_ms in [1_000, 2_000, 3_000, 4_000, 5_000, 6_000] {
+    ///     quarantine.on_start(&sampler, &content, now_ms);
+    ///     quarantine.on_crash(now_ms, &sampler, now_ms, now_ms);
+    ///     quarantine.on_end(now_ms, &sampler, &content, RunEnd::Incomplete);
     /// }
-    /// let until_ms = 1_008 + MAX_OWED_DELAY_MS;
-    /// assert_eq!(quarantine.permit_owed(2_000, &content), Permit::Held { until_ms });
+    /// let until_ms = 6_000 + MAX_OWED_DELAY_MS;
+    /// assert_eq!(quarantine.permit_owed(7_000, &content), Permit::Held { until_ms });
     /// let permit = quarantine.permit_owed(until_ms, &content);
     /// assert!(matches!(permit, Permit::Trial { .. }));
     /// ```
--- a/tests/process_serve/unlucky_items_are_owed.rs
+++ b/tests/process_serve/unlucky_items_are_owed.rs
@@ -40,11 +40,7 @@
 }
 
 /// Waits until the item runs once more, and returns where.
-async fn next_run<'a>(
-    samplers: &'a [Sampler],
-    runs_before: usize,
-    within: Duration,
-) -> &'a Sampler {
+async fn next_run(samplers: &[Sampler], runs_before: usize, within: Duration) -> &Sampler {
     let deadline = Instant::now() + within;
     loop {
         let runs = samplers.iter().map(|sampler| sampler.all_runs().len());
