Take an entry without a proper field for no sampler's

Callers' requests could be sent to what an odd entry names: one without a zone, slots, version, cold_ms or seq, or with another type there, was taken for a sampler's, with defaults in their place.

All fields that a sampler writes are required now, but for born, which older ones may not state.

--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -1,6 +1,6 @@
 //! Decodes what the operator, the trainers and the samplers write to the store.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, num::NonZeroU32};
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -95,18 +95,22 @@
 struct WireSampler {
     service: Name,
     address: SocketAddr,
-    #[serde(default)]
     zone: Name,
-    #[serde(default)]
-    slots: u32,
+    slots: NonZeroU32,
     state: String,
     #[serde(default)]
     models: Vec<WireModel>,
     #[serde(default)]
     born: u64,
     /// The version of its software, not of its weights.
-    #[serde(default)]
-    version: Value,
+    version: Name,
+    // Not used; an entry whose fields have other types is not a sampler's.
+    #[serde(rename = "cold_ms")]
+    _cold_ms: f64,
+    #[serde(rename = "seq")]
+    _heartbeats: u64,
+    #[serde(default, rename = "stage")]
+    _work: Option<Name>,
 }
 
 #[derive(Deserialize)]
@@ -200,7 +204,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the document cannot be decoded or its state is unknown.
+/// Fails if the document cannot be decoded, a field is missing or of another type, or its
+/// state is unknown. `born` may be missing: older samplers do not state it.
 pub(crate) fn decode_endpoint(id: &Name, bytes: &[u8]) -> Result<EndpointRecord, String> {
     let wire: WireSampler = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
     let stage = match wire.state.as_str() {
@@ -208,21 +213,16 @@
         "draining" => EndpointStage::Leaving,
         other => return Err(format!("sampler {id} has unknown state {other}")),
     };
-    let software = match &wire.version {
-        Value::String(version) => version.as_str().into(),
-        Value::Null => Name::from(""),
-        other => other.to_string().into(),
-    };
     let weights = wire.models.into_iter();
     let weights = weights.map(|model| (model.name, model.version));
     Ok(EndpointRecord {
         id: id.clone(),
         started_unix_ms: wire.born,
         service: wire.service,
-        software,
+        software: wire.version,
         address: wire.address,
         data_centre: wire.zone,
-        slots: wire.slots,
+        slots: wire.slots.get(),
         stage,
         weights: weights.collect::<BTreeMap<_, _>>(),
     })
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -15,6 +15,7 @@
     mod leaving_samplers_get_no_requests;
     mod limited_samplers;
     mod long_texts;
+    mod odd_entries;
     mod requests_that_crash_samplers;
     mod soak;
     mod stops_cut_no_request;
