Observe from which endpoints a VM is cut off

What callers saw: VMs that are cut off from all endpoints serve none of their first tries, and no log line or metric told such a VM from endpoints that are down.

Each VM now keeps, from the connections that it opens, which endpoints have failed since one last accepted a connection: of all, of a data centre, of a service. Nothing is decided on it yet.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod memory;
 mod name;
+pub mod paths;
 pub mod pool;
 pub mod quarantine;
 pub mod rate_limit;
--- a/src/core/pool/pool.rs
+++ b/src/core/pool/pool.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use super::{EndpointRecord, EndpointStage, PoolEndpoint, SILENCE_MS};
-use crate::core::Name;
+use crate::core::{Name, paths::EndpointPaths};
 
 /// How long after an outage of the platform an endpoint may be missing from its
 /// list before it is removed, in milliseconds: the platform promises to list
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     endpoints: BTreeMap<Name, PoolEndpoint>,
+    paths: EndpointPaths,
     grace_ends_at_ms: u64,
     has_been_read: bool,
 }
@@ -143,6 +144,39 @@
         all.filter(move |endpoint| &*endpoint.record.service == service)
     }
 
+    /// Returns what is known of this VM's paths to the endpoints.
+    #[must_use]
+    pub const fn paths(&self) -> &EndpointPaths {
+        &self.paths
+    }
+
+    /// Brings the times of cut paths up to date.
+    pub fn update_paths(&mut self, now_ms: u64) {
+        self.paths.update_times(now_ms);
+    }
+
+    /// Records whether an endpoint has accepted a connection that was opened at
+    /// `started_ms`.
+    pub fn on_connect(&mut self, started_ms: u64, now_ms: u64, id: &str, is_accepted: bool) {
+        let listed = self.endpoints.len();
+        let Some(known) = self.endpoints.get(id) else {
+            return;
+        };
+        if is_accepted {
+            self.paths.on_connected(now_ms, &known.record);
+        } else {
+            self.paths
+                .on_connect_failed(started_ms, now_ms, &known.record, listed);
+        }
+    }
+
+    /// Returns whether this VM is cut off from an endpoint.
+    #[must_use]
+    pub fn is_cut_off(&self, now_ms: u64, id: &str) -> bool {
+        let known = self.endpoints.get(id);
+        known.is_some_and(|known| self.paths.is_cut(now_ms, &known.record))
+    }
+
     /// Returns all endpoints.
     pub fn all(&self) -> impl Iterator<Item = &PoolEndpoint> {
         self.endpoints.values()
--- a/src/server/crash.rs
+++ b/src/server/crash.rs
@@ -5,6 +5,7 @@
 use super::{
     crash_rows,
     http_client::{ExchangeError, Reachability},
+    paths,
     state::{InFlight, Server, lock},
 };
 use crate::{
@@ -51,10 +52,7 @@
             "run broke off: its endpoint is no longer listed");
         return;
     };
-    let reachability = server
-        .http
-        .check_reachability(record.address, REACHABILITY_TIMEOUT_MS)
-        .await;
+    let reachability = paths::check(server, &record, REACHABILITY_TIMEOUT_MS).await;
     server.metrics.on_broken_run(reachability);
     tracing::info!(id, content = %in_flight.content, %endpoint, %reachability,
         incarnation = in_flight.incarnation, stage = %record.stage, %error, "run broke off");
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -1,13 +1,14 @@
 //! Exchanges with endpoints: all that this VM sends to one goes through here.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
 
 use super::{
-    http_client::{ExchangeError, Reply, ResponseOrder, WholeReply, within},
+    http_client::{ExchangeError, IdleOutcome, Reply, ResponseOrder, WholeReply, within},
+    paths,
     permits::Permit,
     state::{Server, lock},
 };
@@ -32,7 +33,7 @@
 /// another request, and the errors of
 /// [`ExchangeClient::send`](super::http_client::ExchangeClient).
 pub(crate) async fn send(
-    server: &Server,
+    server: &Arc<Server>,
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
@@ -51,7 +52,7 @@
         Some(_) => ResponseOrder::Named,
         None => ResponseOrder::Unnamed,
     };
-    let reply = server.http.send(address, request, order).await?;
+    let reply = transmit(server, endpoint, address, request, order).await?;
     if reply.status != StatusCode::MISDIRECTED_REQUEST {
         on_heard(server, endpoint);
     }
@@ -60,6 +61,22 @@
     Ok(reply)
 }
 
+async fn transmit(
+    server: &Arc<Server>,
+    endpoint: &str,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    order: ResponseOrder,
+) -> Result<Reply, ExchangeError> {
+    let request = match server.http.send_idle(address, request, order).await? {
+        IdleOutcome::Replied(reply) => return Ok(*reply),
+        IdleOutcome::Unsent(request) => request,
+    };
+    let connection = paths::connect(server, endpoint, address).await?;
+    let sent = server.http.send_on(address, connection, *request, order);
+    sent.await
+}
+
 /// Returns an error unless an answer names the request that was sent, or neither has a
 /// name.
 fn check_request(endpoint: &str, sent: &HeaderMap, reply: &Reply) -> Result<(), ExchangeError> {
@@ -99,7 +116,7 @@
 /// Returns the errors of
 /// [`ExchangeClient::exchange_whole`](super::http_client::ExchangeClient).
 pub(crate) async fn exchange_whole(
-    server: &Server,
+    server: &Arc<Server>,
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -30,7 +30,7 @@
 
 /// The timeout for establishing a connection, in milliseconds: far more than a
 /// round trip, far less than a caller's timeout.
-const CONNECT_TIMEOUT_MS: u64 = 500;
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 500;
 /// How long an idle connection is kept if the other side sends no `keep-alive`
 /// header, in milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 4_000;
@@ -122,7 +122,7 @@
 
 /// A connection, which is closed on drop.
 #[derive(Debug)]
-struct Connection {
+pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
     /// Whether a request without a name was sent: a late copy of its response cannot be
@@ -143,6 +143,13 @@
     }
 }
 
+/// What became of a request that was to be sent on an idle connection.
+pub(crate) enum IdleOutcome {
+    Replied(Box<Reply>),
+    /// No connection was usable, and nothing of the request was sent.
+    Unsent(Box<Request<Full<Bytes>>>),
+}
+
 /// The head of a response, with the body still to be read.
 ///
 /// Dropping it closes the connection, which tells the other side that the
@@ -189,19 +196,58 @@
         request: Request<Full<Bytes>>,
         order: ResponseOrder,
     ) -> Result<Reply, ExchangeError> {
+        let request = match self.send_idle(address, request, order).await? {
+            IdleOutcome::Replied(reply) => return Ok(*reply),
+            IdleOutcome::Unsent(request) => request,
+        };
+        let connection = connect(address, CONNECT_TIMEOUT_MS).await?;
+        self.send_on(address, connection, *request, order).await
+    }
+
+    /// Sends a request on an idle connection, unless there is none that still is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Incomplete` if the connection fails after the request was written.
+    pub(crate) async fn send_idle(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        order: ResponseOrder,
+    ) -> Result<IdleOutcome, ExchangeError> {
         let mut request = request;
         while let Some(connection) = self.take_idle(address, order) {
             match self.exchange(address, connection, request, order).await {
-                Ok(reply) => return Ok(reply),
+                Ok(reply) => return Ok(IdleOutcome::Replied(Box::new(reply))),
                 Err((error, None)) => return Err(error),
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
-        let connection = connect(address).await?;
+        Ok(IdleOutcome::Unsent(Box::new(request)))
+    }
+
+    /// Sends a request on a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotSent` if the request is not written, and `Incomplete` if the connection
+    /// fails after that.
+    pub(crate) async fn send_on(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        order: ResponseOrder,
+    ) -> Result<Reply, ExchangeError> {
         let sent = self.exchange(address, connection, request, order).await;
         sent.map_err(|(error, _)| error)
     }
 
+    /// Keeps a new connection for the next request.
+    pub(crate) fn keep(&self, address: SocketAddr, connection: Connection) {
+        self.store_idle(address, connection, &HeaderMap::new());
+    }
+
     /// Sends a request to the platform or another VM and reads its whole response
     /// before a deadline.
     ///
@@ -455,17 +501,21 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, ExchangeError> {
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Returns `NotSent` if the other side does not accept it in time.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> Result<Connection, ExchangeError> {
     let not_sent = |message: String| ExchangeError::NotSent(message);
     let connect = TcpStream::connect(address);
-    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let limit = Duration::from_millis(timeout_ms);
     let stream = tokio::time::timeout(limit, connect)
         .await
-        .map_err(|_| {
-            not_sent(format!(
-                "no connection to {address} in {CONNECT_TIMEOUT_MS} ms"
-            ))
-        })?
+        .map_err(|_| not_sent(format!("no connection to {address} in {timeout_ms} ms")))?
         .map_err(|error| not_sent(format!("cannot connect to {address}: {error}")))?;
     start_http(address, stream).await
 }
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -12,7 +12,7 @@
 
 use super::http_client::Reachability;
 use crate::{
-    core::{rate_limit::Purpose, retry::RetryReason},
+    core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason},
     error::ErrorKind,
 };
 
@@ -31,6 +31,8 @@
     retries: Family<Labels, Counter>,
     broken_runs: Family<Labels, Counter>,
     limited_requests: Family<Labels, Counter>,
+    endpoint_connects: Family<Labels, Counter>,
+    cut_paths: Family<Labels, Gauge>,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -59,6 +61,8 @@
             retries: Family::default(),
             broken_runs: Family::default(),
             limited_requests: Family::default(),
+            endpoint_connects: Family::default(),
+            cut_paths: Family::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -78,6 +82,7 @@
             score_seconds: latency(),
         };
         metrics.register();
+        metrics.register_paths();
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
@@ -96,6 +101,13 @@
                 .get_or_create(&vec![("endpoint", reachability.into())])
                 .inc_by(0);
         }
+        for outcome in ["accepted", "failed"] {
+            let connects = &metrics.endpoint_connects;
+            connects
+                .get_or_create(&vec![("outcome", outcome)])
+                .inc_by(0);
+        }
+        metrics.set_cut_paths(&PathReport::default());
         for purpose in Purpose::iter() {
             let limited = &metrics.limited_requests;
             limited
@@ -204,6 +216,20 @@
         }
     }
 
+    fn register_paths(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "endpoint_connects",
+            "Connections opened to endpoints, by outcome",
+            self.endpoint_connects.clone(),
+        );
+        registry.register(
+            "cut_paths",
+            "Paths to endpoints that are cut: all of them, or by data centre or service",
+            self.cut_paths.clone(),
+        );
+    }
+
     pub(crate) fn on_refusal(&self, kind: ErrorKind) {
         let refusals = &self.refusals;
         refusals.get_or_create(&vec![("kind", kind.into())]).inc();
@@ -223,6 +249,25 @@
             .inc();
     }
 
+    pub(crate) fn on_connect(&self, is_accepted: bool) {
+        let outcome = if is_accepted { "accepted" } else { "failed" };
+        let connects = &self.endpoint_connects;
+        connects.get_or_create(&vec![("outcome", outcome)]).inc();
+    }
+
+    /// Records from how much of the endpoints this VM is cut off.
+    pub(crate) fn set_cut_paths(&self, report: &PathReport) {
+        let gauges = [
+            ("all", usize::from(report.is_isolated)),
+            ("data_centre", report.cut_data_centres.len()),
+            ("service", report.cut_services.len()),
+        ];
+        for (scope, count) in gauges {
+            let gauge = self.cut_paths.get_or_create(&vec![("scope", scope)]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     pub(crate) fn on_broken_run(&self, reachability: Reachability) {
         let broken_runs = &self.broken_runs;
         broken_runs
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -29,6 +29,7 @@
 mod memory;
 mod metrics;
 mod orders;
+mod paths;
 mod peer_call;
 mod permits;
 mod progress;
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -13,7 +13,7 @@
 use super::{
     claims, clean, crash, crash_rows, fleet,
     front::{ListenerKind, serve},
-    members, orders, permits, silence,
+    members, orders, paths, permits, silence,
     state::Server,
     stream_rows,
 };
@@ -72,6 +72,7 @@
     tokio::spawn(stream_rows::follow_origins(server.clone()));
     tokio::spawn(stream_rows::write_rows(server.clone()));
     tokio::spawn(stream_rows::clean_periodically(server.clone()));
+    tokio::spawn(paths::run_checks(server.clone()));
     tokio::spawn(expire_periodically(server.clone(), dropped_lines));
     tokio::spawn(permits::expire_periodically(server.clone()));
     tokio::spawn(clean::delete_old_batches(server.clone()));
--- a/src/server/silence.rs
+++ b/src/server/silence.rs
@@ -14,6 +14,7 @@
 use super::{
     crash,
     http_client::Reachability,
+    paths,
     peer_call::post_to_peer,
     response::{Body, empty_response, full_body},
     state::{Server, lock},
@@ -46,10 +47,7 @@
 }
 
 async fn check_endpoint(server: Arc<Server>, record: EndpointRecord) {
-    let connect = server
-        .http
-        .check_reachability(record.address, CONNECT_TIMEOUT_MS);
-    let reachability = connect.await;
+    let reachability = paths::check(&server, &record, CONNECT_TIMEOUT_MS).await;
     if reachability == Reachability::Accepts {
         if let Some(known) = lock(&server.pool).get_mut(&record.id) {
             known.on_heard(now_ms());
@@ -125,7 +123,7 @@
 }
 
 /// Answers another VM whether this one reaches an endpoint.
-pub(crate) async fn answer_query(server: &Server, body: &[u8]) -> Response<Body> {
+pub(crate) async fn answer_query(server: &Arc<Server>, body: &[u8]) -> Response<Body> {
     let query: ReachabilityQuery = match rmp_serde::from_slice(body) {
         Ok(query) => query,
         Err(error) => {
@@ -135,11 +133,11 @@
     };
     let listed = lock(&server.pool)
         .get(&query.endpoint)
-        .map(|known| (known.record.address, known.record.started_unix_ms));
-    let Some((address, _)) = listed.filter(|(_, started)| *started == query.incarnation) else {
+        .map(|known| known.record.clone());
+    let Some(record) = listed.filter(|record| record.started_unix_ms == query.incarnation) else {
         return empty_response(StatusCode::NOT_FOUND);
     };
-    let check = server.http.check_reachability(address, CONNECT_TIMEOUT_MS);
+    let check = paths::check(server, &record, CONNECT_TIMEOUT_MS);
     let is_reached = check.await == Reachability::Accepts;
     match rmp_serde::to_vec(&is_reached) {
         Ok(bytes) => Response::new(full_body(bytes)),
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -13,6 +13,7 @@
     http_client::ExchangeClient,
     memory::BodyMemory,
     metrics::Metrics,
+    paths::PathChecks,
     stream_rows::StreamRows,
 };
 use crate::{
@@ -47,6 +48,7 @@
     pub(crate) store: Store,
     pub(crate) routes: Mutex<Arc<RouteTable>>,
     pub(crate) pool: Mutex<Pool>,
+    pub(crate) path_checks: PathChecks,
     /// Notified when an endpoint may have a free slot.
     pub(crate) pool_changed: Notify,
     /// The newest weights version that a trainer named, by model.
@@ -111,6 +113,7 @@
             http,
             routes: Mutex::default(),
             pool: Mutex::default(),
+            path_checks: PathChecks::default(),
             pool_changed: Notify::new(),
             newest_weights: Mutex::default(),
             members: Mutex::default(),
