--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod down;
 mod endless;
 mod event_stream;
+mod link;
 mod row_store;
 mod sampler;
 mod sampler_answers;
@@ -14,6 +15,7 @@
     answer_fault::AnswerFault,
     down::WhenDown,
     endless::{EndlessPart, EndlessSampler},
+    link::{Link, LinkState},
     row_store::{Row, RowStore},
     sampler::{RunStart, Sampler, SamplerSettings},
     store_server::{OBJECT_BYTES, ROW_BYTES, StoreServer, StoreWriter},
--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -152,6 +152,12 @@
         })
     }
 
+    /// Returns the address at which the sampler listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
     /// Returns the ids of the requests that ran, in the order of their start.
     #[must_use]
     pub fn run_request_ids(&self) -> Vec<String> {
--- a/crates/standins/src/fleet/store_server.rs
+++ b/crates/standins/src/fleet/store_server.rs
@@ -1,11 +1,12 @@
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
+use base64::{Engine as _, engine::general_purpose::STANDARD};
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use serde_json::{Value, json};
 use tokio::{sync::Notify, task::JoinSet};
@@ -35,6 +36,9 @@
     store: RowStore,
     /// The indexes of the VMs whose requests are refused.
     refused_vms: BTreeSet<usize>,
+    /// The addresses at which a VM reaches samplers, by the VM's index and the sampler's
+    /// own address.
+    links: BTreeMap<(usize, SocketAddr), SocketAddr>,
     /// The number of transactions that take effect but whose answers are lost.
     answers_to_lose: u32,
 }
@@ -102,6 +106,15 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Tells a VM other addresses of samplers than they state.
+    pub fn set_links<I>(&self, vm: usize, links: I)
+    where
+        I: IntoIterator<Item = (SocketAddr, SocketAddr)>,
+    {
+        let links = links.into_iter().map(|(own, linked)| ((vm, own), linked));
+        self.shared.lock().links.extend(links);
+    }
+
     /// Lets the next `count` transactions take effect but loses their answers.
     pub fn lose_answers(&self, count: u32) {
         self.shared.lock().answers_to_lose = count;
@@ -126,6 +139,25 @@
     }
 }
 
+impl State {
+    /// Replaces the addresses of samplers in rows by those that a VM is told.
+    fn link_samplers(&self, vm: usize, rows: &mut [Value]) {
+        for row in rows.iter_mut().filter(|row| row["table"] == "servers") {
+            let value = row["value"]
+                .as_str()
+                .and_then(|text| STANDARD.decode(text).ok());
+            let entry = value.and_then(|bytes| serde_json::from_slice::<Value>(&bytes).ok());
+            let Some(mut entry) = entry else { continue };
+            let own = entry["address"].as_str().and_then(|text| text.parse().ok());
+            let linked = own.and_then(|own: SocketAddr| self.links.get(&(vm, own)));
+            if let Some(linked) = linked {
+                entry["address"] = json!(linked);
+                row["value"] = json!(STANDARD.encode(entry.to_string()));
+            }
+        }
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -151,7 +183,7 @@
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     match (method, path.as_str()) {
         (Method::POST, "/v1/rows-tx") => transact(&shared, request).await,
-        (Method::GET, "/v1/rows-get") => read_rows(&shared, &request),
+        (Method::GET, "/v1/rows-get") => read_rows(&shared, vm, &request),
         (Method::GET, "/v1/rows-parts") => {
             let table = query_parameter(&request, "table").unwrap_or_default();
             let after = query_parameter(&request, "after");
@@ -205,7 +237,7 @@
     }
 }
 
-fn read_rows(shared: &Shared, request: &Request<Incoming>) -> Answer {
+fn read_rows(shared: &Shared, vm: usize, request: &Request<Incoming>) -> Answer {
     let parameter_or_empty = |name: &str| query_parameter(request, name).unwrap_or_default();
     let limit = query_parameter(request, "limit").and_then(|text| text.parse().ok());
     let limit = limit.unwrap_or(500_usize).min(500);
@@ -226,6 +258,7 @@
     let count = fitting.count();
     let has_more = rows.len() > count;
     rows.truncate(count);
+    state.link_samplers(vm, &mut rows);
     json_answer(&json!({"rows": rows, "has_more": has_more,
         "row_version": state.store.version(), "now_ms": shared.now_ms()}))
 }
@@ -242,9 +275,10 @@
             if state.refused_vms.contains(&vm) {
                 return status_answer(StatusCode::SERVICE_UNAVAILABLE, "turned away");
             }
-            let Some(rows) = state.store.changes(&table, after.unwrap_or(0)) else {
+            let Some(mut rows) = state.store.changes(&table, after.unwrap_or(0)) else {
                 return status_answer(StatusCode::GONE, "history lost");
             };
+            state.link_samplers(vm, &mut rows);
             if !rows.is_empty() || tokio::time::Instant::now() >= deadline {
                 return json_answer(&json!({"rows": rows,
                     "row_version": state.store.version(), "now_ms": shared.now_ms()}));
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -18,7 +18,9 @@
 use hyper::{Method, Request};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use standins::fleet::{OBJECT_BYTES, ROW_BYTES, Sampler, SamplerSettings, StoreServer};
+use standins::fleet::{
+    Link, LinkState, OBJECT_BYTES, ROW_BYTES, Sampler, SamplerSettings, StoreServer,
+};
 
 /// The longest time that a test waits for a condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
@@ -45,6 +47,10 @@
     pub vms: Vec<Vm>,
     /// The address at which each VM reaches the store.
     pub store_addresses: Vec<SocketAddr>,
+    /// The data centre of each VM.
+    pub data_centres: Vec<String>,
+    /// The links between each VM and all samplers, if there are any.
+    links: Vec<Vec<Link>>,
     /// Whether the logs are kept when this value is dropped; the variable
     /// `KEEP_LOGS` sets it from the start.
     pub keeps_logs: bool,
@@ -104,6 +110,8 @@
             model_samplers,
             plain_samplers,
             vms: Vec::new(),
+            data_centres: vec!["dc-1".to_owned(); vms],
+            links: Vec::new(),
             keeps_logs: std::env::var_os("KEEP_LOGS").is_some(),
             start_count: 0,
             http: HttpClient::new(),
@@ -111,6 +119,37 @@
         }
     }
 
+    /// Starts VMs in data centres, each with links to the samplers that can be cut.
+    pub async fn start_linked(data_centres: &[&str], samplers: SamplerSettings) -> Self {
+        let vms = data_centres.len();
+        let mut fleet = Self::start_without_vms(vms, samplers).await;
+        fleet.data_centres = data_centres.iter().map(ToString::to_string).collect();
+        fleet.add_links();
+        fleet.start_vms(vms).await;
+        fleet
+    }
+
+    /// Puts a link between each VM, still to be started, and each sampler.
+    pub fn add_links(&mut self) {
+        let samplers = self.model_samplers.iter().chain(&self.plain_samplers);
+        let addresses: Vec<SocketAddr> = samplers.map(Sampler::address).collect();
+        for vm in 0..self.data_centres.len() {
+            let link = |address: &SocketAddr| Link::try_start(*address).expect("a port is free");
+            let links: Vec<Link> = addresses.iter().map(link).collect();
+            let linked = links.iter().map(|link| link.address);
+            self.store
+                .set_links(vm, addresses.iter().copied().zip(linked));
+            self.links.push(links);
+        }
+    }
+
+    /// Sets the state of all links between a VM and the samplers.
+    pub fn set_links(&self, vm: usize, state: LinkState) {
+        for link in &self.links[vm] {
+            link.set_state(state);
+        }
+    }
+
     /// Starts VMs and waits until all of them are ready.
     pub async fn start_vms(&mut self, vms: usize) {
         for number in 0..vms {
@@ -133,7 +172,7 @@
         let any_port = "127.0.0.1:0";
         let seeds: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.addresses["peers"]).collect();
         let settings = json!({
-            "vm": name, "data_centre": "dc-1", "caller_address": any_port,
+            "vm": name, "data_centre": self.data_centres[number], "caller_address": any_port,
             "readiness_address": any_port, "directory_address": any_port,
             "peer_address": any_port,
             "seed_addresses": seeds, "metrics_address": any_port,
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -23,4 +23,5 @@
     mod streams_at_a_vm_out_of_step;
     mod streams_keep_their_software;
     mod unlucky_items_are_owed;
+    mod vms_cut_off_from_endpoints;
 }
