Send requests through VMs that reach the endpoint while this one is cut off

Cause: no part of a VM knew that its own paths were cut. Each endpoint was avoided by itself, each request paid for connections of 500 ms, and the other VMs, which reached both sides, were not used.

Now a request whose endpoint does not accept a connection in 100 ms, or lies behind a path that seems cut, is handed to another VM that reaches it: all kinds of requests, samples and score calls, through the one function that all exchanges pass. The endpoint, the permit, the attempts and the content are chosen and counted where the request came in, so that neither attempts nor runs are counted twice, and the other VM never hands it on. It declines if it stops, knows an older configuration, is cut off itself, or lacks memory, which counts as not sent. What breaks after the hand-over may have run. Connections that may be dead carry no request that could not be sent again. A request of which nothing may have been sent in half of its caller's time is refused as not run, and not with 504.

--- a/src/server/attempt.rs
+++ b/src/server/attempt.rs
@@ -6,7 +6,8 @@
 use hyper::{Method, Response, StatusCode};
 
 use super::{
-    crash, endpoint_exchange,
+    crash,
+    endpoint_exchange::{self, Outgoing, SendProgress, SendTerms},
     http_client::{ExchangeError, Reply, WholeReply},
     permits,
     response::{Body, full_body},
@@ -51,6 +52,7 @@
     pub(crate) resumed_request: Option<Name>,
     /// How long it may wait for a permit, in milliseconds.
     pub(crate) max_wait_ms: u64,
+    pub(crate) progress: SendProgress,
 }
 
 /// Sends a request to the endpoint of a run that was started, and reads its answer, or
@@ -106,7 +108,18 @@
         outgoing.body,
     )
     .map_err(not_sent)?;
-    let reply = match endpoint_exchange::send(server, endpoint, address, request, permit).await {
+    let sent = Outgoing {
+        request,
+        permit,
+        terms: SendTerms {
+            purpose: outgoing.purpose,
+            is_idempotent: route.kind == RouteKind::Idempotent,
+            may_relay: true,
+            until_ms: outgoing.caller_deadline_ms,
+            progress: outgoing.progress.clone(),
+        },
+    };
+    let reply = match endpoint_exchange::send(server, endpoint, address, sent).await {
         Ok(reply) => reply,
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
@@ -160,13 +173,11 @@
     id: &str,
     error: &ExchangeError,
 ) -> AttemptError {
-    if let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
-        && !matches!(
-            error,
-            ExchangeError::NotPermitted(_) | ExchangeError::Misplaced(_)
-        )
-    {
-        known.on_failure(now_ms());
+    if !matches!(
+        error,
+        ExchangeError::NotPermitted(_) | ExchangeError::Misplaced(_)
+    ) {
+        endpoint_exchange::on_failed(server, &in_flight.endpoint, error);
     }
     crash::on_broken_run(server, in_flight, id, error).await;
     let reason = endpoint_exchange::retry_reason(error);
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -1,19 +1,30 @@
 //! Exchanges with endpoints: all that this VM sends to one goes through here.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
 
 use super::{
+    endpoint_relay,
     http_client::{ExchangeError, IdleOutcome, Reply, ResponseOrder, WholeReply, within},
     paths,
     permits::Permit,
     state::{Server, lock},
 };
 use crate::{
-    core::{pool::PoolEndpoint, rate_limit::RateLimit, retry::RetryReason},
+    core::{
+        pool::PoolEndpoint,
+        rate_limit::{Purpose, RateLimit},
+        retry::RetryReason,
+    },
     daemon::now_ms,
     platform::{StatedLimit, announces_leaving, named_request, stated_limit},
 };
@@ -29,16 +40,21 @@
 ///
 /// # Errors
 ///
-/// Returns `NotPermitted` if the permit has expired, `Misplaced` if the answer is to
+/// Returns `NotPermitted` if the permit has expired, `NotSent` if neither this VM nor one
+/// that it asked has sent the request, `Misplaced` if the answer is to
 /// another request, and the errors of
 /// [`ExchangeClient::send`](super::http_client::ExchangeClient).
 pub(crate) async fn send(
     server: &Arc<Server>,
     endpoint: &str,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    permit: Permit,
+    outgoing: Outgoing,
 ) -> Result<Reply, ExchangeError> {
+    let Outgoing {
+        request,
+        permit,
+        terms,
+    } = outgoing;
     if !permit.is_usable() {
         let message = format!("the permit for endpoint {endpoint} has expired");
         return Err(ExchangeError::NotPermitted(message));
@@ -52,27 +68,123 @@
         Some(_) => ResponseOrder::Named,
         None => ResponseOrder::Unnamed,
     };
-    let reply = transmit(server, endpoint, address, request, order).await?;
+    let reply = transmit(server, endpoint, address, request, order, &terms).await?;
     if reply.status != StatusCode::MISDIRECTED_REQUEST {
-        on_heard(server, endpoint);
+        on_heard(server, endpoint, &reply);
     }
     check_request(endpoint, &sent.headers, &reply)?;
     on_answer(server, endpoint, &sent, reply.status, &reply.headers);
     Ok(reply)
 }
 
+/// A request to an endpoint, and how it may be sent.
+pub(crate) struct Outgoing {
+    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) permit: Permit,
+    pub(crate) terms: SendTerms,
+}
+
+impl Outgoing {
+    /// Returns a run of a sample or a score call.
+    pub(crate) fn of_background(
+        purpose: Purpose,
+        request: Request<Full<Bytes>>,
+        permit: Permit,
+        until_ms: u64,
+    ) -> Self {
+        Self {
+            request,
+            permit,
+            terms: SendTerms {
+                purpose,
+                is_idempotent: true,
+                may_relay: true,
+                until_ms,
+                progress: SendProgress::default(),
+            },
+        }
+    }
+}
+
+/// How a request may be sent to an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct SendTerms {
+    pub(crate) purpose: Purpose,
+    /// Whether it may run more than once.
+    pub(crate) is_idempotent: bool,
+    /// Whether another VM may send it, if this one is cut off from the endpoint.
+    pub(crate) may_relay: bool,
+    /// Until when its answer is of use.
+    pub(crate) until_ms: u64,
+    pub(crate) progress: SendProgress,
+}
+
+impl SendTerms {
+    /// A request that would not do better on a second connection if the first is dead.
+    const fn is_cautious(&self) -> bool {
+        !self.is_idempotent || matches!(self.purpose, Purpose::Hedge)
+    }
+}
+
+/// Whether an endpoint may have received a part of a request that is still in progress.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SendProgress(Arc<AtomicBool>);
+
+impl SendProgress {
+    pub(crate) fn may_be_sent(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn set_may_be_sent(&self, may_be_sent: bool) {
+        self.0.store(may_be_sent, Ordering::SeqCst);
+    }
+}
+
+/// Sends a request on an open connection that is known to work, on a new one, or through
+/// another VM if this one is cut off from the endpoint.
 async fn transmit(
     server: &Arc<Server>,
     endpoint: &str,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     order: ResponseOrder,
+    terms: &SendTerms,
 ) -> Result<Reply, ExchangeError> {
-    let request = match server.http.send_idle(address, request, order).await? {
-        IdleOutcome::Replied(reply) => return Ok(*reply),
-        IdleOutcome::Unsent(request) => request,
-    };
+    let rule = lock(&server.pool).connection_rule(now_ms(), endpoint, terms.is_cautious());
+    let mut request = Box::new(request);
+    if rule.may_reuse {
+        terms.progress.set_may_be_sent(true);
+        match server.http.send_idle(address, *request, order).await? {
+            IdleOutcome::Replied(reply) => return Ok(*reply),
+            IdleOutcome::Unsent(unsent) => request = unsent,
+        }
+        terms.progress.set_may_be_sent(false);
+    }
+    let mut error = ExchangeError::NotSent(format!("this VM is cut off from {endpoint}"));
+    if rule.may_open {
+        match paths::connect(server, endpoint, address).await {
+            Ok(connection) => {
+                terms.progress.set_may_be_sent(true);
+                let sent = server.http.send_on(address, connection, *request, order);
+                return sent.await;
+            }
+            Err(failed) => error = failed,
+        }
+    }
+    if terms.may_relay {
+        tracing::info!(id = named_request(request.headers()).and_then(|id| id.to_str().ok()),
+            endpoint, reason = %error, "request goes through another VM");
+        match endpoint_relay::send(server, endpoint, &request, terms).await {
+            Err(ExchangeError::NotSent(message)) => error = ExchangeError::NotSent(message),
+            outcome => return outcome,
+        }
+    }
+    if rule.may_open {
+        return Err(error);
+    }
+    // The endpoints may have been down, with no path cut.
     let connection = paths::connect(server, endpoint, address).await?;
+    terms.progress.set_may_be_sent(true);
     let sent = server.http.send_on(address, connection, *request, order);
     sent.await
 }
@@ -119,24 +231,32 @@
     server: &Arc<Server>,
     endpoint: &str,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    permit: Permit,
+    outgoing: Outgoing,
     deadline_ms: u64,
 ) -> Result<WholeReply, ExchangeError> {
     let exchange = async {
-        let reply = send(server, endpoint, address, request, permit).await?;
+        let reply = send(server, endpoint, address, outgoing).await?;
         reply.read_bounded(MAX_ANSWER_BYTES).await
     };
     within(exchange, address, deadline_ms).await
 }
 
-/// Records that an endpoint has sent something.
-pub(crate) fn on_heard(server: &Server, endpoint: &str) {
+/// Records that an endpoint has sent something as a part of a reply.
+pub(crate) fn on_heard(server: &Server, endpoint: &str, reply: &Reply) {
     if let Some(known) = lock(&server.pool).get_mut(endpoint) {
         known.on_heard(now_ms());
+        if !reply.is_relayed {
+            known.on_answered(now_ms());
+        }
     }
 }
 
+/// Records that an exchange with an endpoint has failed.
+pub(crate) fn on_failed(server: &Server, endpoint: &str, error: &ExchangeError) {
+    let was_sent = !matches!(error, ExchangeError::NotSent(_));
+    lock(&server.pool).on_exchange_failed(now_ms(), endpoint, was_sent);
+}
+
 fn listed_incarnation(server: &Server, endpoint: &str) -> Option<u64> {
     let pool = lock(&server.pool);
     pool.get(endpoint).map(|known| known.record.started_unix_ms)
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -1,6 +1,9 @@
 //! Forwards a caller's request to endpoints, with retries and hedging.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use hyper::Response;
@@ -8,6 +11,7 @@
 use super::{
     attempt::{AttemptError, EndpointRequest, send_to_endpoint},
     content_runs::{self, StartOutcome},
+    endpoint_exchange::SendProgress,
     front::CallerRequest,
     response::Body,
     state::{InFlight, Server, lock},
@@ -45,6 +49,9 @@
 /// How long before its caller's deadline a request is answered, in
 /// milliseconds.
 const ANSWER_MARGIN_MS: u64 = 10;
+/// The share of its caller's time, in percent, after which a request is refused of which
+/// no endpoint may have received a part: its caller has time to go elsewhere.
+const UNSENT_PERCENT: u64 = 50;
 /// The number of requests per slot below which an endpoint is chosen for a
 /// first attempt or a retry: endpoints queue some requests beyond their slots,
 /// and refuse at once what they cannot queue.
@@ -75,6 +82,8 @@
     denied_permits: u32,
     /// The endpoints that were tried.
     tried: BTreeSet<Name>,
+    /// The attempts in progress, by their endpoints.
+    running: BTreeMap<Name, SendProgress>,
     /// Whether an endpoint may have run the request.
     may_have_run: bool,
     /// The last error response of an endpoint.
@@ -85,6 +94,13 @@
     held_until_ms: Option<u64>,
 }
 
+impl ForwardState {
+    /// Returns whether an endpoint may have received a part of the request.
+    fn may_be_sent(&self) -> bool {
+        self.may_have_run || self.running.values().any(SendProgress::may_be_sent)
+    }
+}
+
 /// Forwards a caller's request and returns the response of an endpoint.
 ///
 /// An idempotent request is hedged, and retried after any failure; another
@@ -97,6 +113,7 @@
 /// `NoEndpoint` if the route has no service or its service no endpoint
 /// that accepts requests, `Overloaded` if all endpoints are full or no attempt
 /// ran the request, `ContentHeld` if its content has crashed endpoints,
+/// `NoEndpoint` as well if no endpoint could be sent the request in half of its time,
 /// `AttemptsExhausted` if all attempts failed without an error
 /// response and one may have run the request, and `TimedOut` if no endpoint
 /// answers before the deadline.
@@ -134,6 +151,7 @@
         attempts_started: 0,
         denied_permits: 0,
         tried: BTreeSet::new(),
+        running: BTreeMap::new(),
         may_have_run: false,
         error_response: None,
         message: String::new(),
@@ -143,6 +161,7 @@
     let mut running: FuturesUnordered<Attempt> = FuturesUnordered::new();
     running.push(first);
     let is_idempotent = route.kind == RouteKind::Idempotent;
+    let mut unsent_until_ms = request.started_ms + wait_ms * UNSENT_PERCENT / 100;
     let mut hedge_at_ms = now_ms() + route.target_latency_ms * HEDGE_PERCENT / 100;
     loop {
         let may_hedge = is_idempotent && state.attempts_started < route.max_attempts;
@@ -169,7 +188,16 @@
                     running.push(hedge);
                 }
             }
+            () = sleep_until(unsent_until_ms) => {
+                if !state.may_be_sent() {
+                    return Err(unsent_refusal(&forwarding.service));
+                }
+                unsent_until_ms = u64::MAX / 2;
+            }
             () = sleep_until(answer_by_ms) => {
+                if !state.may_be_sent() {
+                    return Err(unsent_refusal(&forwarding.service));
+                }
                 let service = &forwarding.service;
                 let message =
                     format!("no endpoint of service {service} answered before the deadline");
@@ -237,6 +265,11 @@
     Refusal::new(ErrorKind::Overloaded, message).with_retry_at(now_ms + wait_ms + spread_ms)
 }
 
+fn unsent_refusal(service: &Name) -> Refusal {
+    let message = format!("no endpoint of service {service} could be sent the request in time");
+    Refusal::new(ErrorKind::NoEndpoint, message)
+}
+
 fn no_endpoint_refusal(server: &Server, service: &Name) -> Refusal {
     let has_reached_limits = lock(&server.pool)
         .limits_allow_at_ms(service, now_ms())
@@ -313,6 +346,10 @@
     fn attempt(&self, state: &mut ForwardState, in_flight: InFlight, purpose: Purpose) -> Attempt {
         state.attempts_started += 1;
         state.tried.insert(in_flight.endpoint.clone());
+        let progress = SendProgress::default();
+        state
+            .running
+            .insert(in_flight.endpoint.clone(), progress.clone());
         let (server, route) = (self.server.clone(), self.route.clone());
         let (head, headers, body) = (
             self.request.head.clone(),
@@ -336,6 +373,7 @@
                 is_resumed: head.is_resumed,
                 resumed_request: head.resumed_request.clone(),
                 max_wait_ms,
+                progress,
             };
             let result = send_to_endpoint(&server, &route, in_flight, outgoing).await;
             (endpoint, result)
@@ -343,6 +381,7 @@
     }
 
     fn record_failure(&self, endpoint: &Name, error: AttemptError, state: &mut ForwardState) {
+        state.running.remove(endpoint);
         let (request, content) = (self.request, &self.content);
         let id = request.head.request_id.as_deref().unwrap_or("-");
         let (reason, message, ran) = match error {
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -24,7 +24,7 @@
     caller_body::{BodyTerms, read_caller_body},
     crash_rows, directory, forward,
     held::{self, HELD_PATH},
-    permits, read_batch, relay,
+    permits, read_batch, relay, relayed,
     response::{Body, empty_response, full_body, json_response, refusal_response},
     silence,
     state::Server,
@@ -39,7 +39,8 @@
         parse_caller_head,
     },
     wire::peers::{
-        CRASH_NOTICE_PATH, PERMIT_PATH, REACHABILITY_PATH, STREAM_NOTICE_PATH, STREAM_QUERY_PATH,
+        CRASH_NOTICE_PATH, PERMIT_PATH, REACHABILITY_PATH, RELAY_REQUEST_PATH, STREAM_NOTICE_PATH,
+        STREAM_QUERY_PATH,
     },
 };
 
@@ -202,6 +203,9 @@
         ListenerKind::Peers if method == Method::POST && path == relay::RELAY_PATH => {
             relay::answer_call(&server, request.into_body()).await
         }
+        ListenerKind::Peers if method == Method::POST && path == RELAY_REQUEST_PATH => {
+            relayed::answer(&server, request.into_body()).await
+        }
         ListenerKind::Metrics if method == Method::GET => {
             Response::new(full_body(server.metrics.to_text()))
         }
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -162,6 +162,8 @@
     connection: Connection,
     address: SocketAddr,
     client: Arc<ExchangeClient>,
+    /// Whether another VM has passed it on.
+    pub(crate) is_relayed: bool,
 }
 
 /// A response with its whole body.
@@ -308,6 +310,7 @@
                     connection,
                     address,
                     client: self.clone(),
+                    is_relayed: false,
                 })
             }
             Err(mut error) => {
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -33,6 +33,7 @@
     limited_requests: Family<Labels, Counter>,
     endpoint_connects: Family<Labels, Counter>,
     cut_paths: Family<Labels, Gauge>,
+    relayed_requests: Family<Labels, Counter>,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -63,6 +64,7 @@
             limited_requests: Family::default(),
             endpoint_connects: Family::default(),
             cut_paths: Family::default(),
+            relayed_requests: Family::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -228,6 +230,11 @@
             "Paths to endpoints that are cut: all of them, or by data centre or service",
             self.cut_paths.clone(),
         );
+        registry.register(
+            "relayed_requests",
+            "Requests to endpoints that went through another VM, by whose they were and outcome",
+            self.relayed_requests.clone(),
+        );
     }
 
     pub(crate) fn on_refusal(&self, kind: ErrorKind) {
@@ -255,6 +262,22 @@
         connects.get_or_create(&vec![("outcome", outcome)]).inc();
     }
 
+    /// Records a request of this VM that went through another one.
+    pub(crate) fn on_relayed(&self, is_answered: bool) {
+        self.count_relayed("this_vm", is_answered);
+    }
+
+    /// Records a request of another VM.
+    pub(crate) fn on_request_of_other_vm(&self, is_answered: bool) {
+        self.count_relayed("other_vm", is_answered);
+    }
+
+    fn count_relayed(&self, origin: &'static str, is_answered: bool) {
+        let outcome = if is_answered { "answered" } else { "failed" };
+        let labels = vec![("origin", origin), ("outcome", outcome)];
+        self.relayed_requests.get_or_create(&labels).inc();
+    }
+
     /// Records from how much of the endpoints this VM is cut off.
     pub(crate) fn set_cut_paths(&self, report: &PathReport) {
         let gauges = [
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -2,10 +2,14 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+
 use super::{
-    endpoint_exchange,
+    endpoint_exchange::{self, Outgoing, SendProgress, SendTerms},
     members::{LEADER_LEASE_KEY, VM_TABLE},
-    permits,
+    permits::{self, Permit},
     state::{Server, lock},
 };
 use crate::{
@@ -218,9 +222,9 @@
     server.metrics.orders.inc();
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
     let endpoint = &load_order.endpoint;
+    let outgoing = outgoing_order(request, permit, deadline_ms);
     let reply =
-        endpoint_exchange::exchange_whole(server, endpoint, address, request, permit, deadline_ms)
-            .await;
+        endpoint_exchange::exchange_whole(server, endpoint, address, outgoing, deadline_ms).await;
     let (endpoint, version) = (&load_order.endpoint, load_order.version);
     let outcome = match reply {
         Ok(reply) => {
@@ -237,6 +241,23 @@
     record_outcome(server, load_order, outcome, orders_accepted);
 }
 
+/// Returns an order or the question that it needs, which no other VM may send: endpoints
+/// take orders of one VM at a time.
+fn outgoing_order(request: Request<Full<Bytes>>, permit: Permit, until_ms: u64) -> Outgoing {
+    Outgoing {
+        request,
+        permit,
+        terms: SendTerms {
+            purpose: Purpose::Order,
+            // It states how many orders the endpoint has accepted before.
+            is_idempotent: true,
+            may_relay: false,
+            until_ms,
+            progress: SendProgress::default(),
+        },
+    }
+}
+
 async fn read_orders_accepted(
     server: &Arc<Server>,
     load_order: &LoadOrder,
@@ -247,9 +268,9 @@
     let permit = permit.map_err(|error| error.to_string())?;
     let deadline_ms = now_ms() + ORDER_TIMEOUT_MS;
     let endpoint = &load_order.endpoint;
+    let outgoing = outgoing_order(request, permit, deadline_ms);
     let reply =
-        endpoint_exchange::exchange_whole(server, endpoint, address, request, permit, deadline_ms)
-            .await;
+        endpoint_exchange::exchange_whole(server, endpoint, address, outgoing, deadline_ms).await;
     let reply = reply.map_err(|error| error.to_string())?;
     decode_orders_accepted(reply.status, &reply.body)
 }
--- a/src/server/paths.rs
+++ b/src/server/paths.rs
@@ -29,7 +29,7 @@
 
 /// How long a request waits for a connection to an endpoint, in milliseconds: a round
 /// trip to another region and some delay of this VM.
-const CONNECT_PATIENCE_MS: u64 = CONNECT_TIMEOUT_MS;
+const CONNECT_PATIENCE_MS: u64 = 100;
 /// How long an endpoint may take to accept a connection that checks a path, in
 /// milliseconds.
 const CHECK_TIMEOUT_MS: u64 = 250;
--- a/src/server/permits.rs
+++ b/src/server/permits.rs
@@ -46,6 +46,14 @@
 }
 
 impl Permit {
+    /// Returns the permit of a request that another VM hands over and accounts for.
+    pub(crate) fn of_other_vm(purpose: Purpose) -> Self {
+        Self {
+            purpose,
+            usable_until_ms: Some(now_ms() + MAX_PERMIT_DELAY_MS),
+        }
+    }
+
     /// Returns whether it was issued, so that its request is accounted for.
     pub(crate) const fn is_issued(&self) -> bool {
         self.usable_until_ms.is_some()
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -169,10 +169,15 @@
     server.close_connections.send_replace(true);
     sleep_until(stop.idle_exit_at_ms).await;
     let open_connections = || server.caller_connections.load(Ordering::SeqCst);
-    while open_connections() > 0 && now_ms() < stop.exit_at_ms {
+    let relayed_requests = || server.relayed_requests.load(Ordering::SeqCst);
+    while open_connections() + relayed_requests() > 0 && now_ms() < stop.exit_at_ms {
         tokio::time::sleep(Duration::from_millis(LAST_CALLERS_CHECK_INTERVAL_MS)).await;
     }
-    tracing::info!(open_connections = open_connections(), "stop: exiting");
+    tracing::info!(
+        open_connections = open_connections(),
+        relayed_requests = relayed_requests(),
+        "stop: exiting"
+    );
 }
 
 /// Removes expired idle connections and endpoints, and reports dropped log lines.
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -9,7 +9,8 @@
 
 use super::{
     attempt::record_answer_head,
-    crash, endpoint_exchange,
+    crash,
+    endpoint_exchange::{self, Outgoing},
     fleet::record_weights_version,
     http_client::{ExchangeError, Reply},
     permits,
@@ -83,7 +84,9 @@
             return RunEnd::Refused(message);
         }
     };
-    let sent = endpoint_exchange::send(server, &endpoint, address, request, permit);
+    let until_ms = now_ms() + request_headers.remaining_ms;
+    let outgoing = Outgoing::of_background(Purpose::Sample, request, permit, until_ms);
+    let sent = endpoint_exchange::send(server, &endpoint, address, outgoing);
     let sent = pin!(sent);
     let reply = match wait_for_head(job, sent, in_flight, may_move).await {
         HeadWait::Received(result) => match *result {
@@ -226,7 +229,7 @@
             Err(_) => None,
         };
         if bytes.is_some() {
-            endpoint_exchange::on_heard(server, &in_flight.endpoint);
+            endpoint_exchange::on_heard(server, &in_flight.endpoint, &reply);
         }
         for event in parser.push(&bytes.unwrap_or_default()) {
             pace.on_event(now_ms());
@@ -324,10 +327,8 @@
         in_flight.mark_incomplete();
         return RunEnd::Refused(error.to_string());
     }
-    if !matches!(error, ExchangeError::Misplaced(_))
-        && let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint)
-    {
-        known.on_failure(now_ms());
+    if !matches!(error, ExchangeError::Misplaced(_)) {
+        endpoint_exchange::on_failed(&job.server, &in_flight.endpoint, error);
     }
     crash::on_broken_run(&job.server, in_flight, &job.sample.id, error).await;
     RunEnd::Broken(endpoint_exchange::retry_reason(error), error.to_string())
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -7,7 +7,8 @@
 use super::{
     attempt::record_answer_head,
     content_runs::{self, StartOutcome},
-    crash, endpoint_exchange,
+    crash,
+    endpoint_exchange::{self, Outgoing},
     failures::{FailedCall, write_failures},
     metrics::elapsed_seconds,
     permits,
@@ -188,16 +189,14 @@
         }
     };
     let deadline_ms = now_ms() + timeout_ms;
+    let outgoing = Outgoing::of_background(Purpose::Score, request, permit, deadline_ms);
     let reply =
-        endpoint_exchange::exchange_whole(server, endpoint, address, request, permit, deadline_ms)
-            .await;
+        endpoint_exchange::exchange_whole(server, endpoint, address, outgoing, deadline_ms).await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
             server.http.close_idle(address);
-            if let Some(known) = lock(&server.pool).get_mut(endpoint) {
-                known.on_failure(now_ms());
-            }
+            endpoint_exchange::on_failed(server, endpoint, &error);
             crash::on_broken_run(server, &in_flight, &call.id, &error).await;
             if now_ms() >= deadline_ms {
                 return CallEnd::TimedOut;
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -10,6 +10,7 @@
     claims::Batches,
     crash,
     crash_rows::{self, CrashRows},
+    endpoint_relay::DecliningVms,
     http_client::ExchangeClient,
     memory::BodyMemory,
     metrics::Metrics,
@@ -50,7 +51,10 @@
     pub(crate) routes: Mutex<Arc<RouteTable>>,
     pub(crate) pool: Mutex<Pool>,
     pub(crate) path_checks: PathChecks,
+    pub(crate) declining_vms: Mutex<DecliningVms>,
     pub(crate) end_verdicts: Mutex<EndVerdicts>,
+    /// The number of requests of other VMs that are in progress.
+    pub(crate) relayed_requests: AtomicUsize,
     /// Notified when an endpoint may have a free slot.
     pub(crate) pool_changed: Notify,
     /// The newest weights version that a trainer named, by model.
@@ -116,7 +120,9 @@
             routes: Mutex::default(),
             pool: Mutex::default(),
             path_checks: PathChecks::default(),
+            declining_vms: Mutex::default(),
             end_verdicts: Mutex::default(),
+            relayed_requests: AtomicUsize::new(0),
             pool_changed: Notify::new(),
             newest_weights: Mutex::default(),
             members: Mutex::default(),
--- a/src/server/stream.rs
+++ b/src/server/stream.rs
@@ -40,7 +40,7 @@
             };
             match next {
                 Ok(Some(bytes)) => {
-                    endpoint_exchange::on_heard(&server, &in_flight.endpoint);
+                    endpoint_exchange::on_heard(&server, &in_flight.endpoint, &reply);
                     Some((Ok(Frame::data(bytes)), Some((reply, in_flight))))
                 }
                 Ok(None) => {
@@ -61,10 +61,10 @@
     response
 }
 
-/// Returns the next bytes of a stream, or `None` if its deadline has passed.
+/// Returns the next bytes of a reply, or `None` if its deadline has passed.
 ///
 /// A stream that always has bytes would never time out by itself.
-async fn next_bytes_before(
+pub(crate) async fn next_bytes_before(
     reply: &mut Reply,
     until_ms: u64,
 ) -> Option<Result<Option<Bytes>, ExchangeError>> {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -28,6 +28,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The time limit of one call, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 8_000;
+/// How long all VMs take to read the list of VMs after the last one has started.
+const VMS_KNOWN: Duration = Duration::from_millis(1_200);
 /// The host name of all routes.
 pub const HOST: &str = "rollouts.example";
 
@@ -126,6 +128,7 @@
         fleet.data_centres = data_centres.iter().map(ToString::to_string).collect();
         fleet.add_links();
         fleet.start_vms(vms).await;
+        tokio::time::sleep(VMS_KNOWN).await;
         fleet
     }
 
--- a/tests/process_serve/vms_cut_off_from_endpoints.rs
+++ b/tests/process_serve/vms_cut_off_from_endpoints.rs
@@ -7,7 +7,7 @@
 use hyper::Method;
 use rstest::rstest;
 use serde_json::{Value, json};
-use standins::fleet::{LinkState, SamplerSettings};
+use standins::fleet::{LinkState, Sampler, SamplerSettings};
 
 use crate::fleet::{Fleet, SAMPLER_SETTINGS, WAIT_TIMEOUT};
 
@@ -81,7 +81,7 @@
 
 fn assert_no_run_is_repeated(fleet: &Fleet, kind: Kind) {
     let samplers = fleet.plain_samplers.iter().chain(&fleet.model_samplers);
-    let mut ids: Vec<String> = samplers.flat_map(|s| s.run_request_ids()).collect();
+    let mut ids: Vec<String> = samplers.flat_map(Sampler::run_request_ids).collect();
     ids.retain(|id| id.contains(&format!("{kind:?}")));
     let runs = ids.len();
     ids.sort();
@@ -176,7 +176,7 @@
     assert_eq!(crash_count(&fleet).await, 0, "no endpoint has crashed");
 }
 
-/// RECOVER: endpoints get their weights although the VM that orders them is cut off, and
+/// RECOVER: endpoints are ordered to load weights although the VM that orders them is cut off, and
 /// from one VM at a time.
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -203,7 +203,8 @@
     }
     tokio::time::sleep(CONTACT).await;
     name_version(3);
-    let holders = wait_for_orders(&fleet, 3).await;
+    name_version(4);
+    let holders = wait_for_orders(&fleet, 4).await;
     let reaching = &fleet.vms[(leader + 1) % 4].name;
     assert!(
         holders.iter().all(|holder| holder == reaching),
@@ -211,20 +212,87 @@
     );
 }
 
-/// Waits until all model samplers were ordered to load a version; returns who ordered it.
+/// GONE: a stream ends at its sampler when its caller leaves, also through another VM.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_callers_that_leave_end_behind_the_other_vm() {
+    const LONG: SamplerSettings = SamplerSettings {
+        events: 400,
+        ..SAMPLER_SETTINGS
+    };
+    const BOUND: Duration = Duration::from_millis(500);
+    let fleet = Fleet::start_linked(&MOST, LONG).await;
+    cut(&fleet, LinkState::Reset);
+    let callers = fleet.vms[0].addresses["callers"];
+    let calls = (0..8).map(|number| {
+        let fleet = &fleet;
+        async move {
+            let id = format!("left-{number}");
+            let answer = fleet.call(Method::POST, callers, "/chats/1", &id, Bytes::new());
+            // The caller closes its connection then.
+            let _ = tokio::time::timeout(2 * BOUND, answer).await;
+        }
+    });
+    join_all(calls).await;
+    let active = || -> u32 {
+        fleet
+            .model_samplers
+            .iter()
+            .map(Sampler::active_streams)
+            .sum()
+    };
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(active(), 0, "samplers still work");
+    let runs = fleet
+        .model_samplers
+        .iter()
+        .flat_map(Sampler::all_runs)
+        .count();
+    assert_eq!(runs, 8, "each stream has begun once");
+}
+
+/// RECOVER: a VM sends requests to endpoints itself again soon after a cut has healed.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn healed_vms_send_requests_themselves(
+    #[values(LinkState::Silent, LinkState::Reset, LinkState::HalfOpen)] form: LinkState,
+) {
+    const HEALED: Duration = Duration::from_secs(2);
+    let fleet = Fleet::start_linked(&MOST, SAMPLER_SETTINGS).await;
+    cut(&fleet, form);
+    let served = count_served(&fleet, 0, Kind::Repeatable, "during").await;
+    assert!(served >= CALLS_PER_VM * MIN_SERVED_OF_TEN / 10, "{served}");
+    cut(&fleet, LinkState::Open);
+    tokio::time::sleep(HEALED).await;
+    let relayed = || {
+        fleet.vms[0]
+            .log_text()
+            .matches("goes through another VM")
+            .count()
+    };
+    let before = relayed();
+    let served = count_served(&fleet, 0, Kind::Repeatable, "after").await;
+    assert_eq!((served, relayed()), (CALLS_PER_VM, before));
+}
+
+/// Waits until a model sampler was ordered to load a version; returns who ordered that.
 async fn wait_for_orders(fleet: &Fleet, version: u64) -> Vec<String> {
     let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT / 3;
     loop {
-        let orders = fleet.model_samplers.iter().map(|sampler| {
-            let orders: Vec<Value> = sampler.accepted_orders();
-            let order = orders.into_iter().find(|order| order["version"] == version);
-            order.and_then(|order| Some(order["holder"].as_str()?.to_owned()))
-        });
-        let holders: Vec<Option<String>> = orders.collect();
-        if holders.iter().all(Option::is_some) {
-            return holders.into_iter().flatten().collect();
+        let orders = fleet
+            .model_samplers
+            .iter()
+            .flat_map(Sampler::accepted_orders);
+        let holders = orders
+            .filter(|order| order["version"] == version)
+            .filter_map(|order: Value| Some(order["holder"].as_str()?.to_owned()));
+        let holders: Vec<String> = holders.collect();
+        if !holders.is_empty() {
+            return holders;
         }
-        assert!(tokio::time::Instant::now() < deadline, "{holders:?}");
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "nobody has ordered version {version}"
+        );
         tokio::time::sleep(CALL_INTERVAL).await;
     }
 }
