Leave shares and orders to VMs that reach endpoints

Cause: shares of batches and the right to order stay with a VM as long as its row in the store is fresh, which says nothing of its paths to endpoints.

Now a VM that has been cut off from all endpoints for a second, as another VM confirms, releases its shares and claims none until a second after the cut; claims are ranked among the VMs that say in their rows that they reach endpoints. A VM that is cut off from any endpoints steps down from ordering if another VM is cut off from none. The lease and its gap keep two VMs from ordering at once. Orders are never handed to another VM.

--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -8,7 +8,7 @@
 use super::{
     follow::{TableLayout, TableUpdate, follow_table},
     loaded_batch::LoadedBatch,
-    share,
+    paths, share,
     state::{Server, lock},
 };
 use crate::{
@@ -16,7 +16,7 @@
         Name,
         batch::BatchHead,
         rendezvous,
-        roster::{Presence, Roster},
+        roster::{Presence, Roster, VmRow},
     },
     daemon::now_ms,
     platform::{Condition, Row, StoreError, Tx, TxOutcome},
@@ -221,7 +221,7 @@
         let wake_up = tokio::time::timeout(Duration::from_millis(CLAIM_SCAN_INTERVAL_MS), changed);
         // The shares are scanned after a change as well as after the timeout.
         let _ = wake_up.await;
-        if server.is_draining() || !server.is_ready() {
+        if server.is_draining() || !server.is_ready() || paths::leaves_work_to_others(&server) {
             continue;
         }
         for claim in due_claims(&server) {
@@ -239,7 +239,13 @@
     let routes = server.routes();
     let members = lock(&server.members);
     let live = members.live_vms();
-    let live: Vec<(Name, f64)> = live.map(|(vm, row)| (vm.clone(), row.cpu_share)).collect();
+    let live: Vec<(&Name, &VmRow)> = live.collect();
+    let reaching = live
+        .iter()
+        .filter(|(vm, row)| **vm == server.settings.vm || !row.paths.is_isolated);
+    let live: Vec<(Name, f64)> = reaching
+        .map(|(vm, row)| ((*vm).clone(), row.cpu_share))
+        .collect();
     let mut batches = lock(&server.batches);
     let mut claims = Vec::new();
     for (id, batch) in &mut batches.known {
--- a/src/server/orders.rs
+++ b/src/server/orders.rs
@@ -9,6 +9,7 @@
 use super::{
     endpoint_exchange::{self, Outgoing, SendProgress, SendTerms},
     members::{LEADER_LEASE_KEY, VM_TABLE},
+    paths,
     permits::{self, Permit},
     state::{Server, lock},
 };
@@ -50,6 +51,10 @@
         if !server.is_ready() {
             continue;
         }
+        if paths::leaves_orders_to_others(&server) {
+            step_down(&server).await;
+            continue;
+        }
         keep_leader_lease(&server).await;
         let now_ms = now_ms();
         if current_fence(&server).is_none() {
--- a/src/server/paths.rs
+++ b/src/server/paths.rs
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use super::{
+    claims,
     http_client::{self, CONNECT_TIMEOUT_MS, Connection, ExchangeError, Reachability},
     silence,
     state::{Server, lock},
@@ -231,9 +232,36 @@
         check_all(&server, &checked).await;
         confirm_cuts(&server, &checked).await;
         log_change(&server);
+        if leaves_work_to_others(&server) {
+            claims::release_all_shares(&server).await;
+        }
     }
 }
 
+/// Returns whether VMs that reach endpoints run the shares of batches, since this one is
+/// cut off from all endpoints.
+pub(crate) fn leaves_work_to_others(server: &Server) -> bool {
+    let isolation = *lock(&server.pool).paths().isolation();
+    isolation.is_lasting(now_ms()) && has_other_vm(server, |report| !report.is_isolated)
+}
+
+/// Returns whether a VM that reaches all endpoints orders weights, since this one is cut off
+/// from some.
+pub(crate) fn leaves_orders_to_others(server: &Server) -> bool {
+    let cut = *lock(&server.pool).paths().cut();
+    cut.is_lasting(now_ms()) && has_other_vm(server, |report| !report.has_cut())
+}
+
+fn has_other_vm<P>(server: &Server, is_fit: P) -> bool
+where
+    P: Fn(&PathReport) -> bool,
+{
+    let members = lock(&server.members);
+    members
+        .live_vms()
+        .any(|(vm, row)| *vm != server.settings.vm && is_fit(&row.paths))
+}
+
 /// Asks other VMs whether they reach endpoints behind paths that seem to be cut.
 async fn confirm_cuts(server: &Arc<Server>, endpoints: &[EndpointRecord]) {
     let unconfirmed = endpoints.iter().filter(|record| {
