--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod row_store;
 mod sampler;
 mod sampler_answers;
+mod scripted;
 mod store_server;
 
 pub use self::{
@@ -18,5 +19,6 @@
     link::{Link, LinkState},
     row_store::{Row, RowStore},
     sampler::{RunStart, Sampler, SamplerSettings},
+    scripted::{ScriptedAnswer, ScriptedSampler},
     store_server::{OBJECT_BYTES, ROW_BYTES, StoreServer, StoreWriter},
 };
--- a/tests/process_serve/soak/environment.rs
+++ b/tests/process_serve/soak/environment.rs
@@ -14,10 +14,10 @@
 use hyper::Method;
 use rustix::process::Signal;
 use serde_json::Value;
-use standins::fleet::{RowStore, Sampler, SamplerSettings, WhenDown};
+use standins::fleet::{LinkState, RowStore, Sampler, SamplerSettings, WhenDown};
 
 use super::{
-    fault_plan::{FaultKind, PlannedCrash, PlannedFault},
+    fault_plan::{FaultKind, PlannedCrash, PlannedCut, PlannedFault},
     proxy::{Proxy, ProxyFault},
 };
 use crate::{
@@ -26,6 +26,8 @@
 };
 
 pub const VMS: usize = 4;
+/// The prefix of the ids of requests that may not be repeated.
+pub const BOOKING: &str = "booking-";
 /// The settings of samplers. A sample takes half a second, so that faults occur
 /// during runs.
 const SAMPLER_SETTINGS: SamplerSettings = SamplerSettings {
@@ -72,6 +74,7 @@
             store_proxies.push(Proxy::start(address).await);
         }
         fleet.store_addresses = store_proxies.iter().map(|proxy| proxy.address).collect();
+        fleet.add_links();
         fleet.start_vms(VMS).await;
         let mut caller_proxies = Vec::new();
         for vm in &fleet.vms {
@@ -139,6 +142,40 @@
         act(samplers[number % samplers.len()]);
     }
 
+    /// Cuts VMs off from all samplers, and ends the cut after its duration.
+    pub async fn cut_off(&self, cut: &PlannedCut) {
+        for state in [cut.state, LinkState::Open] {
+            {
+                let fleet = self.fleet.lock().await;
+                for vm in &cut.vms {
+                    fleet.set_links(*vm, state);
+                }
+            }
+            if state != LinkState::Open {
+                tokio::time::sleep(cut.duration).await;
+            }
+        }
+    }
+
+    /// Checks that no request which may not be repeated has run twice, or was refused and
+    /// ran.
+    pub async fn check_at_most_once(&self, refused: &BTreeSet<String>) {
+        let fleet = self.fleet.lock().await;
+        let runs = fleet
+            .plain_samplers
+            .iter()
+            .flat_map(Sampler::run_request_ids);
+        let mut seen = BTreeSet::new();
+        for id in runs.filter(|id| id.starts_with(BOOKING)) {
+            if refused.contains(&id) {
+                self.record_violation(format!("{id}: refused, and has run"));
+            }
+            if !seen.insert(id.clone()) {
+                self.record_violation(format!("{id}: has run twice"));
+            }
+        }
+    }
+
     /// Checks how often the culprit ran long after its third crash and the last
     /// fault, and returns what it did.
     pub async fn check_culprit(&self, calm_since: Instant) -> Damage {
--- a/tests/process_serve/soak/fault_plan.rs
+++ b/tests/process_serve/soak/fault_plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use standins::fleet::WhenDown;
+use standins::fleet::{LinkState, WhenDown};
 
 /// The time within which faults start, in milliseconds.
 pub const FAULT_WINDOW_MS: u64 = 7_000;
@@ -18,6 +18,10 @@
 /// By how many bits a seed is rotated for the manner of its crashes.
 const MANNER_SEED_BITS: u32 = 17;
 
+/// By how many bits a seed is rotated for its cuts.
+const CUT_SEED_BITS: u32 = 41;
+const CUT_STATES: [LinkState; 3] = [LinkState::Silent, LinkState::Reset, LinkState::HalfOpen];
+
 /// A fault of one VM, or of the store for all VMs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FaultKind {
@@ -80,6 +84,35 @@
     pub leaves_after: Option<Duration>,
 }
 
+/// A cut between some VMs and all samplers.
+#[derive(Clone, Debug)]
+pub struct PlannedCut {
+    pub vms: Vec<usize>,
+    pub state: LinkState,
+    pub starts_after: Duration,
+    pub duration: Duration,
+}
+
+/// Returns the cuts of a seed; there may be none. They may come one after the other, with
+/// short pauses, but they do not overlap.
+pub fn plan_cuts(seed: u64, vms: usize) -> Vec<PlannedCut> {
+    // Its own generator, so that the faults of a seed stay what they were.
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(CUT_SEED_BITS));
+    let mut starts_after = Duration::ZERO;
+    (0..rng.random_range(0..=3))
+        .map(|_| {
+            let cut = PlannedCut {
+                vms: (0..vms).filter(|_| rng.random_bool(0.6)).collect(),
+                state: CUT_STATES[rng.random_range(0..CUT_STATES.len())],
+                starts_after: starts_after + Duration::from_millis(rng.random_range(200..1_500)),
+                duration: Duration::from_millis(rng.random_range(300..MAX_FAULT_MS)),
+            };
+            starts_after = cut.starts_after + cut.duration;
+            cut
+        })
+        .collect()
+}
+
 /// Returns the crashes of samplers of a seed; there may be none.
 pub fn plan_crashes(seed: u64) -> Vec<PlannedCrash> {
     // Its own generator, so that the faults of a seed stay what they were.
--- a/tests/process_serve/soak/promises.rs
+++ b/tests/process_serve/soak/promises.rs
@@ -18,8 +18,8 @@
 use serde_json::Value;
 
 use super::{
-    environment::{SAMPLES_PER_BATCH, SoakEnvironment, VMS, lock},
-    fault_plan::{plan_crashes, plan_faults},
+    environment::{BOOKING, SAMPLES_PER_BATCH, SoakEnvironment, VMS, lock},
+    fault_plan::{plan_crashes, plan_cuts, plan_faults},
 };
 use crate::process_serve::requests_that_crash_samplers::CULPRIT;
 
@@ -35,6 +35,9 @@
 /// The statuses of a call that was not served.
 const NOT_SERVED: [u16; 6] = [404, 429, 500, 502, 503, 504];
 
+/// The statuses that promise that a request does not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
 /// Makes one call and checks its answer; returns whether it was served.
 async fn call_once(environment: &SoakEnvironment, number: usize) -> bool {
     let id = format!("call-{number}");
@@ -64,6 +67,27 @@
     (sent, served)
 }
 
+/// Makes calls that may not be repeated until the run ends; returns the ids of those that
+/// were refused with the promise that they do not run.
+async fn run_at_most_once_callers(environment: Arc<SoakEnvironment>) -> BTreeSet<String> {
+    let mut refused = BTreeSet::new();
+    let mut number = 0;
+    while !environment.is_over() {
+        let id = format!("{BOOKING}{number}");
+        let path = format!("/bookings/{number}");
+        let vm = number % VMS;
+        let answer = environment
+            .call(Method::GET, vm, &path, &id, Bytes::new())
+            .await;
+        if answer.is_some_and(|answer| PROMISES.contains(&answer.status)) {
+            refused.insert(id);
+        }
+        number += 1;
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    refused
+}
+
 /// Sends a request that crashes samplers again and again until the run ends.
 async fn run_culprit_caller(environment: Arc<SoakEnvironment>) {
     let mut number = 0;
@@ -117,6 +141,7 @@
     let environment = Arc::new(SoakEnvironment::start().await);
     let callers = tokio::spawn(run_callers(environment.clone()));
     let trainer = tokio::spawn(run_trainer(environment.clone()));
+    let bookings = tokio::spawn(run_at_most_once_callers(environment.clone()));
     let culprit = tokio::spawn(run_culprit_caller(environment.clone()));
     let faults = plan_faults(seed, VMS);
     let mut fault_tasks = tokio::task::JoinSet::new();
@@ -127,6 +152,16 @@
             environment.crash_sampler(&crash).await;
         });
     }
+    let cuts = plan_cuts(seed, VMS);
+    let cutting = (environment.clone(), cuts.clone());
+    fault_tasks.spawn(async move {
+        let (environment, cuts) = cutting;
+        let started = Instant::now();
+        for cut in cuts {
+            tokio::time::sleep(cut.starts_after.saturating_sub(started.elapsed())).await;
+            environment.cut_off(&cut).await;
+        }
+    });
     for fault in faults.clone() {
         let environment = environment.clone();
         fault_tasks.spawn(async move {
@@ -167,6 +202,8 @@
     let damage = environment.check_culprit(faults_ended_at).await;
     trainer.await.expect("the trainer ends");
     let (sent, served) = callers.await.expect("the callers end");
+    let refused = bookings.await.expect("the callers end");
+    environment.check_at_most_once(&refused).await;
     let accepted = lock(&environment.accepted_batches).clone();
     for batch in &accepted {
         let here = environment.read_all_results(batch, 0, true).await;
@@ -184,7 +221,7 @@
         environment.keep_logs().await;
     }
     println!(
-        "seed {seed}: {} batches, {served} of {sent} calls served, recovered in {} ms, {damage:?}, {} violations; {:?}",
+        "seed {seed}: {} batches, {served} of {sent} calls served, recovered in {} ms, {damage:?}, {} violations; {:?}; {cuts:?}",
         accepted.len(),
         recovered.as_millis(),
         violations.len(),
