Keep the port of a link that refuses connections

What was seen: cut_off_vms_serve_first_tries failed in one of six repetitions beside other tests (17, 12, 20 and 20 of 20 served), and once in two whole runs of the tests each.

Cause: the link let its port go while it refused connections, and the listener of a VM of another test got it. Its VM saw the endpoint accept connections, and the other VM's 502, which names the request, as the endpoint's answer: 11 lines 'endpoint answered 502 Bad Gateway', and a path that was open again in a cut.

Now a link's socket stays bound to its port and only stops listening. The test asks for the same as before.

--- a/crates/standins/src/fleet/link.rs
+++ b/crates/standins/src/fleet/link.rs
@@ -1,5 +1,10 @@
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::{Ipv4Addr, Shutdown, SocketAddr},
+    sync::Arc,
+};
 
+use socket2::{Domain, Socket, Type};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -10,7 +15,7 @@
     task::{JoinHandle, JoinSet},
 };
 
-use super::down::{fill_accept_queue, listen};
+use super::down::fill_accept_queue;
 
 /// How a link treats connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -26,8 +31,8 @@
     HalfOpen,
 }
 
-/// The interval at which a port is tried that is still in use.
-const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// The number of connections that wait to be accepted.
+const BACKLOG: i32 = 128;
 const BUFFER_BYTES: usize = 16 * 1024;
 
 /// The network between one VM and one sampler.
@@ -46,10 +51,9 @@
     ///
     /// Returns the error of binding a port.
     pub fn try_start(target: SocketAddr) -> io::Result<Self> {
-        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-        let address = listener.local_addr()?;
+        let (socket, address) = bind_any()?;
         let state = Arc::new(watch::Sender::new(LinkState::Open));
-        let task = tokio::spawn(run(listener, address, target, state.subscribe()));
+        let task = tokio::spawn(run(socket, address, target, state.subscribe()));
         Ok(Self {
             address,
             state,
@@ -69,60 +73,67 @@
     }
 }
 
+/// Binds a socket that listens to a port that nobody uses.
+///
+/// A socket that is bound to a given port keeps it while it does not listen: another
+/// program at this port would accept connections that the link is to refuse.
+fn bind_any() -> io::Result<(Socket, SocketAddr)> {
+    loop {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let address = std::net::TcpListener::bind(any_port)?.local_addr()?;
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        socket.set_reuse_address(true)?;
+        let bound = socket.bind(&address.into());
+        match bound.and_then(|()| socket.listen(BACKLOG)) {
+            Ok(()) => return Ok((socket, address)),
+            // Another program was faster.
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 async fn run(
-    first_listener: TcpListener,
+    socket: Socket,
     address: SocketAddr,
     target: SocketAddr,
     mut state: watch::Receiver<LinkState>,
 ) {
-    let mut listener = Some(first_listener);
     let mut connections = JoinSet::new();
     loop {
         let current = *state.borrow_and_update();
-        match current {
+        let is_changed = match current {
             LinkState::Open => {
-                let open = match listener.take() {
-                    Some(open) => open,
-                    None => bind_again(address).await,
-                };
-                accept(&open, target, &mut state, &mut connections).await;
-                listener = Some(open);
+                // Each phase has a listener of its own, since the readiness of one that was
+                // shut down is lost.
+                let listener = socket
+                    .try_clone()
+                    .and_then(|own| TcpListener::from_std(own.into()));
+                let listener = listener.expect("descriptors are left");
+                accept(&listener, target, &mut state, &mut connections).await;
+                Ok(())
             }
             LinkState::Silent => {
-                let open = match listener.take() {
-                    Some(open) => open,
-                    None => bind_again(address).await,
-                };
                 let waiting = fill_accept_queue(address).await;
                 let changed = state.changed().await;
                 drop(waiting);
-                listener = Some(open);
-                if changed.is_err() {
-                    return;
-                }
+                changed
             }
             LinkState::Reset | LinkState::HalfOpen => {
-                drop(listener.take());
-                if state.changed().await.is_err() {
-                    return;
-                }
+                let refused = socket.shutdown(Shutdown::Both);
+                let changed = state.changed().await;
+                let listening = socket.listen(BACKLOG);
+                refused.and(listening).expect("the port is kept");
+                changed
             }
-        }
-        if state.has_changed().is_err() {
+        };
+        if is_changed.is_err() || state.has_changed().is_err() {
             return;
         }
     }
 }
 
-async fn bind_again(address: SocketAddr) -> TcpListener {
-    loop {
-        match listen(address) {
-            Ok(listener) => return listener,
-            Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
-        }
-    }
-}
-
 /// Accepts connections until the state changes.
 async fn accept(
     listener: &TcpListener,
