--- a/crates/standins/src/fleet/link.rs
+++ b/crates/standins/src/fleet/link.rs
@@ -1,10 +1,10 @@
 use std::{
     io,
-    net::{Ipv4Addr, Shutdown, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, TcpListener as BlockingListener},
     sync::Arc,
 };
 
-use socket2::{Domain, Socket, Type};
+use rustix::net::{Shutdown, listen, shutdown};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -77,16 +77,12 @@
 ///
 /// A socket that is bound to a given port keeps it while it does not listen: another
 /// program at this port would accept connections that the link is to refuse.
-fn bind_any() -> io::Result<(Socket, SocketAddr)> {
+fn bind_any() -> io::Result<(BlockingListener, SocketAddr)> {
     loop {
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let address = std::net::TcpListener::bind(any_port)?.local_addr()?;
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        socket.set_nonblocking(true)?;
-        socket.set_reuse_address(true)?;
-        let bound = socket.bind(&address.into());
-        match bound.and_then(|()| socket.listen(BACKLOG)) {
-            Ok(()) => return Ok((socket, address)),
+        let address = BlockingListener::bind(any_port)?.local_addr()?;
+        match super::down::listen(address) {
+            Ok(listener) => return Ok((listener.into_std()?, address)),
             // Another program was faster.
             Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
             Err(error) => return Err(error),
@@ -95,7 +91,7 @@
 }
 
 async fn run(
-    socket: Socket,
+    socket: BlockingListener,
     address: SocketAddr,
     target: SocketAddr,
     mut state: watch::Receiver<LinkState>,
@@ -107,9 +103,7 @@
             LinkState::Open => {
                 // Each phase has a listener of its own, since the readiness of one that was
                 // shut down is lost.
-                let listener = socket
-                    .try_clone()
-                    .and_then(|own| TcpListener::from_std(own.into()));
+                let listener = socket.try_clone().and_then(TcpListener::from_std);
                 let listener = listener.expect("descriptors are left");
                 accept(&listener, target, &mut state, &mut connections).await;
                 Ok(())
@@ -121,9 +115,9 @@
                 changed
             }
             LinkState::Reset | LinkState::HalfOpen => {
-                let refused = socket.shutdown(Shutdown::Both);
+                let refused = shutdown(&socket, Shutdown::Both);
                 let changed = state.changed().await;
-                let listening = socket.listen(BACKLOG);
+                let listening = listen(&socket, BACKLOG);
                 refused.and(listening).expect("the port is kept");
                 changed
             }
