Authenticate callers by the keys of client accounts

A configuration may list accounts with keys. No line of serve read them: requests ran for any key, the key itself was forwarded to endpoints, and none learned the account's name.

The route table now holds the accounts of its version, so that keys come into force and go with routes and never come back. The front checks the key before and after the body, replaces it by the account's name, and nothing behind it sees the key; batches keep the account in their spec and head, and only its keys read or end them. A list that cannot be told apart is refused as a whole and logged without its values.

--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -98,6 +98,10 @@
     pub at: Instant,
     /// How long the sampler may take, in milliseconds.
     pub deadline_ms: Option<u64>,
+    /// The account that the request names.
+    pub account: Option<String>,
+    /// Whether the key of an account was passed on with the request.
+    pub has_key: bool,
 }
 
 impl Sampler {
--- a/crates/standins/src/fleet/sampler_answers.rs
+++ b/crates/standins/src/fleet/sampler_answers.rs
@@ -127,6 +127,8 @@
     let id = header(&request, "x-request-id").unwrap_or_default();
     let after: Option<u64> = header(&request, "last-event-id").and_then(|text| text.parse().ok());
     let deadline_ms = header(&request, "x-deadline-ms").and_then(|text| text.parse().ok());
+    let account = header(&request, "x-tenant");
+    let has_key = header(&request, "authorization").is_some();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let body = match read_bytes(request).await {
@@ -143,6 +145,8 @@
         after_event: after,
         at: Instant::now(),
         deadline_ms,
+        account,
+        has_key,
     });
     let refusal = lock(&shared.answer_faults).pop_if(|fault| {
         matches!(
--- a/src/core/batch/spec.rs
+++ b/src/core/batch/spec.rs
@@ -70,6 +70,10 @@
     pub target_groups: usize,
     /// The samples.
     pub samples: Vec<SampleSpec>,
+    /// The account whose caller submitted the batch; `None` if there were no accounts, or
+    /// an older build accepted it.
+    #[serde(default)]
+    pub account: Option<Name>,
 }
 
 /// The metadata of an accepted batch, stored separately from its samples.
@@ -101,6 +105,10 @@
     pub model: Name,
     /// The oldest weights version that may generate a token.
     pub min_weights_version: u64,
+    /// The account whose caller submitted the batch; `None` if there were no accounts, or
+    /// an older build accepted it.
+    #[serde(default)]
+    pub account: Option<Name>,
 }
 
 impl BatchHead {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! and returns its decisions as typed values. The modules are public so that
 //! other programs can embed them.
 
+pub mod accounts;
 pub mod admission;
 pub mod batch;
 pub mod config;
--- a/src/core/routes/mod.rs
+++ b/src/core/routes/mod.rs
@@ -5,5 +5,5 @@
 
 pub use self::{
     route::{Route, RouteKind, WeightedService},
-    table::{CallerLimits, PoolSettings, RouteTable},
+    table::{CallerLimits, PoolSettings, RouteTable, ScaleLimits},
 };
--- a/src/core/routes/route.rs
+++ b/src/core/routes/route.rs
@@ -64,6 +64,8 @@
     pub batch_target_ms: u64,
     /// Whether one weights version must generate all tokens of a sample.
     pub is_single_version: bool,
+    /// Whether callers need no key where accounts are configured.
+    pub is_public: bool,
 }
 
 impl Route {
--- a/src/core/routes/table.rs
+++ b/src/core/routes/table.rs
@@ -1,13 +1,31 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use super::Route;
-use crate::core::Name;
+use crate::core::{Name, accounts::AccountTable};
 
 /// The configuration of one service's endpoints.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PoolSettings {
     /// The models that the endpoints serve; empty for a plain service.
     pub models: Vec<Name>,
+    /// How many endpoints may be ordered, if their number is adjusted.
+    pub scale_limits: Option<ScaleLimits>,
+}
+
+/// The terms on which the number of a service's endpoints is adjusted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScaleLimits {
+    /// The fewest endpoints in a data centre.
+    pub min_endpoints: u32,
+    /// The most endpoints in a data centre, reclaimable ones included.
+    pub max_endpoints: u32,
+    /// How long a new endpoint takes until it serves, in milliseconds.
+    pub boot_ms: u64,
+    /// The price of a reclaimable endpoint, as a share of that of another one; `None` if
+    /// there are none.
+    pub spot_price_share: Option<f64>,
+    /// The price of an endpoint a second, by data centre.
+    pub prices_per_s: BTreeMap<Name, f64>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -40,6 +58,7 @@
     routes: BTreeMap<Name, Vec<Arc<Route>>>,
     pools: BTreeMap<Name, PoolSettings>,
     limits: Option<CallerLimits>,
+    accounts: Option<Arc<AccountTable>>,
 }
 
 impl RouteTable {
@@ -64,9 +83,31 @@
             routes: by_host,
             pools,
             limits: Some(limits),
+            accounts: None,
+        }
+    }
+
+    /// Returns the table with the accounts whose keys callers have to present.
+    #[must_use]
+    pub fn with_accounts(self, accounts: AccountTable) -> Self {
+        Self {
+            accounts: Some(Arc::new(accounts)),
+            ..self
         }
     }
 
+    /// Returns the accounts, or `None` if callers need no key.
+    #[must_use]
+    pub const fn accounts(&self) -> Option<&Arc<AccountTable>> {
+        self.accounts.as_ref()
+    }
+
+    /// Returns the services and the configuration of their endpoints.
+    #[must_use]
+    pub const fn pools(&self) -> &BTreeMap<Name, PoolSettings> {
+        &self.pools
+    }
+
     /// Returns the configuration version, or 0 if no configuration is known.
     #[must_use]
     pub const fn version(&self) -> u64 {
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -34,6 +34,10 @@
     /// The request could not be parsed: it is truncated, incomplete, or has a value
     /// of the wrong type.
     BadRequest,
+    /// The request presents no key of an account, and its route is not public.
+    UnknownKey,
+    /// The batch belongs to another account than the key.
+    OtherAccount,
     /// The body is larger than the settings allow.
     BodyTooLarge,
     /// No service of this name is configured.
--- a/src/error/response.rs
+++ b/src/error/response.rs
@@ -41,6 +41,8 @@
     pub const fn response(self) -> ErrorResponse {
         let (status, not_run, retry) = match self {
             Self::BadRequest => (400, true, RetryAdvice::Never),
+            Self::UnknownKey => (401, true, RetryAdvice::Never),
+            Self::OtherAccount => (403, true, RetryAdvice::Never),
             Self::BodyTooLarge => (413, true, RetryAdvice::Never),
             Self::UnknownService | Self::UnknownTrainer | Self::UnknownStep => {
                 (404, true, RetryAdvice::Never)
--- a/src/platform/batches.rs
+++ b/src/platform/batches.rs
@@ -147,6 +147,7 @@
         min_weights_version: wire.min_version,
         target_groups: wire.target_groups,
         samples: samples?,
+        account: None,
     })
 }
 
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -2,7 +2,11 @@
 
 use std::net::SocketAddr;
 
-use hyper::{HeaderMap, Method, Uri, header, http::request::Parts};
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{self, HeaderValue},
+    http::request::Parts,
+};
 use serde::Serialize;
 
 use crate::core::Name;
@@ -13,6 +17,9 @@
 pub(super) const LAST_EVENT_HEADER: &str = "last-event-id";
 const RESUMED_REQUEST_HEADER: &str = "resumes";
 const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// The header that names an account to an endpoint.
+const ACCOUNT_HEADER: &str = "x-tenant";
+const KEY_SCHEME: &str = "Bearer";
 const READY_PATH: &str = "/v1/ready";
 const RESOLVE_PATH: &str = "/v1/resolve";
 
@@ -75,6 +82,30 @@
     }
 }
 
+/// Returns the key that a caller presents, if it presents exactly one.
+pub(crate) fn parse_key(headers: &HeaderMap) -> Option<&str> {
+    let mut values = headers.get_all(header::AUTHORIZATION).iter();
+    let text = values.next()?.to_str().ok()?;
+    if values.next().is_some() {
+        return None;
+    }
+    let (scheme, key) = text.trim().split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case(KEY_SCHEME)
+        .then(|| key.trim_start())
+}
+
+/// Replaces a caller's key, and the account that it may have named itself, by the name of
+/// the account that holds the key.
+pub(crate) fn set_account(headers: &mut HeaderMap, account: Option<&Name>) {
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(ACCOUNT_HEADER);
+    // Names that are not valid as a header are refused with their configuration.
+    if let Some(value) = account.and_then(|name| HeaderValue::from_str(name).ok()) {
+        headers.insert(ACCOUNT_HEADER, value);
+    }
+}
+
 /// Returns the headers of a request or an answer that are forwarded.
 pub(crate) fn forwardable_headers(headers: &HeaderMap) -> HeaderMap {
     let connection_options: Vec<&str> = headers
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -5,10 +5,13 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::accounts::decode_accounts;
 use crate::core::{
     Name,
     pool::{EndpointRecord, EndpointStage},
-    routes::{CallerLimits, PoolSettings, Route, RouteKind, RouteTable, WeightedService},
+    routes::{
+        CallerLimits, PoolSettings, Route, RouteKind, RouteTable, ScaleLimits, WeightedService,
+    },
 };
 
 /// The operator's table, with the configuration and the weights versions that
@@ -32,6 +35,9 @@
     #[serde(default)]
     services: Vec<WireService>,
     limits: WireLimits,
+    /// Decoded apart from the rest, since the errors of serde quote what they cannot
+    /// decode, which may be a key.
+    tenants: Option<Value>,
 }
 
 #[derive(Deserialize)]
@@ -58,6 +64,8 @@
     run_target_ms: f64,
     #[serde(default)]
     single_version: bool,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Deserialize)]
@@ -70,6 +78,18 @@
 struct WireService {
     name: Name,
     engine: Option<WireEngine>,
+    autoscale: Option<WireAutoscale>,
+}
+
+#[derive(Deserialize)]
+struct WireAutoscale {
+    min: u32,
+    max: u32,
+    #[serde(default)]
+    boot_s: f64,
+    spot_price: Option<f64>,
+    #[serde(default)]
+    zone_prices: BTreeMap<Name, f64>,
 }
 
 #[derive(Deserialize)]
@@ -129,7 +149,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the document cannot be decoded or a route has an unknown kind.
+/// Fails if the document cannot be decoded, a route has an unknown kind, or the accounts
+/// cannot be told apart. No error quotes a key.
 pub(crate) fn decode_config(bytes: &[u8]) -> Result<RouteTable, String> {
     let config: WireConfig = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
     let routes: Result<Vec<Route>, String> = config.routes.into_iter().map(decode_route).collect();
@@ -139,7 +160,12 @@
             .map(|engine| engine.models)
             .unwrap_or_default();
         let models = models.into_iter().map(|model| model.name).collect();
-        (service.name, PoolSettings { models })
+        let scale_limits = service.autoscale.map(scale_limits);
+        let settings = PoolSettings {
+            models,
+            scale_limits,
+        };
+        (service.name, settings)
     });
     let limits = CallerLimits {
         max_head_bytes: config.limits.header_bytes,
@@ -147,12 +173,21 @@
         head_timeout_ms: config.limits.header_ms,
         idle_timeout_ms: config.limits.idle_ms,
     };
-    Ok(RouteTable::new(
-        config.version,
-        routes?,
-        pools.collect(),
-        limits,
-    ))
+    let table = RouteTable::new(config.version, routes?, pools.collect(), limits);
+    Ok(match config.tenants {
+        Some(tenants) => table.with_accounts(decode_accounts(&tenants)?),
+        None => table,
+    })
+}
+
+fn scale_limits(wire: WireAutoscale) -> ScaleLimits {
+    ScaleLimits {
+        min_endpoints: wire.min,
+        max_endpoints: wire.max.max(wire.min),
+        boot_ms: round_ms(wire.boot_s * 1_000.0),
+        spot_price_share: wire.spot_price,
+        prices_per_s: wire.zone_prices,
+    }
 }
 
 fn decode_route(wire: WireRoute) -> Result<Route, String> {
@@ -188,6 +223,7 @@
         queue_limit_ms: round_ms(wire.queue_ttl_s * 1_000.0),
         batch_target_ms: round_ms(wire.run_target_ms),
         is_single_version: wire.single_version,
+        is_public: wire.public,
     })
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! The platform's names for calls, headers and fields are known only in this
 //! module, which makes no decisions of its own.
 
+mod accounts;
 mod batches;
 mod callers;
 mod documents;
@@ -14,7 +15,7 @@
     batches::{BatchCall, OTHER_RESULT_BYTES, decode_batch, encode_results, parse_batch_call},
     callers::{
         CallerHead, REQUEST_ID_HEADER, encode_addresses, forwardable_headers, is_address_query,
-        is_readiness_check, parse_address_query, parse_caller_head,
+        is_readiness_check, parse_address_query, parse_caller_head, parse_key, set_account,
     },
     documents::{
         CONFIG_KEY, OPERATOR_TABLE, SAMPLER_TABLE, decode_config, decode_endpoint,
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -20,6 +20,8 @@
 const LEAVING_HEADER: &str = "server-leaving";
 const RATE_LIMIT_HEADER: &str = "server-limit";
 const PRIORITY_HEADER: &str = "x-request-priority";
+/// The least urgent priority that an endpoint knows.
+const MAX_PRIORITY: u8 = 9;
 
 /// The field of an event that states the weights version from this event on.
 pub(crate) const EVENT_VERSION_FIELD: &str = WEIGHTS_VERSION_HEADER;
@@ -34,7 +36,7 @@
     pub(crate) remaining_ms: u64,
     /// The last event that was received of a stream that is resumed.
     pub(crate) after_event: Option<u64>,
-    /// From 0 for the most urgent request to 9.
+    /// 0 is the most urgent; all from 9 on are the same to endpoints.
     pub(crate) priority: Option<u8>,
 }
 
@@ -71,7 +73,7 @@
         set(LAST_EVENT_HEADER, &event.to_string())?;
     }
     if let Some(priority) = request_headers.priority {
-        set(PRIORITY_HEADER, &priority.to_string())?;
+        set(PRIORITY_HEADER, &priority.min(MAX_PRIORITY).to_string())?;
     }
     Ok(request)
 }
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -13,6 +13,7 @@
 use hyper::{Response, StatusCode};
 
 use super::{
+    accounts,
     claims::{BATCH_TABLE, HEAD_KEY},
     front::CallerRequest,
     loaded_batch::LoadedBatch,
@@ -27,7 +28,7 @@
     },
     daemon::now_ms,
     error::{ErrorKind, Refusal},
-    platform::{Condition, StoreError, Tx, TxOutcome, decode_batch},
+    platform::{Condition, Row, StoreError, Tx, TxOutcome, decode_batch},
 };
 
 /// For how long a write of a head whose outcome is unknown is retried, in
@@ -47,7 +48,8 @@
 ///
 /// # Errors
 ///
-/// `BadRequest` if the body cannot be decoded, `Draining` if this VM is shutting
+/// `BadRequest` if the body cannot be decoded, `OtherAccount` if another account has
+/// submitted a batch with this id, `Draining` if this VM is shutting
 /// down, `PlatformUnavailable` if the store cannot be used, `OutcomeUnknown` if
 /// the store does not confirm the write in time, and `Internal` if the batch
 /// cannot be encoded.
@@ -60,16 +62,19 @@
         head: call_head,
         body,
         started_ms,
+        account,
         ..
     } = call;
-    let spec = decode_batch(&call_head, &body)
+    let mut spec = decode_batch(&call_head, &body)
         .map_err(|error| Refusal::new(ErrorKind::BadRequest, error))?;
+    spec.account = account;
     // The body is copied into the spec, and the spec once more when it is encoded.
     drop(body);
-    if lock(&server.batches)
+    let known_owner = lock(&server.batches)
         .get(&spec.id)
-        .is_some_and(|known| known.head.is_some())
-    {
+        .and_then(|known| known.head.as_ref().map(|head| head.account.clone()));
+    if let Some(owner) = known_owner {
+        accounts::check_owner(&spec.id, owner.as_ref(), spec.account.as_ref())?;
         tracing::info!(batch = %spec.id, "batch submitted again");
         return Ok(empty_response(StatusCode::ACCEPTED));
     }
@@ -117,6 +122,7 @@
         path: spec.path.clone(),
         model: spec.model.clone(),
         min_weights_version: spec.min_weights_version,
+        account: spec.account.clone(),
     };
     write_head(server, &spec.id, &head, started_ms + HEAD_RETRY_WINDOW_MS).await?;
     server.metrics.batches_accepted.inc();
@@ -149,7 +155,11 @@
     Ok(parts)
 }
 
-/// Writes the head of a batch unless the batch has one.
+fn decode_head(row: &Row) -> Option<BatchHead> {
+    rmp_serde::from_slice(row.bytes.as_ref()?).ok()
+}
+
+/// Writes the head of a batch unless the batch has one, which has to be of the same account.
 ///
 /// The write is retried until its outcome is known. It is conditional on the
 /// absence of a head, so the batch is accepted once, whichever attempt takes
@@ -179,7 +189,12 @@
     let mut is_unknown = false;
     loop {
         let error = match server.store.transact(&tx).await {
-            Ok(TxOutcome::Committed(_) | TxOutcome::Conflict(_)) => return Ok(()),
+            Ok(TxOutcome::Committed(_)) => return Ok(()),
+            Ok(TxOutcome::Conflict(rows)) => {
+                let accepted = rows.first().and_then(decode_head);
+                let owner = accepted.and_then(|head| head.account);
+                return accounts::check_owner(id, owner.as_ref(), head.account.as_ref());
+            }
             Err(error) => error,
         };
         is_unknown |= matches!(error, StoreError::Unknown(_));
--- a/src/server/attempt.rs
+++ b/src/server/attempt.rs
@@ -48,6 +48,7 @@
     pub(crate) body: Bytes,
     pub(crate) caller_deadline_ms: u64,
     pub(crate) purpose: Purpose,
+    pub(crate) priority: Option<u8>,
     pub(crate) is_resumed: bool,
     pub(crate) resumed_request: Option<Name>,
     /// How long it may wait for a permit, in milliseconds.
@@ -98,7 +99,7 @@
         host: outgoing.host,
         remaining_ms: outgoing.caller_deadline_ms.saturating_sub(now_ms()),
         after_event: None,
-        priority: None,
+        priority: outgoing.priority,
     };
     let request = build_request(
         outgoing.method,
--- a/src/server/caller_body.rs
+++ b/src/server/caller_body.rs
@@ -61,12 +61,19 @@
             Err(Refusal::new(ErrorKind::DeadlinePassed, message))
         }
     };
-    if read.is_err() && !body.is_end_stream() {
-        tokio::spawn(discard(body));
+    if read.is_err() {
+        discard_unread(body);
     }
     read
 }
 
+/// Reads the rest of the body of a refused request in the background.
+pub(crate) fn discard_unread(body: Incoming) {
+    if !body.is_end_stream() {
+        tokio::spawn(discard(body));
+    }
+}
+
 async fn read_body(
     server: &Server,
     body: &mut Incoming,
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -356,7 +356,7 @@
             self.request.headers.clone(),
             self.request.body.clone(),
         );
-        let caller_deadline_ms = self.caller_deadline_ms;
+        let (caller_deadline_ms, priority) = (self.caller_deadline_ms, self.request.priority);
         let max_wait_ms = route.target_latency_ms * PERMIT_WAIT_PERCENT / 100;
         Box::pin(async move {
             let id = head.request_id.clone().unwrap_or_default();
@@ -370,6 +370,7 @@
                 body,
                 caller_deadline_ms,
                 purpose,
+                priority,
                 is_resumed: head.is_resumed,
                 resumed_request: head.resumed_request.clone(),
                 max_wait_ms,
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -21,7 +21,8 @@
 
 use super::{
     accept,
-    caller_body::{BodyTerms, read_caller_body},
+    accounts::{self, Caller},
+    caller_body::{BodyTerms, discard_unread, read_caller_body},
     crash_rows, directory, forward,
     held::{self, HELD_PATH},
     permits, read_batch, relay, relayed,
@@ -31,12 +32,15 @@
     streams,
 };
 use crate::{
-    core::routes::{RouteKind, RouteTable},
+    core::{
+        Name,
+        routes::{Route, RouteKind, RouteTable},
+    },
     daemon::now_ms,
     error::{ErrorKind, Refusal},
     platform::{
         CallerHead, is_address_query, is_readiness_check, parse_address_query, parse_batch_call,
-        parse_caller_head,
+        parse_caller_head, set_account,
     },
     wire::peers::{
         CRASH_NOTICE_PATH, PERMIT_PATH, REACHABILITY_PATH, RELAY_REQUEST_PATH, STREAM_NOTICE_PATH,
@@ -86,6 +90,11 @@
     pub(crate) body: bytes::Bytes,
     /// When the head of the request was read.
     pub(crate) started_ms: u64,
+    /// The account that holds the caller's key, if accounts are configured.
+    pub(crate) account: Option<Name>,
+    /// The priority of the account, or else of the route, if accounts are configured; 0 is
+    /// the most urgent.
+    pub(crate) priority: Option<u8>,
 }
 
 /// Accepts connections for as long as the process runs, those of callers until it
@@ -256,10 +265,19 @@
         // A trainer that reads its batch sends no request id: the log shows the
         // batch's id instead.
         let id = head.request_id.as_ref().unwrap_or_else(|| call.batch());
-        return match read_batch::answer_batch_call(server, &call).await {
-            Ok(response) => response,
-            Err(refusal) => refusal_response(server, id, &refusal),
+        let result = match accounts::check_batch_call(server, &parts.headers, call.batch()).await {
+            Ok(()) => read_batch::answer_batch_call(server, &call).await,
+            Err(refusal) => Err(refusal),
         };
+        return result.unwrap_or_else(|refusal| refusal_response(server, id, &refusal));
+    }
+    // A caller without a key is refused before it sends its body.
+    let routes = server.routes();
+    let route = routes.find(&head.host, &head.path);
+    let caller = accounts::authenticate(&routes, route.map(|route| &**route), &parts.headers);
+    if let Err(refusal) = caller {
+        discard_unread(body);
+        return refusal_response(server, &id, &refusal);
     }
     let terms = BodyTerms {
         started_ms,
@@ -270,33 +288,26 @@
         Ok(body) => body,
         Err(refusal) => return refusal_response(server, &id, &refusal),
     };
+    // The configuration may have changed while the body was received.
+    let routes = server.routes();
+    let admitted = route_request(&routes, &head, &parts.headers);
+    let (route, caller) = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refusal_response(server, &id, &refusal),
+    };
+    let mut headers = parts.headers;
+    let mut priority = None;
+    if accounts::sets_account(&routes) {
+        set_account(&mut headers, caller.account.as_ref());
+        priority = Some(caller.priority.unwrap_or(route.priority));
+    }
     let request = CallerRequest {
         head,
-        headers: parts.headers,
+        headers,
         body,
         started_ms,
-    };
-    // The configuration may have changed while the body was received.
-    let routes = server.routes();
-    if routes.version() == 0 {
-        let refusal = Refusal::new(
-            ErrorKind::ConfigTooOld,
-            "this VM has not read a configuration yet",
-        );
-        return refusal_response(server, &id, &refusal);
-    }
-    let Some(route) = routes.find(&request.head.host, &request.head.path).cloned() else {
-        let message = format!(
-            "no route for {}{} in configuration version {}",
-            request.head.host,
-            request.head.path,
-            routes.version()
-        );
-        return refusal_response(
-            server,
-            &id,
-            &Refusal::new(ErrorKind::UnknownService, message),
-        );
+        priority,
+        account: caller.account,
     };
     let result = if route.kind == RouteKind::Batch {
         accept::accept_batch(server, &route, request).await
@@ -311,3 +322,26 @@
     server.metrics.request_seconds.observe(request_s);
     response
 }
+
+/// Returns the route of a request and who sends it.
+fn route_request(
+    routes: &RouteTable,
+    head: &CallerHead,
+    headers: &hyper::HeaderMap,
+) -> Result<(Arc<Route>, Caller), Refusal> {
+    if routes.version() == 0 {
+        let message = "this VM has not read a configuration yet";
+        return Err(Refusal::new(ErrorKind::ConfigTooOld, message));
+    }
+    let Some(route) = routes.find(&head.host, &head.path) else {
+        let message = format!(
+            "no route for {}{} in configuration version {}",
+            head.host,
+            head.path,
+            routes.version()
+        );
+        return Err(Refusal::new(ErrorKind::UnknownService, message));
+    };
+    let caller = accounts::authenticate(routes, Some(route), headers)?;
+    Ok((route.clone(), caller))
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -6,6 +6,7 @@
 //! load weights versions.
 
 mod accept;
+mod accounts;
 mod attempt;
 mod caller_body;
 mod claims;
--- a/src/server/read_batch.rs
+++ b/src/server/read_batch.rs
@@ -130,7 +130,7 @@
 ///
 /// `UnknownStep` if the store has no such batch, `PlatformUnavailable` if the
 /// store does not answer, and `Internal` if the head cannot be decoded.
-async fn read_head(server: &Server, batch: &Name) -> Result<BatchHead, Refusal> {
+pub(crate) async fn read_head(server: &Server, batch: &Name) -> Result<BatchHead, Refusal> {
     let known = lock(&server.batches)
         .get(batch)
         .and_then(|known| known.head.clone());
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -70,6 +70,12 @@
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
     }
+    if response.status() == StatusCode::UNAUTHORIZED {
+        let value = header::HeaderValue::from_static("Bearer");
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, value);
+    }
     if let Ok(value) = id.parse() {
         response.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
 
 use super::{
+    accounts,
     attempt::record_answer_head,
     crash,
     endpoint_exchange::{self, Outgoing},
@@ -20,12 +21,14 @@
 use crate::{
     core::{
         Name,
-        batch::{EventParser, RunPace, RunVerdict, SampleSpec, SampleText, TextError},
+        batch::{EventParser, RunPace, RunVerdict, SampleText, TextError},
         rate_limit::Purpose,
         retry::RetryReason,
     },
     daemon::now_ms,
-    platform::{EVENT_VERSION_FIELD, RequestHeaders, build_request, parse_answer_head},
+    platform::{
+        EVENT_VERSION_FIELD, RequestHeaders, build_request, parse_answer_head, set_account,
+    },
 };
 
 /// How long a run may send nothing before it is resumed elsewhere, in
@@ -73,7 +76,7 @@
     let request = build_request(
         Method::POST,
         &job.sample.path,
-        sample_headers(&job.sample),
+        sample_headers(job),
         &request_headers,
         job.sample.body.clone(),
     );
@@ -310,7 +313,8 @@
     }
 }
 
-fn sample_headers(sample: &SampleSpec) -> HeaderMap {
+fn sample_headers(job: &SampleJob) -> HeaderMap {
+    let sample = &job.sample;
     let mut headers = HeaderMap::new();
     for (name, text) in &sample.headers {
         if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), text.parse()) {
@@ -319,6 +323,11 @@
             tracing::warn!(sample = %sample.id, %name, "invalid header omitted");
         }
     }
+    // A batch that was accepted for an account stays with it, whatever the configuration
+    // says later.
+    if job.account.is_some() || accounts::sets_account(&job.server.routes()) {
+        set_account(&mut headers, job.account.as_ref());
+    }
     headers
 }
 
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -58,6 +58,8 @@
     pub(crate) batch: Name,
     /// The host that the trainer's request named.
     pub(crate) host: Name,
+    /// The account whose caller submitted the batch.
+    pub(crate) account: Option<Name>,
     pub(crate) model: Name,
     pub(crate) min_weights_version: u64,
     /// When the sample expires, by the platform's clock.
--- a/src/server/share.rs
+++ b/src/server/share.rs
@@ -74,6 +74,7 @@
             server: server.clone(),
             batch: batch.clone(),
             host: spec.host.clone(),
+            account: spec.account.clone(),
             model: spec.model.clone(),
             min_weights_version: spec.min_weights_version,
             expires_platform_ms: deadlines.expires_platform_ms,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -239,6 +239,22 @@
         call(&self.http, method, address, path, id, body).await
     }
 
+    /// Sends a request with the key of an account, and names another account beside it.
+    pub async fn call_with_key(
+        &self,
+        method: Method,
+        number: usize,
+        path: &str,
+        id: &str,
+        key: &str,
+        body: Bytes,
+    ) -> Option<Answer> {
+        let address = self.vms[number].addresses["callers"];
+        let key = format!("Bearer {key}");
+        let headers = [("authorization", &*key), ("x-tenant", "forged")];
+        call_with(&self.http, method, address, path, id, &headers, body).await
+    }
+
     /// Sends a request without a body.
     pub async fn get(&self, address: SocketAddr, path: &str, id: &str) -> Option<Answer> {
         self.call(Method::GET, address, path, id, Bytes::new())
@@ -410,14 +426,29 @@
     id: &str,
     body: Bytes,
 ) -> Option<Answer> {
-    let request = Request::builder()
+    call_with(http, method, address, path, id, &[], body).await
+}
+
+/// Sends a request with further headers; returns `None` if the answer was incomplete.
+pub async fn call_with(
+    http: &HttpClient,
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Option<Answer> {
+    let mut request = Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"))
         .header("host", HOST)
         .header("x-request-id", id)
-        .header("x-deadline-ms", "5000")
-        .body(Full::new(body))
-        .expect("the request is valid");
+        .header("x-deadline-ms", "5000");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body)).expect("the request is valid");
     match http.exchange(address, request, CALL_TIMEOUT_MS).await {
         Ok(body) => Some(Answer { status: 200, body }),
         Err(HttpError::Status(status, body)) => Some(Answer {
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -4,6 +4,7 @@
 mod fleet;
 
 mod process_serve {
+    mod accounts_and_keys;
     mod answers_that_break_off;
     mod answers_without_end;
     mod batches_under_vm_and_store_faults;
