Add the lease of the duties on the platform's API

VMs have no way to make calls to the platform's API, of which one VM at a time may make any. The settings gain `platform_api`; with it, a second leader lease in the row `~duties` names the VM that holds the duties. Its handle gives the fence, which is checked immediately before each send, and sends calls with pacing, back-off and a timeout. Connections discard unsent data when they are closed, so that a call that was given up cannot arrive after one of the next holder. Claims of a free lease are spread over the live VMs.

--- a/src/core/leader_lease/leader_lease.rs
+++ b/src/core/leader_lease/leader_lease.rs
@@ -122,10 +122,7 @@
         let was_own_vm = row
             .as_ref()
             .is_some_and(|row| row.holder.as_ref() == Some(&self.me));
-        let is_free = row
-            .as_ref()
-            .is_none_or(|row| earliest_ms >= row.until_platform_ms + self.gap_ms);
-        if !was_own_vm && !is_free {
+        if !was_own_vm && !self.may_take(earliest_ms) {
             return None;
         }
         let last_fence = row.as_ref().map_or(0, |row| row.fence);
@@ -142,6 +139,16 @@
         })
     }
 
+    /// Returns whether a VM that did not hold the lease last may take it, as far as the
+    /// row is known.
+    #[must_use]
+    pub fn may_take(&self, earliest_ms: u64) -> bool {
+        self.known_row.as_ref().is_some_and(|(row, _)| {
+            row.as_ref()
+                .is_none_or(|row| earliest_ms >= row.until_platform_ms + self.gap_ms)
+        })
+    }
+
     /// Returns the write that gives up the lease, if this VM holds it.
     ///
     /// The term in the row ends at `latest_ms`, the upper bound of the platform's
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod batch;
 pub mod config;
 pub(crate) mod digest;
+pub mod duties;
 pub mod endpoint;
 pub mod explain;
 pub mod guard;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod batches;
 mod callers;
 mod documents;
+mod duties;
 mod samplers;
 mod store;
 mod wire_rows;
@@ -21,6 +22,7 @@
         CONFIG_KEY, OPERATOR_TABLE, SAMPLER_TABLE, decode_config, decode_endpoint,
         decode_weights_version, model_of_weights_key,
     },
+    duties::{DutyCall, DutyCaller, DutyOutcome, build_duty_request, duty_outcome},
     samplers::{
         AnswerHead, EVENT_VERSION_FIELD, Order, OrderOutcome, RequestHeaders, StatedLimit,
         announces_leaving, build_order_request, build_report_request, build_request,
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -18,6 +18,7 @@
 };
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
+use socket2::SockRef;
 use strum::{Display, EnumIter, IntoStaticStr};
 use tokio::{net::TcpStream, task::AbortHandle};
 
@@ -513,13 +514,40 @@
     address: SocketAddr,
     timeout_ms: u64,
 ) -> Result<Connection, ExchangeError> {
+    start_http(address, open(address, timeout_ms).await?).await
+}
+
+async fn open(address: SocketAddr, timeout_ms: u64) -> Result<TcpStream, ExchangeError> {
     let not_sent = |message: String| ExchangeError::NotSent(message);
     let connect = TcpStream::connect(address);
     let limit = Duration::from_millis(timeout_ms);
-    let stream = tokio::time::timeout(limit, connect)
+    tokio::time::timeout(limit, connect)
         .await
         .map_err(|_| not_sent(format!("no connection to {address} in {timeout_ms} ms")))?
-        .map_err(|error| not_sent(format!("cannot connect to {address}: {error}")))?;
+        .map_err(|error| not_sent(format!("cannot connect to {address}: {error}")))
+}
+
+/// Opens a connection that discards what the other side has not received once it is
+/// closed.
+///
+/// Otherwise the kernel would go on sending a request that was given up, and it would
+/// arrive late when the network works again.
+///
+/// # Errors
+///
+/// Returns `NotSent` if the other side does not accept it in time.
+pub(crate) async fn connect_discarding(
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> Result<Connection, ExchangeError> {
+    let stream = open(address, timeout_ms).await?;
+    let not_set = |error| {
+        ExchangeError::NotSent(format!("connection to {address} cannot be set up: {error}"))
+    };
+    stream.set_zero_linger().map_err(not_set)?;
+    SockRef::from(&stream)
+        .set_tcp_user_timeout(Some(Duration::from_millis(timeout_ms)))
+        .map_err(not_set)?;
     start_http(address, stream).await
 }
 
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -4,6 +4,7 @@
 
 use super::{
     crash_rows::{self, CRASH_POINTER_KEY},
+    duties,
     state::{Server, lock},
 };
 use crate::{
@@ -18,6 +19,8 @@
 /// The key of the leader lease row, which names the VM that sends orders to
 /// endpoints; no VM has this name.
 pub(crate) const LEADER_LEASE_KEY: &str = "~orders";
+/// The key of the lease row that names the VM that holds the duties; no VM has this name.
+pub(crate) const DUTY_LEASE_KEY: &str = "~duties";
 /// The interval at which a VM writes its row and reads the others, in
 /// milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 1_000;
@@ -84,6 +87,7 @@
             }
             let leader_lease = rows.rows.iter().find(|row| &*row.key == LEADER_LEASE_KEY);
             on_leader_lease_row(server, leader_lease);
+            duties::on_lease_row(server, &rows.rows);
             let pointer = rows.rows.iter().find(|row| &*row.key == CRASH_POINTER_KEY);
             crash_rows::on_pointer_row(server, pointer.map_or(0, |row| row.version));
             server.batches_changed.notify_one();
@@ -94,7 +98,7 @@
 
 fn decode_vm_row(row: &Row) -> Option<(Name, VmRow, u64)> {
     let bytes = row.bytes.as_ref()?;
-    if [LEADER_LEASE_KEY, CRASH_POINTER_KEY].contains(&&*row.key) {
+    if [LEADER_LEASE_KEY, DUTY_LEASE_KEY, CRASH_POINTER_KEY].contains(&&*row.key) {
         return None;
     }
     match rmp_serde::from_slice(bytes) {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod crash_rows;
 mod directory;
+mod duties;
 mod endpoint_exchange;
 mod endpoint_relay;
 mod failures;
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -11,7 +11,9 @@
 };
 
 use super::{
-    claims, clean, crash, crash_rows, fleet,
+    claims, clean, crash, crash_rows,
+    duties::{self, DutyHandle},
+    fleet,
     front::{ListenerKind, serve},
     members, orders, paths, permits, silence,
     state::Server,
@@ -69,6 +71,10 @@
     tokio::spawn(crash_rows::write_rows(server.clone()));
     tokio::spawn(silence::check_silent_endpoints(server.clone()));
     tokio::spawn(orders::run_orders(server.clone()));
+    if let Some(handle) = DutyHandle::of(&server) {
+        tokio::spawn(duties::keep_lease(handle.clone()));
+        tokio::spawn(duties::run_duties(handle));
+    }
     tokio::spawn(stream_rows::follow_origins(server.clone()));
     tokio::spawn(stream_rows::write_rows(server.clone()));
     tokio::spawn(stream_rows::clean_periodically(server.clone()));
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -10,6 +10,7 @@
     claims::Batches,
     crash,
     crash_rows::{self, CrashRows},
+    duties::Duties,
     endpoint_relay::DecliningVms,
     http_client::ExchangeClient,
     memory::BodyMemory,
@@ -64,6 +65,8 @@
     /// Notified when batches or members have changed.
     pub(crate) batches_changed: Notify,
     pub(crate) leader_lease: Mutex<LeaderLease>,
+    /// The duties on the platform's API, if the settings name it.
+    pub(crate) duties: Option<Arc<Duties>>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) crash_rows: Mutex<CrashRows>,
     /// Notified when rows of crashes have to be written or notices to be sent.
@@ -128,6 +131,7 @@
             members: Mutex::default(),
             batches: Mutex::default(),
             batches_changed: Notify::new(),
+            duties: Duties::from_settings(&settings, incarnation).map(Arc::new),
             leader_lease: Mutex::new(LeaderLease::new(vm, incarnation, settings.order_gap_ms)),
             quarantine: Mutex::new(Quarantine::new(LateRetryPolicy::Claimed)),
             crash_rows: Mutex::default(),
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::PlatformApiSettings;
 use crate::core::Name;
 
 /// The settings of one VM on a platform with a durable store.
@@ -43,6 +44,9 @@
     /// The shortest time between the last order that one VM gives to endpoints and
     /// the first that another VM gives, in milliseconds.
     pub order_gap_ms: u64,
+    /// The platform's API, if this VM may hold duties on it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub platform_api: Option<PlatformApiSettings>,
 }
 
 /// Parses and validates the settings of a VM from JSON.
@@ -104,6 +108,12 @@
             fault(path, "0", "a whole number greater than 0");
         }
     }
+    faults.extend(
+        settings
+            .platform_api
+            .iter()
+            .flat_map(PlatformApiSettings::faults),
+    );
     if faults.is_empty() {
         Ok(settings)
     } else {
