Report the usage of client accounts

The platform gets no report of how many requests of each client account ran. Each VM counts a caller's request when it is sent to an endpoint, and takes the count back if the endpoint refuses it as not run or it was not sent after all; so requests whose answer is late or lost count, and retries and hedges count once. VMs write their counts per window to the table `usage`, under a condition on the row's version, so that a delayed write undoes no later one, and paced by the number of live VMs. The holder of the duties collects them 4 s after the end of a window, stores the report under the condition that there is none and that no later holder has begun, and sends only what is stored.

The highest fence that was read stays in force if the row of a lease can no longer be decoded.

Changed tests: the rows of VMs in three load tests name the new field; odd rows are now also written to the rows of the duties, by VMs that have duties; the check of settings expects a sixth fault.

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod event_stream;
 mod link;
+mod platform_api;
 mod row_store;
 mod sampler;
 mod sampler_answers;
@@ -17,6 +18,7 @@
     down::WhenDown,
     endless::{EndlessPart, EndlessSampler},
     link::{Link, LinkState},
+    platform_api::{ApiState, DutyCall, PlatformApi},
     row_store::{Row, RowStore},
     sampler::{RunStart, Sampler, SamplerSettings},
     scripted::{ScriptedAnswer, ScriptedSampler},
--- a/src/core/duties/calls.rs
+++ b/src/core/duties/calls.rs
@@ -35,7 +35,8 @@
 ///
 /// let mut rng = SmallRng::seed_from_u64(1);
 /// let mut calls = DutyCalls::new(50.0);
-/// calls.on_sent(1_000);
+/// assert!(calls.take_turn(1_000));
+/// assert!(!calls.take_turn(1_010));
 /// assert_eq!(calls.next_at_ms(), 1_045);
 /// calls.on_answer(1_010, CallAnswer::Failed, &mut rng);
 /// assert!(calls.next_at_ms() >= 1_060);
@@ -78,9 +79,13 @@
         self.next_at_ms
     }
 
-    /// Records that a call is sent now.
-    pub fn on_sent(&mut self, now_ms: u64) {
-        self.next_at_ms = self.next_at_ms.max(now_ms + self.interval_ms);
+    /// Returns whether a call may be made now, which it then must be, or be given up.
+    pub const fn take_turn(&mut self, now_ms: u64) -> bool {
+        let is_allowed = now_ms >= self.next_at_ms;
+        if is_allowed {
+            self.next_at_ms = now_ms + self.interval_ms;
+        }
+        is_allowed
     }
 
     /// Records the answer to a call.
--- a/src/core/leader_lease/leader_lease.rs
+++ b/src/core/leader_lease/leader_lease.rs
@@ -60,6 +60,9 @@
     gap_ms: u64,
     /// The row, if it exists, and its version; `None` if it must be read.
     known_row: Option<(Option<LeaderLeaseRow>, u64)>,
+    /// The highest fencing number that was read or written: a row that cannot be decoded
+    /// must not start the numbers anew.
+    highest_fence: u64,
     /// The earliest time at which this VM renews a lease that it holds.
     renew_at_ms: u64,
 }
@@ -75,6 +78,7 @@
             incarnation,
             gap_ms,
             known_row: None,
+            highest_fence: 0,
             renew_at_ms: 0,
         }
     }
@@ -88,12 +92,18 @@
         {
             return;
         }
-        self.known_row = Some((row, row_version));
+        self.set_known(row, row_version);
     }
 
     /// Records that the write of a claim was committed.
     pub fn on_written(&mut self, row: LeaderLeaseRow, row_version: u64) {
-        self.known_row = Some((Some(row), row_version));
+        self.set_known(Some(row), row_version);
+    }
+
+    fn set_known(&mut self, row: Option<LeaderLeaseRow>, row_version: u64) {
+        let fence = row.as_ref().map_or(0, |row| row.fence);
+        self.highest_fence = self.highest_fence.max(fence);
+        self.known_row = Some((row, row_version));
     }
 
     /// Records that the content of the row is unknown, so that it must be read.
@@ -125,12 +135,16 @@
         if !was_own_vm && !self.may_take(earliest_ms) {
             return None;
         }
-        let last_fence = row.as_ref().map_or(0, |row| row.fence);
+        let last_fence = self.highest_fence;
         self.renew_at_ms = now_ms + RENEW_INTERVAL_MS;
         let row = LeaderLeaseRow {
             holder: Some(self.me.clone()),
             incarnation: self.incarnation,
-            fence: if is_mine { last_fence } else { last_fence + 1 },
+            fence: if is_mine {
+                last_fence
+            } else {
+                last_fence.saturating_add(1)
+            },
             until_platform_ms: earliest_ms + TERM_MS,
         };
         Some(LeaseClaim {
@@ -145,7 +159,7 @@
     pub fn may_take(&self, earliest_ms: u64) -> bool {
         self.known_row.as_ref().is_some_and(|(row, _)| {
             row.as_ref()
-                .is_none_or(|row| earliest_ms >= row.until_platform_ms + self.gap_ms)
+                .is_none_or(|row| earliest_ms >= row.until_platform_ms.saturating_add(self.gap_ms))
         })
     }
 
--- a/src/core/roster/roster.rs
+++ b/src/core/roster/roster.rs
@@ -27,6 +27,9 @@
     /// From which endpoints it is cut off.
     #[serde(default)]
     pub paths: PathReport,
+    /// The offset of its time of day from the store's clock, in milliseconds, if known.
+    #[serde(default)]
+    pub unix_offset_ms: Option<i64>,
 }
 
 /// Whether a particular start of a VM is considered to be running.
--- a/src/platform/duties.rs
+++ b/src/platform/duties.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use serde::Serialize;
+use strum::IntoStaticStr;
 
 use crate::core::Name;
 
@@ -15,7 +16,6 @@
 const FENCE_HEADER: &str = "x-fence-token";
 
 /// A call of a duty.
-#[expect(dead_code, reason = "the duties are still to come")]
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum DutyCall {
     /// Reports the requests of a window, by account.
@@ -24,6 +24,7 @@
         counts: BTreeMap<Name, u64>,
     },
     /// Orders a number of endpoints of a service in a data centre.
+    #[expect(dead_code, reason = "the scale duty constructs it")]
     Scale {
         service: Name,
         data_centre: Name,
@@ -42,7 +43,8 @@
 }
 
 /// What became of a call of a duty.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum DutyOutcome {
     /// The platform has accepted it.
     Accepted,
@@ -58,6 +60,13 @@
     NotHeld,
 }
 
+impl DutyOutcome {
+    /// Returns the kind of the outcome, as metrics and logs state it.
+    pub(crate) fn name(&self) -> &'static str {
+        self.into()
+    }
+}
+
 #[derive(Serialize)]
 struct WireUsage<'a> {
     window: u64,
--- a/src/server/duties/handle.rs
+++ b/src/server/duties/handle.rs
@@ -13,6 +13,7 @@
         http_client::{
             self, CONNECT_TIMEOUT_MS, ExchangeError, IdleOutcome, ResponseOrder, WholeReply, within,
         },
+        metrics::Metrics,
         state::{Server, lock},
     },
     settings::PlatformApiSettings,
@@ -43,14 +44,18 @@
     ///
     /// The clock counts the time during which the VM was suspended.
     pub(crate) fn fence(&self) -> Option<u64> {
+        let abstains = lock(&self.duties.calls).abstains(now_ms());
+        if abstains || self.is_draining() {
+            return None;
+        }
         let (_, latest_ms) = self.server.store.clock_bounds_ms()?;
         lock(&self.duties().lease).fence(latest_ms)
     }
 
-    /// Waits until pacing and back-off allow the next call.
+    /// Waits until pacing and back-off allow the next call, of whichever duty.
     pub(crate) async fn wait_for_turn(&self) {
         loop {
-            let next_at_ms = lock(&self.duties().calls).next_at_ms();
+            let next_at_ms = lock(&self.duties.calls).next_at_ms();
             if next_at_ms <= now_ms() {
                 return;
             }
@@ -58,14 +63,19 @@
         }
     }
 
+    async fn take_turn(&self) {
+        while !lock(&self.duties.calls).take_turn(now_ms()) {
+            self.wait_for_turn().await;
+        }
+    }
+
     /// Makes a call once pacing and back-off allow it, if this VM holds the duties then.
     ///
     /// A call is sent once; repeating it is for the duty to decide.
-    #[expect(dead_code, reason = "the duties are still to come")]
     pub(crate) async fn send(&self, call: &DutyCall) -> DutyOutcome {
         let duties = self.duties();
         let _in_progress = duties.in_progress.read().await;
-        self.wait_for_turn().await;
+        self.take_turn().await;
         let Some(fence) = self.fence() else {
             return DutyOutcome::NotHeld;
         };
@@ -82,7 +92,6 @@
                 return DutyOutcome::Rejected(0);
             }
         };
-        lock(&duties.calls).on_sent(now_ms());
         let deadline_ms = now_ms() + CALL_TIMEOUT_MS;
         let address = duties.api.address;
         let exchange = within(self.exchange(request, fence), address, deadline_ms);
@@ -141,6 +150,10 @@
         &self.server.store
     }
 
+    pub(super) fn metrics(&self) -> &Metrics {
+        &self.server.metrics
+    }
+
     /// Returns whether this VM shuts down.
     pub(super) fn is_draining(&self) -> bool {
         self.server.is_draining()
--- a/src/server/duties/lease.rs
+++ b/src/server/duties/lease.rs
@@ -32,6 +32,7 @@
             claim_when_due(&handle, &mut claim_at_ms).await;
         }
         let fence = handle.fence();
+        handle.metrics().duties_held.set(i64::from(fence.is_some()));
         log_change(&handle, fence_before, fence);
         fence_before = fence;
         if is_draining {
--- a/src/server/duties/state.rs
+++ b/src/server/duties/state.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::RwLock;
 
-use super::handle::CALL_TIMEOUT_MS;
+use super::{handle::CALL_TIMEOUT_MS, usage::UsageState};
 use crate::{
     core::{duties::DutyCalls, leader_lease::LeaderLease},
     settings::{PlatformApiSettings, VmSettings},
@@ -13,6 +13,7 @@
     pub(super) api: PlatformApiSettings,
     pub(super) lease: Mutex<LeaderLease>,
     pub(super) calls: Mutex<DutyCalls>,
+    pub(super) usage: Option<UsageState>,
     /// Held for reading while a call is in progress, and for writing while this VM steps
     /// down: the next holder must not be overtaken by a call of this VM.
     pub(super) in_progress: RwLock<()>,
@@ -31,6 +32,7 @@
         Some(Self {
             calls: Mutex::new(DutyCalls::new(api.calls_per_s)),
             lease: Mutex::new(lease),
+            usage: UsageState::from_settings(&api),
             in_progress: RwLock::new(()),
             api,
         })
--- a/src/server/endpoint_exchange.rs
+++ b/src/server/endpoint_exchange.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
 
 use super::{
+    duties::AttemptUsage,
     endpoint_relay,
     http_client::{ExchangeError, IdleOutcome, Reply, ResponseOrder, WholeReply, within},
     paths,
@@ -128,15 +129,39 @@
 
 /// Whether an endpoint may have received a part of a request that is still in progress.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct SendProgress(Arc<AtomicBool>);
+pub(crate) struct SendProgress {
+    may_be_sent: Arc<AtomicBool>,
+    /// How the attempt is counted, if it is one of a request that is counted.
+    usage: Option<AttemptUsage>,
+}
 
 impl SendProgress {
+    /// Creates the progress of an attempt of a caller's request.
+    pub(crate) fn of_attempt(usage: Option<AttemptUsage>) -> Self {
+        Self {
+            may_be_sent: Arc::default(),
+            usage,
+        }
+    }
+
     pub(crate) fn may_be_sent(&self) -> bool {
-        self.0.load(Ordering::SeqCst)
+        self.may_be_sent.load(Ordering::SeqCst)
     }
 
     pub(crate) fn set_may_be_sent(&self, may_be_sent: bool) {
-        self.0.store(may_be_sent, Ordering::SeqCst);
+        self.may_be_sent.store(may_be_sent, Ordering::SeqCst);
+        match &self.usage {
+            Some(usage) if may_be_sent => usage.on_sent(),
+            Some(usage) => usage.on_not_run(),
+            None => {}
+        }
+    }
+
+    /// Records that the endpoint has not run the request, whether it was sent or not.
+    pub(crate) fn on_not_run(&self) {
+        if let Some(usage) = &self.usage {
+            usage.on_not_run();
+        }
     }
 }
 
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -11,6 +11,7 @@
 use super::{
     attempt::{AttemptError, EndpointRequest, send_to_endpoint},
     content_runs::{self, StartOutcome},
+    duties::{AttemptUsage, RequestUsage},
     endpoint_exchange::SendProgress,
     front::CallerRequest,
     response::Body,
@@ -72,12 +73,16 @@
     software: Option<Name>,
     content: Name,
     caller_deadline_ms: u64,
+    /// How the request is counted for its account, if it is.
+    usage: Option<Arc<RequestUsage>>,
 }
 
 /// The state of a request across its attempts.
 struct ForwardState {
     /// The number of attempts that were started.
     attempts_started: u32,
+    /// The number of attempts, also of those that were not sent.
+    tried_attempts: u32,
     /// The attempts that were not sent, since their endpoints had reached their limits.
     denied_permits: u32,
     /// The endpoints that were tried.
@@ -146,9 +151,11 @@
         software,
         content: content_fingerprint(&request.head.host, &request.head.target, &request.body),
         caller_deadline_ms,
+        usage: RequestUsage::of(server, request.account.as_ref()),
     };
     let mut state = ForwardState {
         attempts_started: 0,
+        tried_attempts: 0,
         denied_permits: 0,
         tried: BTreeSet::new(),
         running: BTreeMap::new(),
@@ -346,7 +353,12 @@
     fn attempt(&self, state: &mut ForwardState, in_flight: InFlight, purpose: Purpose) -> Attempt {
         state.attempts_started += 1;
         state.tried.insert(in_flight.endpoint.clone());
-        let progress = SendProgress::default();
+        let usage = self.usage.clone().map(|request| AttemptUsage {
+            request,
+            attempt: state.tried_attempts,
+        });
+        state.tried_attempts += 1;
+        let progress = SendProgress::of_attempt(usage);
         state
             .running
             .insert(in_flight.endpoint.clone(), progress.clone());
@@ -374,9 +386,12 @@
                 is_resumed: head.is_resumed,
                 resumed_request: head.resumed_request.clone(),
                 max_wait_ms,
-                progress,
+                progress: progress.clone(),
             };
             let result = send_to_endpoint(&server, &route, in_flight, outgoing).await;
+            if let Err(AttemptError::NotPermitted(_) | AttemptError::NotRun(..)) = &result {
+                progress.on_not_run();
+            }
             (endpoint, result)
         })
     }
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -48,6 +48,7 @@
         peer_address: settings.peer_address,
         cpu_share: settings.cpu_share,
         paths: lock(&server.pool).paths().report(now_ms()),
+        unix_offset_ms: duties::own_offset_ms(&server.store),
     };
     let bytes = match rmp_serde::to_vec_named(&row) {
         Ok(bytes) => bytes,
@@ -88,6 +89,7 @@
             let leader_lease = rows.rows.iter().find(|row| &*row.key == LEADER_LEASE_KEY);
             on_leader_lease_row(server, leader_lease);
             duties::on_lease_row(server, &rows.rows);
+            duties::set_true_offset(server);
             let pointer = rows.rows.iter().find(|row| &*row.key == CRASH_POINTER_KEY);
             crash_rows::on_pointer_row(server, pointer.map_or(0, |row| row.version));
             server.batches_changed.notify_one();
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -34,6 +34,10 @@
     endpoint_connects: Family<Labels, Counter>,
     cut_paths: Family<Labels, Gauge>,
     relayed_requests: Family<Labels, Counter>,
+    usage_reports: Family<Labels, Counter>,
+    usage_report_age_seconds: Gauge,
+    usage_counts_unwritten: Gauge,
+    pub(crate) duties_held: Gauge,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -65,6 +69,10 @@
             endpoint_connects: Family::default(),
             cut_paths: Family::default(),
             relayed_requests: Family::default(),
+            usage_reports: Family::default(),
+            usage_report_age_seconds: Gauge::default(),
+            usage_counts_unwritten: Gauge::default(),
+            duties_held: Gauge::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -85,6 +93,7 @@
         };
         metrics.register();
         metrics.register_paths();
+        metrics.register_duties();
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
@@ -237,6 +246,53 @@
         );
     }
 
+    fn register_duties(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "usage_reports",
+            "Reports of usage that this VM sent, by outcome",
+            self.usage_reports.clone(),
+        );
+        let gauges = [
+            (
+                "usage_report_age_seconds",
+                "From the end of the last window whose report is acknowledged, at the holder",
+                &self.usage_report_age_seconds,
+            ),
+            (
+                "usage_counts_unwritten",
+                "Requests whose counting this VM has not written yet",
+                &self.usage_counts_unwritten,
+            ),
+            (
+                "duties_held",
+                "Whether this VM holds the duties",
+                &self.duties_held,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Records the outcome of a report of usage.
+    pub(crate) fn on_usage_report(&self, outcome: &'static str) {
+        let reports = &self.usage_reports;
+        reports.get_or_create(&vec![("outcome", outcome)]).inc();
+    }
+
+    /// Records how long ago the last window ended whose report is acknowledged.
+    pub(crate) fn set_usage_report_age(&self, age_ms: u64) {
+        let seconds = i64::try_from(age_ms / 1_000).unwrap_or(i64::MAX);
+        self.usage_report_age_seconds.set(seconds);
+    }
+
+    /// Records for how many requests the counting is not written yet.
+    pub(crate) fn set_unwritten_usage(&self, requests: u64) {
+        let requests = i64::try_from(requests).unwrap_or(i64::MAX);
+        self.usage_counts_unwritten.set(requests);
+    }
+
     pub(crate) fn on_refusal(&self, kind: ErrorKind) {
         let refusals = &self.refusals;
         refusals.get_or_create(&vec![("kind", kind.into())]).inc();
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -75,6 +75,9 @@
         tokio::spawn(duties::keep_lease(handle.clone()));
         tokio::spawn(duties::run_duties(handle));
     }
+    if let Some(counted) = server.duties.clone() {
+        tokio::spawn(duties::write_counts(server.clone(), counted));
+    }
     tokio::spawn(stream_rows::follow_origins(server.clone()));
     tokio::spawn(stream_rows::write_rows(server.clone()));
     tokio::spawn(stream_rows::clean_periodically(server.clone()));
@@ -179,6 +182,7 @@
     while open_connections() + relayed_requests() > 0 && now_ms() < stop.exit_at_ms {
         tokio::time::sleep(Duration::from_millis(LAST_CALLERS_CHECK_INTERVAL_MS)).await;
     }
+    duties::flush_counts(server).await;
     tracing::info!(
         open_connections = open_connections(),
         relayed_requests = relayed_requests(),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -253,7 +253,13 @@
         .replace("0.5", "0")
         .replace("120000", "0")
         .replace("65536", "0")
-        .replace("140", "0");
+        .replace("140", "0")
+        .replace(
+            "\"order_gap_ms\": 500",
+            "\"order_gap_ms\": 500, \"platform_api\": {\"address\": \"127.0.0.1:1\", \
+             \"calls_per_s\": 0, \"duties\": [\"usage\", \"scale\"], \
+             \"usage_window_s\": 5, \"usage_due_s\": 10}",
+        );
     let file = TempFile::new(&faulty);
     let output = run(&["check", "--vm", file.path()]);
     let printed = text(&output.stderr);
@@ -264,10 +270,11 @@
         "keep_batches_ms",
         "row_bytes",
         "memory_mb",
+        "platform_api.calls_per_s",
     ] {
         assert!(printed.contains(&format!(": {path}: found ")), "{printed}");
     }
-    assert_eq!(printed.lines().count(), 5, "{printed}");
+    assert_eq!(printed.lines().count(), 6, "{printed}");
 }
 
 #[test]
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -30,6 +30,8 @@
 const CALL_TIMEOUT_MS: u64 = 8_000;
 /// How long all VMs take to read the list of VMs after the last one has started.
 const VMS_KNOWN: Duration = Duration::from_millis(1_200);
+/// The shortest time between the orders of two VMs, in milliseconds.
+pub const ORDER_GAP_MS: u64 = 500;
 /// The host name of all routes.
 pub const HOST: &str = "rollouts.example";
 
@@ -51,6 +53,8 @@
     pub store_addresses: Vec<SocketAddr>,
     /// The data centre of each VM.
     pub data_centres: Vec<String>,
+    /// The platform's API in the settings of VMs, if there is one.
+    pub platform_api: Option<Value>,
     /// The links between each VM and all samplers, if there are any.
     links: Vec<Vec<Link>>,
     /// Whether the logs are kept when this value is dropped; the variable
@@ -113,6 +117,7 @@
             plain_samplers,
             vms: Vec::new(),
             data_centres: vec!["dc-1".to_owned(); vms],
+            platform_api: None,
             links: Vec::new(),
             keeps_logs: std::env::var_os("KEEP_LOGS").is_some(),
             start_count: 0,
@@ -174,7 +179,7 @@
         let name = format!("vm-{number}");
         let any_port = "127.0.0.1:0";
         let seeds: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.addresses["peers"]).collect();
-        let settings = json!({
+        let mut settings = json!({
             "vm": name, "data_centre": self.data_centres[number], "caller_address": any_port,
             "readiness_address": any_port, "directory_address": any_port,
             "peer_address": any_port,
@@ -182,8 +187,11 @@
             "store_address": self.store_addresses[number], "row_bytes": ROW_BYTES,
             "object_bytes": OBJECT_BYTES, "memory_mb": 140, "cpu_share": 0.5,
             "keep_addresses_s": 2, "keep_batches_ms": 120_000, "stop_grace_s": 4.0,
-            "order_gap_ms": 500,
+            "order_gap_ms": ORDER_GAP_MS,
         });
+        if let Some(api) = &self.platform_api {
+            settings["platform_api"] = api.clone();
+        }
         let file = self.dir.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("the settings are written");
         let log = self.dir.join(format!("{name}-{}.log", self.start_count));
--- a/tests/loads/limits_hold_over_vms.rs
+++ b/tests/loads/limits_hold_over_vms.rs
@@ -149,6 +149,7 @@
             peer_address: ([127, 0, 0, 1], 2).into(),
             cpu_share: 0.5,
             paths: chicoryreach::core::paths::PathReport::default(),
+            unix_offset_ms: None,
         };
         self.rows.insert(vm.name.clone(), (row, self.store_version));
         vm.authority.on_row_written(now_ms, now_ms);
--- a/tests/loads/presence_of_starting_and_silent_vms.rs
+++ b/tests/loads/presence_of_starting_and_silent_vms.rs
@@ -14,6 +14,7 @@
         peer_address: address,
         cpu_share: 0.5,
         paths: chicoryreach::core::paths::PathReport::default(),
+        unix_offset_ms: None,
     }
 }
 
--- a/tests/process_serve/odd_entries.rs
+++ b/tests/process_serve/odd_entries.rs
@@ -23,7 +23,7 @@
 const ENTRIES_KNOWN: Duration = Duration::from_millis(1_500);
 
 /// The tables that VMs write, each with a part and a key of a row that is read.
-const OWN_ROWS: [(&str, &str, &str); 9] = [
+const OWN_ROWS: [(&str, &str, &str); 13] = [
     ("vms", "", "vm-odd"),
     ("vms", "", "~orders"),
     ("batches", "b-odd", "head"),
@@ -33,6 +33,10 @@
     ("failures", "b1", "run/odd"),
     ("streams", "streams", "vm-odd/1"),
     ("crashes", "", "odd"),
+    ("vms", "", "~duties"),
+    ("usage", "", "000000000001/vm-odd/1"),
+    ("usage", "", "~progress"),
+    ("usage", "", "~report/000000000001"),
 ];
 
 fn real_entry(service: &str) -> Value {
@@ -235,7 +239,11 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn odd_rows_of_vms_end_no_vm(#[values(1, 2, 3, 4)] seed: u64) {
-    let mut fleet = Fleet::start(VMS, SAMPLER_SETTINGS).await;
+    let mut fleet = Fleet::start_without_vms(VMS, SAMPLER_SETTINGS).await;
+    // Nothing listens there; the rows of the duties are read all the same.
+    fleet.platform_api = Some(json!({"address": "127.0.0.1:9", "calls_per_s": 50,
+        "duties": ["usage"], "usage_window_s": 1, "usage_due_s": 5}));
+    fleet.start_vms(VMS).await;
     let mut rng = SmallRng::seed_from_u64(seed);
     for _ in 0..12 {
         for (table, part, key) in OWN_ROWS {
