Decide how many endpoints a service needs in each data centre

Services whose configuration allows their endpoints to be scaled keep the number they start with, whatever trainers and callers submit: steps are late when the load rises, and idle endpoints are billed when it falls.

`core::scale` turns the batches of the last steps, open batches with their deadlines and the requests in flight into slots, and these with a third of headroom into endpoints by data centre. More are ordered at once, fewer only after a minute in which fewer were enough and a tenth at a time, so that noise moves nothing. Work that lasts for a minute is given to ordinary endpoints, the rest to reclaimable ones, spread so that those of one data centre may vanish. A data centre without endpoints pauses for 5 s, and others get the rest. Nothing calls it yet.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -30,6 +30,7 @@
 pub mod routing;
 pub mod run_ahead;
 pub mod sample;
+pub mod scale;
 pub mod store_path;
 pub mod straggler;
 pub mod streams;
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -6,6 +6,7 @@
     mod callers_get_nearby_vms;
     mod crash_world;
     mod cut_streams_resume_whole;
+    mod endpoints_follow_the_load;
     mod frequent_weights_leave_samplers_usable;
     mod limits_hold_over_vms;
     mod long_samples_get_fast_samplers;
