Order endpoints from the work of all VMs while this VM holds the duties

Services with `autoscale` kept their number of endpoints, as nothing ordered any. The holder of the duties now decides twice a second from the list of endpoints, the batches that every VM follows and what each VM tells of its work in its row: requests in flight other than samples, refusals for want of room, and the slot time of samples by their trainers' estimates. The field is optional and left out where there is no such work, so that earlier builds read the rows as before. Entries of endpoints may name `spot` and `leaves_ms`. Each order leaves one line with its inputs; the metrics `scale_orders`, `endpoints_wanted` and `endpoints_listed` count them. Without `autoscale` or the duty `scale`, nothing is sent and no row changes. Lints and the tests of the decision pass; no run of processes in this commit.

--- a/src/core/paths/endpoint_paths.rs
+++ b/src/core/paths/endpoint_paths.rs
@@ -27,6 +27,8 @@
 ///     data_centre: data_centre.into(),
 ///     slots: 8,
 ///     stage: EndpointStage::Ready,
+///     is_spot: false,
+///     leaves_ms: None,
 ///     weights: Default::default(),
 /// };
 /// let mut paths = EndpointPaths::default();
--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -35,6 +35,10 @@
     pub slots: u32,
     /// Whether it accepts new work.
     pub stage: EndpointStage,
+    /// Whether the platform may reclaim it.
+    pub is_spot: bool,
+    /// When it leaves, as it reports itself once it accepts no new work.
+    pub leaves_ms: Option<u64>,
     /// The weights version loaded for each of its models.
     pub weights: BTreeMap<Name, u64>,
 }
--- a/src/core/roster/roster.rs
+++ b/src/core/roster/roster.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{Name, paths::PathReport};
+use crate::core::{Name, paths::PathReport, scale::ServiceLoad};
 
 /// How long a VM's row may stay unchanged before the VM counts as lost, in
 /// milliseconds: three missed updates, and a slow store.
@@ -30,6 +30,10 @@
     /// The offset of its time of day from the store's clock, in milliseconds, if known.
     #[serde(default)]
     pub unix_offset_ms: Option<i64>,
+    /// Its work at the services whose endpoints are scaled, without those where it has
+    /// none.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub loads: BTreeMap<Name, ServiceLoad>,
 }
 
 /// Whether a particular start of a VM is considered to be running.
--- a/src/core/scale/demand.rs
+++ b/src/core/scale/demand.rs
@@ -36,7 +36,7 @@
 pub fn trainer_slots(now_ms: u64, batches: &[BatchWork], slot_ms_per_token: f64) -> f64 {
     let mut by_trainer: BTreeMap<&str, Vec<&BatchWork>> = BTreeMap::new();
     for batch in batches {
-        if batch.accepted_ms + RATE_WINDOW_MS > now_ms {
+        if batch.accepted_ms.saturating_add(RATE_WINDOW_MS) > now_ms {
             by_trainer.entry(&batch.trainer).or_default().push(batch);
         }
     }
@@ -87,7 +87,7 @@
     slots: f64,
     boot_ms: u64,
 ) -> f64 {
-    let earliest_ms = now_ms + boot_ms + MIN_USEFUL_MS;
+    let earliest_ms = now_ms.saturating_add(boot_ms).saturating_add(MIN_USEFUL_MS);
     let open = batches.iter().filter(|batch| batch.unlisted_share > 0.0);
     let mut due: Vec<(u64, f64)> = open
         .map(|batch| {
@@ -100,9 +100,11 @@
     let mut needed: f64 = 0.0;
     for (due_ms, batch_work_ms) in due {
         work_ms += batch_work_ms;
-        let missing_ms = work_ms - slots * to_f64(due_ms - now_ms);
+        let left_ms = due_ms.saturating_sub(now_ms);
+        let useful_ms = left_ms.saturating_sub(boot_ms).max(MIN_USEFUL_MS);
+        let missing_ms = work_ms - slots * to_f64(left_ms);
         if missing_ms > 0.0 {
-            needed = needed.max(slots + missing_ms / to_f64(due_ms - now_ms - boot_ms));
+            needed = needed.max(slots + missing_ms / to_f64(useful_ms));
         }
     }
     needed
--- a/src/core/scale/group.rs
+++ b/src/core/scale/group.rs
@@ -79,9 +79,9 @@
             ScaleOutcome::Accepted => {
                 self.target = target;
                 self.has_lost = false;
-                self.expected_by_ms = now_ms + boot_ms + LIST_MARGIN_MS;
+                self.expected_by_ms = now_ms.saturating_add(boot_ms.saturating_add(LIST_MARGIN_MS));
             }
-            ScaleOutcome::Unavailable => self.pause(now_ms),
+            ScaleOutcome::Unavailable | ScaleOutcome::Rejected => self.pause(now_ms),
             ScaleOutcome::Failed => self.retry_at_ms = now_ms + RETRY_MS,
         }
     }
--- a/src/core/scale/outcome.rs
+++ b/src/core/scale/outcome.rs
@@ -39,6 +39,8 @@
     Accepted,
     /// The data centre has no endpoint available now.
     Unavailable,
+    /// The platform does not take such an order.
+    Rejected,
     /// It was not sent, or there was no answer to rely on.
     Failed,
 }
--- a/src/core/scale/scaler.rs
+++ b/src/core/scale/scaler.rs
@@ -187,19 +187,19 @@
     fn estimate(&mut self, inputs: &ScaleInputs<'_>, centres: &BTreeSet<Name>) -> ScaleDecision {
         let (now_ms, work, limits) = (inputs.now_ms, inputs.work, inputs.limits);
         let ready: u32 = inputs.supply.values().map(|supply| supply.ready).sum();
-        let slots: u32 = inputs.supply.values().map(|supply| supply.slots).sum();
-        if ready > 0 && slots > 0 {
-            self.slots_per_endpoint = Some(f64::from(slots) / f64::from(ready));
+        let slots = inputs.supply.values().map(|supply| f64::from(supply.slots));
+        let slots: f64 = slots.sum();
+        if ready > 0 && slots > 0.0 {
+            self.slots_per_endpoint = Some(slots / f64::from(ready));
         }
         let trainer_slots = work.slot_ms_per_token.map_or(0.0, |ms| {
             let average = trainer_slots(now_ms, &work.batches, ms);
-            let catch_up =
-                deadline_slots(now_ms, &work.batches, ms, f64::from(slots), limits.boot_ms);
+            let catch_up = deadline_slots(now_ms, &work.batches, ms, slots, limits.boot_ms);
             // The slots that are needed to be in time hold headroom already.
             let catch_up = catch_up / HEADROOM_FACTOR;
             average.max(catch_up.min(MAX_CATCH_UP_FACTOR * average))
         });
-        let refused = f64::from(work.refused_per_s).min(MAX_REFUSED_SHARE * f64::from(slots));
+        let refused = f64::from(work.refused_per_s).min(MAX_REFUSED_SHARE * slots);
         let caller_slots = self.on_callers(f64::from(work.callers_in_flight) + refused);
         let centre_count = u32::try_from(centres.len()).unwrap_or(u32::MAX);
         // Without any endpoint so far, nobody knows how much one can do.
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -26,6 +26,9 @@
 const WEIGHTS_PREFIX: &str = "version/";
 const DEFAULT_ROUTE_TIMEOUT_MS: u64 = 10_000;
 const DEFAULT_MAX_ATTEMPTS: u32 = 2;
+/// The most endpoints of a service in a data centre that are ordered, whatever a
+/// configuration allows: several times as many as the largest deployment has in all.
+const MAX_SCALED_ENDPOINTS: u32 = 10_000;
 
 #[derive(Deserialize)]
 struct WireConfig {
@@ -131,6 +134,11 @@
     _heartbeats: u64,
     #[serde(default, rename = "stage")]
     _work: Option<Name>,
+    // Newer than the other fields: an entry counts whatever stands in them.
+    #[serde(default)]
+    spot: Value,
+    #[serde(default)]
+    leaves_ms: Value,
 }
 
 #[derive(Deserialize)]
@@ -182,8 +190,8 @@
 
 fn scale_limits(wire: WireAutoscale) -> ScaleLimits {
     ScaleLimits {
-        min_endpoints: wire.min,
-        max_endpoints: wire.max.max(wire.min),
+        min_endpoints: wire.min.min(MAX_SCALED_ENDPOINTS),
+        max_endpoints: wire.max.max(wire.min).min(MAX_SCALED_ENDPOINTS),
         boot_ms: round_ms(wire.boot_s * 1_000.0),
         spot_price_share: wire.spot_price,
         prices_per_s: wire.zone_prices,
@@ -260,6 +268,8 @@
         data_centre: wire.zone,
         slots: wire.slots.get(),
         stage,
+        is_spot: wire.spot.as_bool().unwrap_or(false),
+        leaves_ms: wire.leaves_ms.as_f64().map(round_ms),
         weights: weights.collect::<BTreeMap<_, _>>(),
     })
 }
--- a/src/platform/duties.rs
+++ b/src/platform/duties.rs
@@ -24,7 +24,6 @@
         counts: BTreeMap<Name, u64>,
     },
     /// Orders a number of endpoints of a service in a data centre.
-    #[expect(dead_code, reason = "the scale duty constructs it")]
     Scale {
         service: Name,
         data_centre: Name,
--- a/src/server/claims.rs
+++ b/src/server/claims.rs
@@ -178,6 +178,18 @@
 }
 
 impl KnownBatch {
+    /// Returns the part of the batch whose samples may not be listed yet, from 0 to 1: the
+    /// part of its shares that are not done.
+    pub(crate) fn unlisted_share(&self) -> f64 {
+        let Some(head) = self.head.as_ref().filter(|_| !self.is_ended) else {
+            return 0.0;
+        };
+        let done = self.owners.values().filter(|(owner, _)| owner.is_done);
+        let done = u32::try_from(done.count()).unwrap_or(u32::MAX);
+        let count = head.share_count.max(1);
+        f64::from(count.saturating_sub(done)) / f64::from(count)
+    }
+
     fn ownership(&self, server: &Server, roster: &Roster, share: u32) -> Ownership {
         if self.running.contains_key(&share) {
             return Ownership::Owned;
--- a/src/server/duties/handle.rs
+++ b/src/server/duties/handle.rs
@@ -176,7 +176,6 @@
     }
 
     /// Returns the state of this VM, for duties that plan from its pool and batches.
-    #[expect(dead_code, reason = "the scale duty reads it")]
     pub(super) const fn server(&self) -> &Arc<Server> {
         &self.server
     }
--- a/src/server/duties/state.rs
+++ b/src/server/duties/state.rs
@@ -20,6 +20,11 @@
 }
 
 impl Duties {
+    /// Returns the settings of the platform's API.
+    pub(crate) const fn api(&self) -> &PlatformApiSettings {
+        &self.api
+    }
+
     /// Creates the state if the settings name duties.
     pub(crate) fn from_settings(settings: &VmSettings, incarnation: u64) -> Option<Self> {
         let api = settings.platform_api.clone()?;
--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -285,9 +285,11 @@
         let message = format!("all endpoints of service {service} have reached their limits");
         limit_refusal(server, service, message)
     } else if lock(&server.pool).has_ready_endpoint(service) {
+        lock(&server.load_signals).on_refused(service);
         let message = format!("all endpoints of service {service} are full");
         Refusal::new(ErrorKind::Overloaded, message)
     } else {
+        lock(&server.load_signals).on_refused(service);
         let message = format!("service {service} has no endpoint that accepts requests");
         Refusal::new(ErrorKind::NoEndpoint, message)
     }
@@ -433,6 +435,7 @@
         let kind = if state.may_have_run {
             ErrorKind::AttemptsExhausted
         } else {
+            lock(&self.server.load_signals).on_refused(&self.service);
             ErrorKind::Overloaded
         };
         let refusal = Refusal::new(kind, state.message);
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -4,7 +4,7 @@
 
 use super::{
     crash_rows::{self, CRASH_POINTER_KEY},
-    duties,
+    duties, scaling,
     state::{Server, lock},
 };
 use crate::{
@@ -41,6 +41,8 @@
 
 async fn write_own_row(server: &Server) {
     let settings = &server.settings;
+    // Not within the row: its expression holds the lock of the pool.
+    let loads = scaling::own_loads(server);
     let row = VmRow {
         incarnation: server.incarnation,
         data_centre: settings.data_centre.clone(),
@@ -49,6 +51,7 @@
         cpu_share: settings.cpu_share,
         paths: lock(&server.pool).paths().report(now_ms()),
         unix_offset_ms: duties::own_offset_ms(&server.store),
+        loads,
     };
     let bytes = match rmp_serde::to_vec_named(&row) {
         Ok(bytes) => bytes,
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -12,7 +12,7 @@
 
 use super::http_client::Reachability;
 use crate::{
-    core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason},
+    core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason, scale::ScaleOutcome},
     error::ErrorKind,
 };
 
@@ -38,6 +38,7 @@
     usage_report_age_seconds: Gauge,
     usage_counts_unwritten: Gauge,
     pub(crate) duties_held: Gauge,
+    scale_orders: Family<Labels, Counter>,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -49,6 +50,8 @@
     pub(crate) permits_asked: Counter,
     pub(crate) permits_issued: Counter,
     pub(crate) permits_denied: Counter,
+    pub(crate) endpoints_wanted: Gauge,
+    pub(crate) endpoints_listed: Gauge,
     pub(crate) quarantined_contents: Gauge,
     pub(crate) log_lines_dropped: Gauge,
     pub(crate) config_version: Gauge,
@@ -73,6 +76,7 @@
             usage_report_age_seconds: Gauge::default(),
             usage_counts_unwritten: Gauge::default(),
             duties_held: Gauge::default(),
+            scale_orders: Family::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -84,6 +88,8 @@
             permits_asked: Counter::default(),
             permits_issued: Counter::default(),
             permits_denied: Counter::default(),
+            endpoints_wanted: Gauge::default(),
+            endpoints_listed: Gauge::default(),
             quarantined_contents: Gauge::default(),
             log_lines_dropped: Gauge::default(),
             config_version: Gauge::default(),
@@ -94,6 +100,7 @@
         metrics.register();
         metrics.register_paths();
         metrics.register_duties();
+        metrics.register_scale();
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
@@ -293,6 +300,39 @@
         self.usage_counts_unwritten.set(requests);
     }
 
+    fn register_scale(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "scale_orders",
+            "Orders of endpoints that this VM sent, by outcome",
+            self.scale_orders.clone(),
+        );
+        registry.register(
+            "endpoints_wanted",
+            "Endpoints of scaled services that this VM's last decision wants",
+            self.endpoints_wanted.clone(),
+        );
+        registry.register(
+            "endpoints_listed",
+            "Endpoints of scaled services that were ready at this VM's last decision",
+            self.endpoints_listed.clone(),
+        );
+        for outcome in ScaleOutcome::iter() {
+            let orders = &self.scale_orders;
+            orders
+                .get_or_create(&vec![("outcome", outcome.into())])
+                .inc_by(0);
+        }
+    }
+
+    /// Records how an order of endpoints ended.
+    pub(crate) fn on_scale_order(&self, outcome: ScaleOutcome) {
+        let orders = &self.scale_orders;
+        orders
+            .get_or_create(&vec![("outcome", outcome.into())])
+            .inc();
+    }
+
     pub(crate) fn on_refusal(&self, kind: ErrorKind) {
         let refusals = &self.refusals;
         refusals.get_or_create(&vec![("kind", kind.into())]).inc();
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -44,6 +44,7 @@
 mod run;
 mod run_once;
 mod sample;
+mod scaling;
 mod score;
 mod share;
 mod silence;
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -10,6 +10,7 @@
     metrics::elapsed_seconds,
     progress::UnsavedTexts,
     run_once::run_once,
+    scaling::SlotUse,
     score,
     state::{InFlight, Server, lock},
     text_share::TextShare,
@@ -505,7 +506,9 @@
         runs.run_count += 1;
         let may_move = runs.moves < MAX_MOVES;
         let event_before = runs.text.last_event();
+        let slot_use = SlotUse::begin(&runs.job.server, &reservation.in_flight.origin.service);
         let end = run_once(&runs.job, reservation, &mut runs.text, may_move).await;
+        let service = slot_use.end();
         let failures_before = runs.failures;
         let is_abandoned = runs.on_run_end(&endpoint, end, max_failures);
         if runs.failures > failures_before {
@@ -517,6 +520,9 @@
             return runs.job.to_listed(ListedState::Dead, &runs.text, None);
         }
         if runs.is_complete {
+            let tokens = runs.job.sample.length_hint;
+            let mut signals = lock(&runs.job.server.load_signals);
+            signals.on_sample_complete(&service, tokens);
             break;
         }
         runs.runs_without_progress = if runs.text.last_event() > event_before {
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -31,6 +31,7 @@
         request::StopSchedule,
         roster::Roster,
         routes::RouteTable,
+        scale::LoadSignals,
         streams::{StreamOrigin, StreamOrigins},
     },
     daemon::now_ms,
@@ -92,6 +93,8 @@
     /// The memory that the texts of unlisted samples take.
     pub(crate) text_memory: Mutex<TextMemory>,
     pub(crate) sample_lengths: Mutex<SampleLengths>,
+    /// What this VM observes of its work, from which endpoints are ordered.
+    pub(crate) load_signals: Mutex<LoadSignals>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     /// When this VM exits, once it was told to stop.
@@ -148,6 +151,7 @@
             answer_memory,
             text_memory: Mutex::new(TextMemory::new(shares.texts_bytes)),
             sample_lengths: Mutex::default(),
+            load_signals: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             stop: OnceLock::new(),
--- a/tests/loads/callers_get_nearby_vms.rs
+++ b/tests/loads/callers_get_nearby_vms.rs
@@ -27,6 +27,7 @@
                 cpu_share: if number % 3 == 0 { 0.5 } else { 0.12 },
                 paths: chicoryreach::core::paths::PathReport::default(),
                 unix_offset_ms: None,
+                loads: std::collections::BTreeMap::new(),
             };
             (format!("vm-{data_centre}-{number}").into(), row)
         })
--- a/tests/loads/limits_hold_over_vms.rs
+++ b/tests/loads/limits_hold_over_vms.rs
@@ -150,6 +150,7 @@
             cpu_share: 0.5,
             paths: chicoryreach::core::paths::PathReport::default(),
             unix_offset_ms: None,
+            loads: std::collections::BTreeMap::new(),
         };
         self.rows.insert(vm.name.clone(), (row, self.store_version));
         vm.authority.on_row_written(now_ms, now_ms);
--- a/tests/loads/presence_of_starting_and_silent_vms.rs
+++ b/tests/loads/presence_of_starting_and_silent_vms.rs
@@ -15,6 +15,7 @@
         cpu_share: 0.5,
         paths: chicoryreach::core::paths::PathReport::default(),
         unix_offset_ms: None,
+        loads: std::collections::BTreeMap::new(),
     }
 }
 
--- a/tests/loads/support.rs
+++ b/tests/loads/support.rs
@@ -32,6 +32,8 @@
         data_centre: format!("dc-{}", number % 3).into(),
         slots,
         stage: EndpointStage::Ready,
+        is_spot: false,
+        leaves_ms: None,
         weights: weights.collect::<BTreeMap<_, _>>(),
     }
 }
