Test that endpoints are ordered for batches, and none where none are scaled

Real processes with an API that has no endpoint available in one of two data centres: 200 samples of 0.6 s at 24 slots lead to orders of reclaimable endpoints in the other one; the dry one is asked again after 5 s, all orders come from one holder, and each has its log line. Without `autoscale` the same batch orders nothing.

--- a/crates/standins/src/fleet/sampler.rs
+++ b/crates/standins/src/fleet/sampler.rs
@@ -70,6 +70,8 @@
     pub(super) is_leaving: AtomicBool,
     /// The version of its software, as its entry states it.
     pub(super) software: Mutex<String>,
+    /// Its data centre and whether it is reclaimable, as its entry states them.
+    pub(super) placement: Mutex<(String, bool)>,
     /// The request limit that its answers name.
     pub(super) request_limit: Mutex<Option<String>>,
     /// The times at which requests of all kinds arrived.
@@ -138,6 +140,7 @@
             crashing_bodies: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             software: Mutex::new("v1".to_owned()),
+            placement: Mutex::new(("dc-1".to_owned(), false)),
             request_limit: Mutex::default(),
             arrivals: Mutex::default(),
             answers_before_crash: AtomicBool::new(false),
@@ -204,6 +207,13 @@
         self.shared.register();
     }
 
+    /// Sets the sampler's data centre and whether it is reclaimable, and writes its entry
+    /// again.
+    pub fn place(&self, data_centre: &str, is_spot: bool) {
+        *lock(&self.shared.placement) = (data_centre.to_owned(), is_spot);
+        self.shared.register();
+    }
+
     /// Returns the version of the sampler's software.
     #[must_use]
     pub fn software(&self) -> String {
@@ -370,9 +380,13 @@
             .iter()
             .map(|(name, version)| json!({"name": name, "version": version, "adapters": []}))
             .collect();
-        let entry = json!({"service": self.service, "address": self.address, "zone": "dc-1",
+        let (zone, is_spot) = lock(&self.placement).clone();
+        let mut entry = json!({"service": self.service, "address": self.address, "zone": zone,
             "slots": 8, "version": *lock(&self.software), "state": "ready", "cold_ms": 0, "models": models,
             "seq": 4, "born": started_unix_ms, "stage": "both"});
+        if is_spot {
+            entry["spot"] = json!(true);
+        }
         let entry = STANDARD.encode(entry.to_string());
         self.store.put("servers", &self.id, entry);
     }
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -11,6 +11,7 @@
     mod bodies_share_memory;
     mod budgets_on_busy_machines;
     mod crashes_without_a_closed_connection;
+    mod endpoints_are_ordered;
     mod invalid_answers_and_ended_batches;
     mod large_batches;
     mod late_copies_of_answers;
