--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -12,7 +12,7 @@
 
 use super::http_client::Reachability;
 use crate::{
-    core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason},
+    core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason, scale::ScaleOutcome},
     error::ErrorKind,
 };
 
@@ -34,6 +34,11 @@
     endpoint_connects: Family<Labels, Counter>,
     cut_paths: Family<Labels, Gauge>,
     relayed_requests: Family<Labels, Counter>,
+    usage_reports: Family<Labels, Counter>,
+    usage_report_age_seconds: Gauge,
+    usage_counts_unwritten: Gauge,
+    pub(crate) duties_held: Gauge,
+    scale_orders: Family<Labels, Counter>,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -45,6 +50,8 @@
     pub(crate) permits_asked: Counter,
     pub(crate) permits_issued: Counter,
     pub(crate) permits_denied: Counter,
+    pub(crate) endpoints_wanted: Gauge,
+    pub(crate) endpoints_listed: Gauge,
     pub(crate) quarantined_contents: Gauge,
     pub(crate) log_lines_dropped: Gauge,
     pub(crate) config_version: Gauge,
@@ -65,6 +72,11 @@
             endpoint_connects: Family::default(),
             cut_paths: Family::default(),
             relayed_requests: Family::default(),
+            usage_reports: Family::default(),
+            usage_report_age_seconds: Gauge::default(),
+            usage_counts_unwritten: Gauge::default(),
+            duties_held: Gauge::default(),
+            scale_orders: Family::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -76,6 +88,8 @@
             permits_asked: Counter::default(),
             permits_issued: Counter::default(),
             permits_denied: Counter::default(),
+            endpoints_wanted: Gauge::default(),
+            endpoints_listed: Gauge::default(),
             quarantined_contents: Gauge::default(),
             log_lines_dropped: Gauge::default(),
             config_version: Gauge::default(),
@@ -85,6 +99,8 @@
         };
         metrics.register();
         metrics.register_paths();
+        metrics.register_duties();
+        metrics.register_scale();
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
@@ -237,6 +253,86 @@
         );
     }
 
+    fn register_duties(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "usage_reports",
+            "Reports of usage that this VM sent, by outcome",
+            self.usage_reports.clone(),
+        );
+        let gauges = [
+            (
+                "usage_report_age_seconds",
+                "From the end of the last window whose report is acknowledged, at the holder",
+                &self.usage_report_age_seconds,
+            ),
+            (
+                "usage_counts_unwritten",
+                "Requests whose counting this VM has not written yet",
+                &self.usage_counts_unwritten,
+            ),
+            (
+                "duties_held",
+                "Whether this VM holds the duties",
+                &self.duties_held,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Records the outcome of a report of usage.
+    pub(crate) fn on_usage_report(&self, outcome: &'static str) {
+        let reports = &self.usage_reports;
+        reports.get_or_create(&vec![("outcome", outcome)]).inc();
+    }
+
+    /// Records how long ago the last window ended whose report is acknowledged.
+    pub(crate) fn set_usage_report_age(&self, age_ms: u64) {
+        let seconds = i64::try_from(age_ms / 1_000).unwrap_or(i64::MAX);
+        self.usage_report_age_seconds.set(seconds);
+    }
+
+    /// Records for how many requests the counting is not written yet.
+    pub(crate) fn set_unwritten_usage(&self, requests: u64) {
+        let requests = i64::try_from(requests).unwrap_or(i64::MAX);
+        self.usage_counts_unwritten.set(requests);
+    }
+
+    fn register_scale(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "scale_orders",
+            "Orders of endpoints that this VM sent, by outcome",
+            self.scale_orders.clone(),
+        );
+        registry.register(
+            "endpoints_wanted",
+            "Endpoints of scaled services that this VM's last decision wants",
+            self.endpoints_wanted.clone(),
+        );
+        registry.register(
+            "endpoints_listed",
+            "Endpoints of scaled services that were ready at this VM's last decision",
+            self.endpoints_listed.clone(),
+        );
+        for outcome in ScaleOutcome::iter() {
+            let orders = &self.scale_orders;
+            orders
+                .get_or_create(&vec![("outcome", outcome.into())])
+                .inc_by(0);
+        }
+    }
+
+    /// Records how an order of endpoints ended.
+    pub(crate) fn on_scale_order(&self, outcome: ScaleOutcome) {
+        let orders = &self.scale_orders;
+        orders
+            .get_or_create(&vec![("outcome", outcome.into())])
+            .inc();
+    }
+
     pub(crate) fn on_refusal(&self, kind: ErrorKind) {
         let refusals = &self.refusals;
         refusals.get_or_create(&vec![("kind", kind.into())]).inc();
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -11,7 +11,9 @@
 };
 
 use super::{
-    claims, clean, crash, crash_rows, fleet,
+    claims, clean, crash, crash_rows,
+    duties::{self, DutyHandle},
+    fleet,
     front::{ListenerKind, serve},
     members, orders, paths, permits, silence,
     state::Server,
@@ -69,6 +71,13 @@
     tokio::spawn(crash_rows::write_rows(server.clone()));
     tokio::spawn(silence::check_silent_endpoints(server.clone()));
     tokio::spawn(orders::run_orders(server.clone()));
+    if let Some(handle) = DutyHandle::of(&server) {
+        tokio::spawn(duties::keep_lease(handle.clone()));
+        tokio::spawn(duties::run_duties(handle));
+    }
+    if let Some(counted) = server.duties.clone() {
+        tokio::spawn(duties::write_counts(server.clone(), counted));
+    }
     tokio::spawn(stream_rows::follow_origins(server.clone()));
     tokio::spawn(stream_rows::write_rows(server.clone()));
     tokio::spawn(stream_rows::clean_periodically(server.clone()));
@@ -173,6 +182,7 @@
     while open_connections() + relayed_requests() > 0 && now_ms() < stop.exit_at_ms {
         tokio::time::sleep(Duration::from_millis(LAST_CALLERS_CHECK_INTERVAL_MS)).await;
     }
+    duties::flush_counts(server).await;
     tracing::info!(
         open_connections = open_connections(),
         relayed_requests = relayed_requests(),
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -10,6 +10,7 @@
     claims::Batches,
     crash,
     crash_rows::{self, CrashRows},
+    duties::Duties,
     endpoint_relay::DecliningVms,
     http_client::ExchangeClient,
     memory::BodyMemory,
@@ -30,6 +31,7 @@
         request::StopSchedule,
         roster::Roster,
         routes::RouteTable,
+        scale::LoadSignals,
         streams::{StreamOrigin, StreamOrigins},
     },
     daemon::now_ms,
@@ -64,6 +66,8 @@
     /// Notified when batches or members have changed.
     pub(crate) batches_changed: Notify,
     pub(crate) leader_lease: Mutex<LeaderLease>,
+    /// The duties on the platform's API, if the settings name it.
+    pub(crate) duties: Option<Arc<Duties>>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) crash_rows: Mutex<CrashRows>,
     /// Notified when rows of crashes have to be written or notices to be sent.
@@ -89,6 +93,8 @@
     /// The memory that the texts of unlisted samples take.
     pub(crate) text_memory: Mutex<TextMemory>,
     pub(crate) sample_lengths: Mutex<SampleLengths>,
+    /// What this VM observes of its work, from which endpoints are ordered.
+    pub(crate) load_signals: Mutex<LoadSignals>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Metrics,
     /// When this VM exits, once it was told to stop.
@@ -128,6 +134,7 @@
             members: Mutex::default(),
             batches: Mutex::default(),
             batches_changed: Notify::new(),
+            duties: Duties::from_settings(&settings, incarnation).map(Arc::new),
             leader_lease: Mutex::new(LeaderLease::new(vm, incarnation, settings.order_gap_ms)),
             quarantine: Mutex::new(Quarantine::new(LateRetryPolicy::Claimed)),
             crash_rows: Mutex::default(),
@@ -144,6 +151,7 @@
             answer_memory,
             text_memory: Mutex::new(TextMemory::new(shares.texts_bytes)),
             sample_lengths: Mutex::default(),
+            load_signals: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             metrics: Metrics::new(),
             stop: OnceLock::new(),
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -11,6 +11,7 @@
     mod bodies_share_memory;
     mod budgets_on_busy_machines;
     mod crashes_without_a_closed_connection;
+    mod endpoints_are_ordered;
     mod invalid_answers_and_ended_batches;
     mod large_batches;
     mod late_copies_of_answers;
@@ -19,6 +20,7 @@
     mod long_texts;
     mod odd_entries;
     mod requests_that_crash_samplers;
+    mod singleton_duties;
     mod soak;
     mod stops_cut_no_request;
     mod streams_after_all_vms_are_lost;
