Keep the passing slowdown of a machine apart from its pace

The fourth figure of X-Server-Load, which says how long work takes on the endpoint's machine right now, was dropped. A run that was measured while the machine was slow for some hundred milliseconds raised the pace of its endpoint, and the endpoint was avoided long after.

The figure is decoded and kept with its time. A pace is normalised by the mean slowdown that was reported while it was measured, and carries the time of the measurement. A head that answers a run of an earlier incarnation is ignored. LoadReport keeps its three fields: the figure has another lifetime, and endpoints may leave it out.

--- a/src/core/pool/endpoint.rs
+++ b/src/core/pool/endpoint.rs
@@ -2,7 +2,7 @@
 
 use strum::{Display, EnumString};
 
-use super::Load;
+use super::{Load, Slowdowns};
 use crate::core::{Name, rate_limit::NamedLimit, streams::StreamOrigin};
 
 /// Whether an endpoint accepts new work, as it reports itself.
@@ -78,10 +78,14 @@
     has_announced_leaving: bool,
     /// The endpoint's load.
     pub load: Load,
-    /// The average time for a unit of work, if any was measured: milliseconds per
-    /// event for samples, and multiples of the route's latency objective for other
-    /// requests.
+    /// The average time for a unit of work while its machine is as fast as usual, if any
+    /// was measured: milliseconds per event for samples, and multiples of the route's
+    /// latency objective for other requests.
     pub pace: Option<f64>,
+    /// When the pace was last measured.
+    pub pace_measured_ms: Option<u64>,
+    /// How slow its machine is, apart from its pace.
+    pub slowdowns: Slowdowns,
     /// Until when it is avoided after a failure.
     pub penalty_until_ms: u64,
     /// Until when runs sent there are expected to wait before they start.
@@ -108,6 +112,8 @@
             has_announced_leaving: false,
             load: Load::DEFAULT,
             pace: None,
+            pace_measured_ms: None,
+            slowdowns: Slowdowns::new(),
             penalty_until_ms: 0,
             stalled_until_ms: 0,
             remove_at_ms: None,
@@ -193,6 +199,14 @@
         self.pace = Some(average + NEW_PACE_WEIGHT * (pace - average));
     }
 
+    /// Records how long a unit of work took that was measured from `from_ms` on, in the
+    /// unit of [`Self::pace`]. What its machine was slower than usual meanwhile is taken
+    /// out, as far as reports tell of it.
+    pub fn on_measured_pace(&mut self, from_ms: u64, now_ms: u64, pace: f64) {
+        self.on_pace(pace * self.slowdowns.mean_speed(from_ms, now_ms));
+        self.pace_measured_ms = Some(now_ms);
+    }
+
     /// Records a successful response, which ends the penalty for failures.
     pub const fn on_success(&mut self) {
         self.consecutive_failures = 0;
--- a/src/core/pool/mod.rs
+++ b/src/core/pool/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod pool;
 mod slice;
+mod slowdown;
 
 pub use self::{
     choose::EndpointRequirements,
@@ -12,4 +13,5 @@
     load::{Load, LoadReport},
     pool::{ConnectionRule, Pool},
     slice::EndpointSlice,
+    slowdown::{SLOWDOWN_LIFETIME_MS, Slowdowns},
 };
--- a/src/platform/samplers.rs
+++ b/src/platform/samplers.rs
@@ -88,6 +88,8 @@
     /// Whether the body is encoded, and so not the endpoint's own bytes.
     pub(crate) is_encoded: bool,
     pub(crate) load: Option<LoadReport>,
+    /// How long work takes on the endpoint's machine now, in percent of the usual time.
+    pub(crate) slowdown_percent: Option<u32>,
     pub(crate) weights_version: Option<u64>,
 }
 
@@ -107,6 +109,7 @@
         stamp: text(STAMP_HEADER).map(Into::into),
         is_encoded: text(header::CONTENT_ENCODING.as_str()).is_some(),
         load: text(LOAD_HEADER).and_then(parse_load_report),
+        slowdown_percent: text(LOAD_HEADER).and_then(parse_slowdown_percent),
         weights_version: text(WEIGHTS_VERSION_HEADER).and_then(|text| text.trim().parse().ok()),
     }
 }
@@ -155,6 +158,12 @@
     })
 }
 
+/// Returns the figure after those of the load report, which older endpoints don't send.
+fn parse_slowdown_percent(text: &str) -> Option<u32> {
+    let percent = text.split(',').nth(3)?.trim().parse().ok();
+    percent.filter(|percent| *percent > 0)
+}
+
 /// An order to load weights.
 #[derive(Clone, Debug)]
 pub(crate) struct Order<'a> {
--- a/src/server/attempt.rs
+++ b/src/server/attempt.rs
@@ -125,7 +125,7 @@
         Err(error) => return Err(on_exchange_error(server, &in_flight, outgoing.id, &error).await),
     };
     let head = parse_answer_head(reply.status, &reply.headers);
-    record_answer_head(server, endpoint, &head);
+    record_answer_head(server, &in_flight, &head);
     if head.is_not_run {
         in_flight.mark_incomplete();
         let message = format!("endpoint refused with {}", reply.status);
@@ -198,16 +198,22 @@
         known.on_success();
         // Relative to the latency objective, since the work of a request is
         // roughly proportional to the objective of its route.
-        known.on_pace(took_s / target_s);
+        known.on_measured_pace(in_flight.started_ms, now_ms(), took_s / target_s);
     }
 }
 
 /// Records the load report or the refusal in the head of an endpoint's answer.
-pub(crate) fn record_answer_head(server: &Server, endpoint: &Name, head: &AnswerHead) {
+///
+/// An answer to a run that an earlier incarnation began tells nothing of this one.
+pub(crate) fn record_answer_head(server: &Server, in_flight: &InFlight, head: &AnswerHead) {
     let mut pool = lock(&server.pool);
-    let Some(known) = pool.get_mut(endpoint) else {
+    let known = pool.get_mut(&in_flight.endpoint);
+    let Some(known) = known.filter(|e| e.record.started_unix_ms == in_flight.incarnation) else {
         return;
     };
+    if let Some(percent) = head.slowdown_percent {
+        known.slowdowns.on_report(now_ms(), percent);
+    }
     if let Some(report) = head.load {
         known.load.on_report(now_ms(), report);
     }
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -100,7 +100,7 @@
         HeadWait::TimedOut => return on_head_timeout(server, &endpoint, address),
     };
     let head = parse_answer_head(reply.status, &reply.headers);
-    record_answer_head(server, &endpoint, &head);
+    record_answer_head(server, in_flight, &head);
     if head.is_not_run {
         in_flight.mark_incomplete();
         let message = format!("endpoint refused with {}", reply.status);
@@ -306,10 +306,11 @@
 /// Records an endpoint's time per event, without the wait for the first event: how long
 /// that is depends on what else runs there.
 fn record_pace(server: &Server, in_flight: &InFlight, pace: &RunPace) {
-    if let Some(event_ms) = pace.endpoint_ms_per_event()
+    if let (Some(event_ms), Some(from_ms)) = (pace.endpoint_ms_per_event(), pace.first_event_ms())
         && let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
+        && known.record.started_unix_ms == in_flight.incarnation
     {
-        known.on_pace(event_ms);
+        known.on_measured_pace(from_ms, pace.last_progress_ms(), event_ms);
     }
 }
 
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -206,7 +206,7 @@
         }
     };
     let head = parse_answer_head(reply.status, &reply.headers);
-    record_answer_head(server, endpoint, &head);
+    record_answer_head(server, &in_flight, &head);
     in_flight.record_answer(&head);
     let is_valid = head.is_own_answer() && !head.is_not_run;
     match (reply.status, head.stamp) {
@@ -215,7 +215,7 @@
             let target_s = elapsed_seconds(0, route.target_latency_ms.max(1));
             if let Some(known) = lock(&server.pool).get_mut(endpoint) {
                 known.on_success();
-                known.on_pace(took_s / target_s);
+                known.on_measured_pace(in_flight.started_ms, now_ms(), took_s / target_s);
             }
             CallEnd::Scored(stamp)
         }
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -14,6 +14,7 @@
     mod many_vms_count_crashes_together;
     mod models_share_samplers_by_tokens;
     mod one_leader_despite_frozen_vms;
+    mod passing_slowdowns_are_not_speeds;
     mod permits_are_bounded;
     mod presence_of_starting_and_silent_vms;
     mod refusals_pause_a_sampler;
