Choose endpoints by when a request is expected to be complete

The cost of an endpoint counted its requests, scaled by a pace in which slow moments and lasting speed were mixed, and a pace that was measured once counted for ever. A request did not avoid a machine that reports to be slow right now.

The cost is now the expected completion in times of a typical request: what is there already and the request's own length, at the lasting speed, plus the delay by the slowdown that is reported now. For a sample, that delay is bounded by the time in which slowdowns pass, so that a long sample still goes to a fast endpoint that is slow for a moment. Slowdowns count relative to the usual one if most endpoints report. A pace fades to the typical one from 5 s to 15 s after its measurement, so that slow endpoints are tried again.

--- a/src/core/pool/choose.rs
+++ b/src/core/pool/choose.rs
@@ -2,36 +2,30 @@
 
 use rand::Rng;
 
-use super::{EndpointSlice, EndpointStage, Pool, PoolEndpoint};
+use super::{
+    EndpointSlice, EndpointStage, Pool, PoolEndpoint,
+    completion::{Typical, expected_completion, typical_pace},
+};
 use crate::core::{Name, rate_limit::Purpose, streams::StreamOrigin};
 
 /// The number of randomly drawn endpoints of which the cheapest is chosen:
 /// enough to find an idle one, too few for all VMs to choose the same one.
 const DRAWN_ENDPOINTS: usize = 6;
-/// The cost of an endpoint in another data centre, in shares of its slots.
+/// The cost of an endpoint in another data centre, in times of a typical request, as all
+/// costs here are.
 const OTHER_DATA_CENTRE_COST: f64 = 0.08;
-/// The cost of an endpoint at which a run waits to start, in shares of its
-/// slots.
+/// The cost of an endpoint at which a run waits to start.
 const STALLED_COST: f64 = 1.0;
-/// The cost of a new connection, in shares of the endpoint's slots: it takes a
-/// round trip and briefly occupies a slot.
+/// The cost of a new connection: it takes a round trip and briefly occupies a slot.
 const NEW_CONNECTION_COST: f64 = 0.3;
-/// The cost of an endpoint of another slice, in shares of its slots: the VMs
-/// that own the slice send requests there too, which are not known here.
+/// The cost of an endpoint of another slice: the VMs that own the slice send requests
+/// there too, which are not known here.
 const OTHER_SLICE_COST: f64 = 0.5;
-/// The cost of an endpoint that has named a request limit, in shares of its slots: its
-/// requests are left to those that find no other endpoint.
+/// The cost of an endpoint that has named a request limit: its requests are left to those
+/// that find no other endpoint.
 const LIMITED_COST: f64 = 0.5;
-/// The cost of an endpoint to which requests go through another VM, in shares of its
-/// slots.
+/// The cost of an endpoint to which requests go through another VM.
 const RELAY_COST: f64 = 0.5;
-/// The largest factor by which an endpoint's pace counts against the typical
-/// one: a single slow response may be due to a long request.
-const MAX_PACE_FACTOR: f64 = 8.0;
-
-/// By how much the pace of an endpoint counts more for a request that may be among the
-/// longest, in shares of the typical pace.
-const LONG_REQUEST_PACE_COST: f64 = 3.0;
 
 /// A run is moved only if it is more than this many times slower than the other
 /// endpoint.
@@ -66,7 +60,7 @@
 }
 
 impl Pool {
-    /// Returns the usable endpoint with the lowest expected cost.
+    /// Returns the usable endpoint at which the request is expected to be complete first.
     ///
     /// Endpoints that failed recently are chosen only if no other is usable. With
     /// a slice, all endpoints are compared; without one, some drawn at random and
@@ -92,11 +86,11 @@
         } else {
             unpenalized
         };
-        let typical_pace = typical_pace(&candidates);
+        let typical = Typical::of(&candidates, now_ms);
         let cost = |endpoint: &PoolEndpoint| {
             let is_cut = self.paths().is_cut(now_ms, &endpoint.record);
             let relay_cost = if is_cut { RELAY_COST } else { 0.0 };
-            cost(endpoint, now_ms, requirements, typical_pace) + relay_cost
+            cost(endpoint, now_ms, requirements, &typical) + relay_cost
         };
         // Slices differ between VMs, so comparing all endpoints does not make all
         // VMs choose the same one.
@@ -218,18 +212,13 @@
     f64::from(endpoint.load.total(now_ms)) / f64::from(endpoint.record.slots.max(1))
 }
 
-/// Returns the median of the known paces.
-fn typical_pace(endpoints: &[&PoolEndpoint]) -> Option<f64> {
-    let mut paces: Vec<f64> = endpoints.iter().filter_map(|e| e.pace).collect();
-    paces.sort_by(f64::total_cmp);
-    paces.get(paces.len() / 2).copied()
-}
-
+/// Returns when a request is expected to be complete at an endpoint, with what speaks
+/// against the endpoint in the same unit.
 fn cost(
     endpoint: &PoolEndpoint,
     now_ms: u64,
     requirements: &EndpointRequirements<'_>,
-    typical_pace: Option<f64>,
+    typical: &Typical,
 ) -> f64 {
     let record = &endpoint.record;
     let is_remote = &*record.data_centre != requirements.data_centre;
@@ -237,12 +226,6 @@
     let is_other_slice = requirements
         .slice
         .is_some_and(|slice| !slice.contains(&record.id));
-    let pace_factor = match (endpoint.pace, typical_pace) {
-        (Some(pace), Some(typical)) if typical > 0.0 => {
-            (pace / typical).clamp(1.0 / MAX_PACE_FACTOR, MAX_PACE_FACTOR)
-        }
-        _ => 1.0,
-    };
     let remote_cost = if is_remote {
         OTHER_DATA_CENTRE_COST
     } else {
@@ -262,10 +245,13 @@
     };
     let is_limited = endpoint.named_limit.limit().is_some();
     let limited_cost = if is_limited { LIMITED_COST } else { 0.0 };
-    let long_cost = LONG_REQUEST_PACE_COST * requirements.length_weight * (pace_factor - 1.0);
-    pace_factor * (1.0 + occupancy(endpoint, now_ms))
-        + long_cost
-        + remote_cost
+    expected_completion(
+        endpoint,
+        now_ms,
+        requirements,
+        typical,
+        occupancy(endpoint, now_ms),
+    ) + remote_cost
         + stalled_cost
         + limited_cost
         + connect_cost
--- a/src/core/pool/mod.rs
+++ b/src/core/pool/mod.rs
@@ -1,6 +1,7 @@
 //! The endpoints that a VM can use, and the choice of one for a request.
 
 mod choose;
+mod completion;
 mod endpoint;
 mod load;
 mod pool;
--- a/src/core/pool/slowdown.rs
+++ b/src/core/pool/slowdown.rs
@@ -21,9 +21,9 @@
 ///
 /// let mut slowdowns = Slowdowns::default();
 /// slowdowns.on_report(1_000, 250);
-/// assert!((slowdowns.factor(1_200) - 2.5).abs() < 1e-9);
+/// assert_eq!(slowdowns.factor(1_200), Some(2.5));
 /// // Too old to count.
-/// assert!((slowdowns.factor(1_300) - 1.0).abs() < 1e-9);
+/// assert_eq!(slowdowns.factor(1_300), None);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Slowdowns {
@@ -48,13 +48,11 @@
             .push_back((now_ms, f64::from(percent) / f64::from(USUAL_PERCENT)));
     }
 
-    /// Returns how many times as long as usual work takes now; 1 if that is not known.
+    /// Returns how many times as long as usual work takes now, if that is known.
     #[must_use]
-    pub fn factor(&self, now_ms: u64) -> f64 {
-        match self.reports.back() {
-            Some((at_ms, factor)) if now_ms < at_ms + SLOWDOWN_LIFETIME_MS => *factor,
-            _ => 1.0,
-        }
+    pub fn factor(&self, now_ms: u64) -> Option<f64> {
+        let (at_ms, factor) = self.reports.back()?;
+        (now_ms < at_ms + SLOWDOWN_LIFETIME_MS).then_some(*factor)
     }
 
     /// Returns the mean speed between two times, in shares of the usual one.
--- a/tests/loads/passing_slowdowns_are_not_speeds.rs
+++ b/tests/loads/passing_slowdowns_are_not_speeds.rs
@@ -64,14 +64,14 @@
     let endpoint = pool.get_mut(&endpoint_name(0)).expect("listed");
     let factor_at = |endpoint: &PoolEndpoint, now_ms| endpoint.slowdowns.factor(now_ms);
     endpoint.slowdowns.on_report(1_000, 250);
-    assert!(factor_at(endpoint, 1_000 + SLOWDOWN_LIFETIME_MS - 1) > 2.4);
-    assert!(factor_at(endpoint, 1_000 + SLOWDOWN_LIFETIME_MS) < 1.1);
+    assert!(factor_at(endpoint, 1_000 + SLOWDOWN_LIFETIME_MS - 1).is_some());
+    assert_eq!(factor_at(endpoint, 1_000 + SLOWDOWN_LIFETIME_MS), None);
     endpoint.slowdowns.on_report(2_000, 250);
     endpoint.on_measured_pace(1_900, 2_000, EVENT_MS);
     let mut restarted = endpoint_record(0, 8, &[]);
     restarted.started_unix_ms += 1;
     pool.on_listed(restarted);
     let endpoint = pool.get(&endpoint_name(0)).expect("listed");
-    assert!(factor_at(endpoint, 2_001) < 1.1);
+    assert_eq!(factor_at(endpoint, 2_001), None);
     assert_eq!((endpoint.pace, endpoint.pace_measured_ms), (None, None));
 }
