--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -15,12 +15,14 @@
     mod many_vms_count_crashes_together;
     mod models_share_samplers_by_tokens;
     mod one_leader_despite_frozen_vms;
+    mod passing_slowdowns_are_not_speeds;
     mod permits_are_bounded;
     mod presence_of_starting_and_silent_vms;
     mod refusals_pause_a_sampler;
     mod refused_vm_relays_store_calls;
     mod relisted_samplers_survive_outages;
     mod runs_move_off_slow_samplers;
+    mod samples_end_first_at_uneven_endpoints;
     mod shares_prefer_their_endpoint_slices;
     mod streams_outlive_their_vms;
     mod streams_stay_at_their_software;
