--- a/src/core/roster/roster.rs
+++ b/src/core/roster/roster.rs
@@ -28,7 +28,7 @@
     #[serde(default)]
     pub paths: PathReport,
     /// The offset of its time of day from the store's clock, in milliseconds, if known.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub unix_offset_ms: Option<i64>,
     /// Its work at the services whose endpoints are scaled, without those where it has
     /// none.
--- a/src/server/duties/usage/time.rs
+++ b/src/server/duties/usage/time.rs
@@ -50,9 +50,11 @@
     Some(earliest_ms.midpoint(latest_ms))
 }
 
-/// Returns the offset of this VM's time of day from the store's clock, in milliseconds.
-pub(crate) fn own_offset_ms(store: &Store) -> Option<i64> {
-    let store_ms = i64::try_from(store_ms(store)?).ok()?;
+/// Returns the offset of this VM's time of day from the store's clock, in milliseconds, if
+/// the VMs have the usage duty.
+pub(crate) fn own_offset_ms(server: &Server) -> Option<i64> {
+    server.duties.as_ref()?.usage.as_ref()?;
+    let store_ms = i64::try_from(store_ms(&server.store)?).ok()?;
     Some(i64::try_from(unix_ms()).ok()? - store_ms)
 }
 
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -50,7 +50,7 @@
         peer_address: settings.peer_address,
         cpu_share: settings.cpu_share,
         paths: lock(&server.pool).paths().report(now_ms()),
-        unix_offset_ms: duties::own_offset_ms(&server.store),
+        unix_offset_ms: duties::own_offset_ms(server),
         loads,
     };
     let bytes = match rmp_serde::to_vec_named(&row) {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -60,8 +60,6 @@
     /// Whether the logs are kept when this value is dropped; the variable
     /// `KEEP_LOGS` sets it from the start.
     pub keeps_logs: bool,
-    /// The platform's API and the duties on it, for VMs that start from now on.
-    pub platform_api: Option<Value>,
     /// The number of processes started so far.
     start_count: usize,
     http: HttpClient,
@@ -122,7 +120,6 @@
             platform_api: None,
             links: Vec::new(),
             keeps_logs: std::env::var_os("KEEP_LOGS").is_some(),
-            platform_api: None,
             start_count: 0,
             http: HttpClient::new(),
             dir,
