--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -51,6 +51,8 @@
     pub store_addresses: Vec<SocketAddr>,
     /// The data centre of each VM.
     pub data_centres: Vec<String>,
+    /// The memory that VMs started from now on may use, in megabytes.
+    pub memory_mb: u64,
     /// The links between each VM and all samplers, if there are any.
     links: Vec<Vec<Link>>,
     /// Whether the logs are kept when this value is dropped; the variable
@@ -113,6 +115,7 @@
             plain_samplers,
             vms: Vec::new(),
             data_centres: vec!["dc-1".to_owned(); vms],
+            memory_mb: 140,
             links: Vec::new(),
             keeps_logs: std::env::var_os("KEEP_LOGS").is_some(),
             start_count: 0,
@@ -180,7 +183,7 @@
             "peer_address": any_port,
             "seed_addresses": seeds, "metrics_address": any_port,
             "store_address": self.store_addresses[number], "row_bytes": ROW_BYTES,
-            "object_bytes": OBJECT_BYTES, "memory_mb": 140, "cpu_share": 0.5,
+            "object_bytes": OBJECT_BYTES, "memory_mb": self.memory_mb, "cpu_share": 0.5,
             "keep_addresses_s": 2, "keep_batches_ms": 120_000, "stop_grace_s": 4.0,
             "order_gap_ms": 500,
         });
@@ -372,6 +375,18 @@
         peak.expect("the kernel states it") * 1_024
     }
 
+    /// Returns how many descriptors the VM's process has open, and how many it may have.
+    pub fn descriptors(&self) -> (usize, usize) {
+        let process = format!("/proc/{}", self.child.id());
+        let open = fs::read_dir(format!("{process}/fd")).expect("the process runs");
+        let limits = fs::read_to_string(format!("{process}/limits")).expect("the process runs");
+        let limit = limits
+            .lines()
+            .find_map(|line| line.strip_prefix("Max open files"));
+        let limit = limit.and_then(|text| text.split_whitespace().next()?.parse().ok());
+        (open.count(), limit.expect("the kernel states it"))
+    }
+
     /// Returns the VM's log.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
