Close connections that make no progress when they take too much

Clients that opened many connections and sent bodies, heads or empty lines up to the limits or without end took a VM's memory: each connection could hold a read buffer of 128 KiB, up to three times while a body is received, and twice 256 KiB in the kernel, and nothing bounded the connections together. A head could take the whole idle time.

Each listener now counts what its connections may make the VM hold, by phase, against a part of the memory and of the descriptors. Beyond it, connections that have stalled are closed first, then idle ones, then the largest; one whose request may be running is never closed. A head has header_ms from its first byte, empty lines included, and header_bytes. A body that stalls while others wait for memory loses its connection, and so does an answer that nobody reads for the idle time. Read buffers have the size of a head. The decision is in core::connections, without I/O.

The shares of small bodies and answers shrink from 1/16 to 1/20 and that of large answers from 1/8 to 1/12 for the share of connections, 1/8.

--- a/src/core/memory/shares.rs
+++ b/src/core/memory/shares.rs
@@ -1,7 +1,6 @@
 /// How a VM's memory is divided among what callers and endpoints send.
 ///
-/// What is left is for the process itself, the heads of requests and what the kernel
-/// holds of connections.
+/// What is left is for the process itself.
 ///
 /// # Examples
 ///
@@ -26,6 +25,8 @@
     /// For texts of unlisted samples, each of which is copied for a short time when it is
     /// saved and when it is listed.
     pub texts_bytes: usize,
+    /// For the buffers and the state of accepted connections.
+    pub connections_bytes: usize,
 }
 
 impl MemoryShares {
@@ -36,11 +37,12 @@
     #[must_use]
     pub const fn of(memory_bytes: usize) -> Self {
         Self {
-            small_bodies_bytes: memory_bytes / 16,
+            small_bodies_bytes: memory_bytes / 20,
             large_bodies_bytes: memory_bytes / 2,
-            small_answers_bytes: memory_bytes / 16,
-            large_answers_bytes: memory_bytes / 8,
+            small_answers_bytes: memory_bytes / 20,
+            large_answers_bytes: memory_bytes / 12,
             texts_bytes: memory_bytes / 10,
+            connections_bytes: memory_bytes / 8,
         }
     }
 
@@ -52,5 +54,6 @@
             + self.small_answers_bytes
             + self.large_answers_bytes
             + self.texts_bytes
+            + self.connections_bytes
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod batch;
 pub mod config;
+pub mod connections;
 pub(crate) mod digest;
 pub mod endpoint;
 pub mod explain;
--- a/src/server/caller_body.rs
+++ b/src/server/caller_body.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::{
+    connections::OpenConnection,
     memory::{BodyBuffer, BodyError, BodyPlan, stated_bytes},
     state::{Server, lock},
 };
@@ -50,12 +51,13 @@
 /// caller's deadline, and `BadRequest` if it cannot be read.
 pub(crate) async fn read_caller_body(
     server: &Server,
+    open: &OpenConnection,
     mut body: Incoming,
     terms: BodyTerms,
 ) -> Result<Bytes, Refusal> {
     let patience_ms = terms.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
     let read = tokio::select! {
-        read = read_body(server, &mut body, terms, patience_ms) => read,
+        read = read_body(server, open, &mut body, terms, patience_ms) => read,
         () = sleep_until(terms.started_ms + patience_ms) => {
             let message = format!("the request body was not complete within {patience_ms} ms");
             Err(Refusal::new(ErrorKind::DeadlinePassed, message))
@@ -76,6 +78,7 @@
 
 async fn read_body(
     server: &Server,
+    open: &OpenConnection,
     body: &mut Incoming,
     terms: BodyTerms,
     patience_ms: u64,
@@ -88,7 +91,7 @@
         copies: terms.copies,
         wait_until_ms: terms.started_ms + patience_ms / MEMORY_WAIT_DIVISOR,
     };
-    let mut buffer = BodyBuffer::new(&server.request_memory, plan);
+    let mut buffer = BodyBuffer::new(&server.request_memory, plan).on_connection(open);
     buffer
         .check_stated()
         .map_err(|error| refusal_of(server, error, &plan))?;
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -10,19 +10,21 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
+use strum::{Display, IntoStaticStr};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
     accept,
     accounts::{self, Caller},
     caller_body::{BodyTerms, discard_unread, read_caller_body},
+    connections::{CountedStream, DEFAULT_HEAD_BYTES, OpenConnection, end_run_after},
     crash_rows, directory, forward,
     held::{self, HELD_PATH},
     permits, read_batch, relay, relayed,
@@ -34,6 +36,7 @@
 use crate::{
     core::{
         Name,
+        connections::ConnectionLimits,
         routes::{Route, RouteKind, RouteTable},
     },
     daemon::now_ms,
@@ -49,7 +52,8 @@
 };
 
 /// Which kind of requests a listener serves.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum ListenerKind {
     Callers,
     Readiness,
@@ -72,13 +76,17 @@
 /// How long a connection may stay idle until a configuration is known, in
 /// milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
-/// The most bytes of a connection that are read ahead of the request in progress, its
-/// head included.
-const MAX_READ_BUFFER_BYTES: usize = 128 * 1024;
-/// The most bytes of a connection that the kernel holds unread, about.
-const MAX_UNREAD_BYTES: usize = 256 * 1024;
+/// The smallest read buffer of a connection.
+const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
+/// The receive buffer that a listener offers: it bounds the window of a connection, whose
+/// buffer is smaller until a large body was granted memory.
+const OFFERED_RECEIVE_BYTES: usize = 256 * 1024;
+/// The send buffer of a connection; the kernel takes twice as much.
+const SEND_BYTES: usize = ConnectionLimits::UNSENT_BYTES / 2;
 /// The largest body of a notice or question of another VM, in bytes.
 const MAX_PEER_BODY_BYTES: usize = 1024 * 1024;
+/// How long another VM may take to send a body: far longer than its calls last.
+pub(crate) const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The delay after a connection could not be accepted, in milliseconds: if too
 /// many files are open, other connections may close meanwhile.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
@@ -100,9 +108,11 @@
 /// Accepts connections for as long as the process runs, those of callers until it
 /// closes connections: a request on a later one could be cut by the exit.
 pub(crate) async fn serve(server: Arc<Server>, listener: TcpListener, kind: ListenerKind) {
-    // Accepted connections inherit the limit.
-    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(MAX_UNREAD_BYTES) {
-        tracing::warn!(%error, listener = ?kind, "receive buffers not limited");
+    // Accepted connections inherit the limits.
+    let socket = SockRef::from(&listener);
+    let limited = socket.set_recv_buffer_size(OFFERED_RECEIVE_BYTES);
+    if let Err(error) = limited.and_then(|()| socket.set_send_buffer_size(SEND_BYTES)) {
+        tracing::warn!(%error, listener = ?kind, "buffers of the kernel not limited");
     }
     let mut close = server.close_connections.subscribe();
     loop {
@@ -124,29 +134,39 @@
 }
 
 async fn serve_connection(server: Arc<Server>, stream: TcpStream, kind: ListenerKind) {
+    let open = server.doors.of(kind).open();
     // With Nagle's algorithm a small response waits for the other side's
     // acknowledgement.
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, listener = ?kind, "connection closed: TCP_NODELAY cannot be set");
         return;
     }
-    let idle_ms = server
-        .routes()
-        .caller_limits()
-        .map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
+    let limits = server.routes().caller_limits();
+    let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
+    let head_bytes = match kind {
+        ListenerKind::Callers => limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_head_bytes),
+        _ => MIN_READ_BUFFER_BYTES,
+    };
     let mut close = server.close_connections.subscribe();
-    let handler_server = server.clone();
+    let (handler_server, handler_open) = (server.clone(), open.clone());
     let service = service_fn(move |request| {
-        let server = handler_server.clone();
-        async move { Ok::<_, Infallible>(respond(server, request, kind).await) }
+        let (server, open) = (handler_server.clone(), handler_open.clone());
+        async move {
+            let response = respond(server, request, kind, &open).await;
+            Ok::<_, Infallible>(end_run_after(response, open.clone()))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(MAX_READ_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .max_header_size(head_bytes)
+        .max_buf_size(head_bytes.max(MIN_READ_BUFFER_BYTES))
+        .serve_connection(
+            TokioIo::new(CountedStream::new(stream, open.clone())),
+            service,
+        );
     let mut connection = pin!(connection);
-    let _open = (kind == ListenerKind::Callers).then(|| OpenConnection::new(&server));
+    let _counted = (kind == ListenerKind::Callers).then(|| CallerConnection::new(&server));
     tokio::select! {
         result = connection.as_mut() => {
             if let Err(error) = result {
@@ -154,27 +174,33 @@
             }
             return;
         }
+        () = open.closed() => return,
         // An error means that the sender was dropped because the process exits:
         // the connection is closed as well.
         _ = close.wait_for(|close| *close) => {}
     }
     connection.as_mut().graceful_shutdown();
-    if let Err(error) = connection.await {
-        tracing::debug!(%error, listener = ?kind, "accepted connection failed during shutdown");
+    tokio::select! {
+        result = connection => {
+            if let Err(error) = result {
+                tracing::debug!(%error, listener = ?kind, "accepted connection failed during shutdown");
+            }
+        }
+        () = open.closed() => {}
     }
 }
 
 /// Counts a caller's connection as open until it is dropped.
-struct OpenConnection(Arc<Server>);
+struct CallerConnection(Arc<Server>);
 
-impl OpenConnection {
+impl CallerConnection {
     fn new(server: &Arc<Server>) -> Self {
         server.caller_connections.fetch_add(1, Ordering::SeqCst);
         Self(server.clone())
     }
 }
 
-impl Drop for OpenConnection {
+impl Drop for CallerConnection {
     fn drop(&mut self) {
         self.0.caller_connections.fetch_sub(1, Ordering::SeqCst);
     }
@@ -184,11 +210,19 @@
     server: Arc<Server>,
     request: Request<Incoming>,
     kind: ListenerKind,
+    open: &OpenConnection,
 ) -> Response<Body> {
+    if request.body().is_end_stream() {
+        if !open.begin_run() {
+            return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    } else {
+        open.begin_body();
+    }
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     match kind {
         ListenerKind::Callers => {
-            let mut response = respond_to_caller(&server, request).await;
+            let mut response = respond_to_caller(&server, request, open).await;
             if server.is_draining() {
                 let value = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, value);
@@ -210,18 +244,24 @@
             )
         }
         ListenerKind::Peers if method == Method::POST && path == relay::RELAY_PATH => {
-            relay::answer_call(&server, request.into_body()).await
+            relay::answer_call(&server, open, request.into_body()).await
         }
         ListenerKind::Peers if method == Method::POST && path == RELAY_REQUEST_PATH => {
-            relayed::answer(&server, request.into_body()).await
+            relayed::answer(&server, open, request.into_body()).await
         }
         ListenerKind::Metrics if method == Method::GET => {
             Response::new(full_body(server.metrics.to_text()))
         }
         ListenerKind::Peers if method == Method::GET && path == HELD_PATH => held::list(&server),
         ListenerKind::Peers if method == Method::POST && PEER_PATHS.contains(&&*path) => {
-            let body = Limited::new(request.into_body(), MAX_PEER_BODY_BYTES);
-            match body.collect().await {
+            let body = Limited::new(request.into_body(), MAX_PEER_BODY_BYTES).collect();
+            let Ok(body) = tokio::time::timeout(PEER_BODY_TIMEOUT, body).await else {
+                return empty_response(StatusCode::REQUEST_TIMEOUT);
+            };
+            if !open.begin_run() {
+                return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            match body {
                 Ok(body) if path == REACHABILITY_PATH => {
                     silence::answer_query(&server, &body.to_bytes()).await
                 }
@@ -255,7 +295,11 @@
     }
 }
 
-async fn respond_to_caller(server: &Arc<Server>, request: Request<Incoming>) -> Response<Body> {
+async fn respond_to_caller(
+    server: &Arc<Server>,
+    request: Request<Incoming>,
+    open: &OpenConnection,
+) -> Response<Body> {
     let started_ms = now_ms();
     server.metrics.requests.inc();
     let (parts, body) = request.into_parts();
@@ -265,6 +309,9 @@
         // A trainer that reads its batch sends no request id: the log shows the
         // batch's id instead.
         let id = head.request_id.as_ref().unwrap_or_else(|| call.batch());
+        if !open.begin_run() {
+            return refusal_response(server, id, &closing());
+        }
         let result = match accounts::check_batch_call(server, &parts.headers, call.batch()).await {
             Ok(()) => read_batch::answer_batch_call(server, &call).await,
             Err(refusal) => Err(refusal),
@@ -284,10 +331,13 @@
         patience_ms: head.patience_ms,
         copies: body_copies(&server.routes(), &head),
     };
-    let body = match read_caller_body(server, body, terms).await {
+    let body = match read_caller_body(server, open, body, terms).await {
         Ok(body) => body,
         Err(refusal) => return refusal_response(server, &id, &refusal),
     };
+    if !open.begin_run() {
+        return refusal_response(server, &id, &closing());
+    }
     // The configuration may have changed while the body was received.
     let routes = server.routes();
     let admitted = route_request(&routes, &head, &parts.headers);
@@ -323,6 +373,12 @@
     response
 }
 
+/// Refuses a request whose connection is about to be closed.
+fn closing() -> Refusal {
+    let message = "the connection is closed, since others need its memory";
+    Refusal::new(ErrorKind::MemoryFull, message)
+}
+
 /// Returns the route of a request and who sends it.
 fn route_request(
     routes: &RouteTable,
--- a/src/server/memory.rs
+++ b/src/server/memory.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::Notify;
 
-use super::state::lock;
+use super::{connections::OpenConnection, state::lock};
 use crate::{
     core::memory::{MemoryPool, MemoryShares},
     daemon::sleep_until,
@@ -171,15 +171,17 @@
 /// little holds little. Beyond them, the whole body is granted before more is read: two
 /// bodies cannot block each other half-read.
 #[derive(Debug)]
-pub(crate) struct BodyBuffer {
+pub(crate) struct BodyBuffer<'a> {
     plan: BodyPlan,
     bytes: BytesMut,
     share: MemoryShare,
     large: Arc<SharedPool>,
     is_large: bool,
+    /// The accepted connection that it comes from.
+    open: Option<&'a OpenConnection>,
 }
 
-impl BodyBuffer {
+impl<'a> BodyBuffer<'a> {
     pub(crate) fn new(memory: &BodyMemory, plan: BodyPlan) -> Self {
         Self {
             plan,
@@ -187,9 +189,16 @@
             share: memory.small.take(0),
             large: memory.large.clone(),
             is_large: false,
+            open: None,
         }
     }
 
+    /// Tells an accepted connection while the body waits for memory.
+    pub(crate) const fn on_connection(mut self, open: &'a OpenConnection) -> Self {
+        self.open = Some(open);
+        self
+    }
+
     /// Checks the length that the sender has stated.
     ///
     /// # Errors
@@ -227,8 +236,14 @@
     async fn reserve_whole(&mut self, length: usize) -> Result<(), BodyError> {
         let whole = self.plan.stated_bytes.unwrap_or(self.plan.max_bytes);
         let bytes = whole.max(length) * self.plan.copies;
+        if let Some(open) = self.open {
+            open.begin_wait();
+        }
         let granted = self.large.reserve(bytes, self.plan.wait_until_ms).await;
         self.share = granted.ok_or(BodyError::NoMemory)?;
+        if let Some(open) = self.open {
+            open.end_wait();
+        }
         self.is_large = true;
         self.bytes.reserve(whole.saturating_sub(self.bytes.len()));
         Ok(())
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -12,7 +12,7 @@
 
 use super::http_client::Reachability;
 use crate::{
-    core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason},
+    core::{connections::CloseReason, paths::PathReport, rate_limit::Purpose, retry::RetryReason},
     error::ErrorKind,
 };
 
@@ -34,6 +34,9 @@
     endpoint_connects: Family<Labels, Counter>,
     cut_paths: Family<Labels, Gauge>,
     relayed_requests: Family<Labels, Counter>,
+    connections: Family<Labels, Gauge>,
+    connection_bytes: Family<Labels, Gauge>,
+    connections_closed: Family<Labels, Counter>,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -65,6 +68,9 @@
             endpoint_connects: Family::default(),
             cut_paths: Family::default(),
             relayed_requests: Family::default(),
+            connections: Family::default(),
+            connection_bytes: Family::default(),
+            connections_closed: Family::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -85,6 +91,7 @@
         };
         metrics.register();
         metrics.register_paths();
+        metrics.register_connections();
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
@@ -237,6 +244,46 @@
         );
     }
 
+    fn register_connections(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "connections",
+            "Accepted connections that are open, by listener",
+            self.connections.clone(),
+        );
+        registry.register(
+            "connection_bytes",
+            "What accepted connections may hold without bodies and answers, by listener",
+            self.connection_bytes.clone(),
+        );
+        registry.register(
+            "connections_closed",
+            "Accepted connections that this VM closed, by listener and reason",
+            self.connections_closed.clone(),
+        );
+    }
+
+    /// Records the open connections of a listener.
+    pub(crate) fn set_connections(&self, listener: &'static str, count: usize, bytes: usize) {
+        let gauge_value = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let labels = vec![("listener", listener)];
+        let connections = self.connections.get_or_create(&labels);
+        connections.set(gauge_value(count));
+        let connection_bytes = self.connection_bytes.get_or_create(&labels);
+        connection_bytes.set(gauge_value(bytes));
+    }
+
+    /// Records connections of a listener that this VM closed.
+    pub(crate) fn on_connections_closed(
+        &self,
+        listener: &'static str,
+        reason: CloseReason,
+        count: u64,
+    ) {
+        let labels = vec![("listener", listener), ("reason", reason.into())];
+        self.connections_closed.get_or_create(&labels).inc_by(count);
+    }
+
     pub(crate) fn on_refusal(&self, kind: ErrorKind) {
         let refusals = &self.refusals;
         refusals.get_or_create(&vec![("kind", kind.into())]).inc();
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -11,6 +11,7 @@
 mod caller_body;
 mod claims;
 mod clean;
+mod connections;
 mod content_runs;
 mod crash;
 mod crash_rows;
--- a/src/server/relay.rs
+++ b/src/server/relay.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    connections::OpenConnection,
+    front::PEER_BODY_TIMEOUT,
     http_client::{ExchangeClient, ExchangeError, WholeReply},
     memory::{BodyBuffer, BodyPlan, stated_bytes},
     response::{Body, empty_response, full_body},
@@ -111,21 +113,31 @@
 ///
 /// The call is not relayed further. The response is 503 if the call was not
 /// executed, and 502 if its outcome is unknown.
-pub(crate) async fn answer_call(server: &Server, body: Incoming) -> Response<Body> {
-    match read_call(server, body).await {
+pub(crate) async fn answer_call(
+    server: &Server,
+    open: &OpenConnection,
+    body: Incoming,
+) -> Response<Body> {
+    let read = tokio::time::timeout(PEER_BODY_TIMEOUT, read_call(server, open, body)).await;
+    match read.unwrap_or(Err(StatusCode::SERVICE_UNAVAILABLE)) {
+        Ok(_) if !open.begin_run() => empty_response(StatusCode::SERVICE_UNAVAILABLE),
         Ok(body) => execute_call(server, &body).await,
         Err(status) => empty_response(status),
     }
 }
 
-async fn read_call(server: &Server, mut body: Incoming) -> Result<Bytes, StatusCode> {
+async fn read_call(
+    server: &Server,
+    open: &OpenConnection,
+    mut body: Incoming,
+) -> Result<Bytes, StatusCode> {
     let plan = BodyPlan {
         max_bytes: server.settings.object_bytes + MAX_CALL_HEAD_BYTES,
         stated_bytes: stated_bytes(&body),
         copies: CALL_COPIES,
         wait_until_ms: now_ms() + MEMORY_WAIT_MS,
     };
-    let mut buffer = BodyBuffer::new(&server.request_memory, plan);
+    let mut buffer = BodyBuffer::new(&server.request_memory, plan).on_connection(open);
     while let Some(frame) = body.frame().await {
         let data = frame.map(Frame::into_data).map_err(|error| {
             tracing::debug!(%error, "body of a relayed call not read");
--- a/src/server/relayed.rs
+++ b/src/server/relayed.rs
@@ -14,7 +14,9 @@
 };
 
 use super::{
+    connections::OpenConnection,
     endpoint_exchange::{self, Outgoing, SendProgress, SendTerms},
+    front::PEER_BODY_TIMEOUT,
     http_client::{ExchangeError, Reply},
     memory::{BodyBuffer, BodyPlan, stated_bytes},
     permits::Permit,
@@ -116,8 +118,18 @@
 }
 
 /// Sends a request of another VM to its endpoint, and passes the reply on.
-pub(crate) async fn answer(server: &Arc<Server>, body: Incoming) -> Response<Body> {
-    let (from, result) = match read_request(server, body).await {
+pub(crate) async fn answer(
+    server: &Arc<Server>,
+    open: &OpenConnection,
+    body: Incoming,
+) -> Response<Body> {
+    let read = tokio::time::timeout(PEER_BODY_TIMEOUT, read_request(server, open, body)).await;
+    let late = |_| Err(NoAnswer::declined("the body was not complete in time"));
+    let (from, result) = match read.unwrap_or_else(late) {
+        Ok(_) if !open.begin_run() => {
+            let closing = NoAnswer::declined("the connection is closed");
+            ("-".into(), Err(closing))
+        }
         Ok(relayed) => (relayed.from.clone(), send(server, relayed).await),
         Err(no_answer) => ("-".into(), Err(no_answer)),
     };
@@ -137,7 +149,11 @@
     response.headers_mut().insert(RELAY_OUTCOME_HEADER, value);
 }
 
-async fn read_request(server: &Server, mut body: Incoming) -> Result<RelayedRequest, NoAnswer> {
+async fn read_request(
+    server: &Server,
+    open: &OpenConnection,
+    mut body: Incoming,
+) -> Result<RelayedRequest, NoAnswer> {
     if server.relayed_requests.load(Ordering::SeqCst) >= MAX_RELAYED_REQUESTS {
         return Err(NoAnswer::declined("too many requests of other VMs"));
     }
@@ -149,7 +165,7 @@
         copies: REQUEST_COPIES,
         wait_until_ms: now_ms() + MEMORY_WAIT_MS,
     };
-    let mut buffer = BodyBuffer::new(&server.request_memory, plan);
+    let mut buffer = BodyBuffer::new(&server.request_memory, plan).on_connection(open);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| NoAnswer::declined(error.to_string()))?;
         if let Ok(data) = frame.into_data() {
--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    claims, clean, crash, crash_rows, fleet,
+    claims, clean, connections, crash, crash_rows, fleet,
     front::{ListenerKind, serve},
     members, orders, paths, permits, silence,
     state::Server,
@@ -74,6 +74,7 @@
     tokio::spawn(stream_rows::clean_periodically(server.clone()));
     tokio::spawn(paths::run_checks(server.clone()));
     tokio::spawn(expire_periodically(server.clone(), dropped_lines));
+    tokio::spawn(connections::close_expired_periodically(server.clone()));
     tokio::spawn(permits::expire_periodically(server.clone()));
     tokio::spawn(clean::delete_old_batches(server.clone()));
     let probing = server.clone();
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -8,6 +8,7 @@
 
 use super::{
     claims::Batches,
+    connections::Doors,
     crash,
     crash_rows::{self, CrashRows},
     endpoint_relay::DecliningVms,
@@ -93,6 +94,8 @@
     pub(crate) metrics: Metrics,
     /// When this VM exits, once it was told to stop.
     pub(crate) stop: OnceLock<StopSchedule>,
+    /// The connections that are open, by listener.
+    pub(crate) doors: Doors,
     /// The number of open connections of callers.
     pub(crate) caller_connections: AtomicUsize,
     /// Becomes true at shutdown: each connection closes after the request in
@@ -110,6 +113,7 @@
         let http = Arc::new(ExchangeClient::new(answer_memory.clone()));
         Self {
             incarnation,
+            doors: Doors::new(&settings, &shares),
             store: Store::new(
                 settings.store_address,
                 settings.peer_address,
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -43,6 +43,14 @@
     /// The shortest time between the last order that one VM gives to endpoints and
     /// the first that another VM gives, in milliseconds.
     pub order_gap_ms: u64,
+    /// The most open connections of callers; without it, the limit follows from the
+    /// process's limit on descriptors.
+    #[serde(default)]
+    pub max_caller_connections: Option<usize>,
+    /// The memory for accepted connections, in megabytes; without it, the limit follows
+    /// from `memory_mb`.
+    #[serde(default)]
+    pub connections_mb: Option<usize>,
 }
 
 /// Parses and validates the settings of a VM from JSON.
@@ -96,6 +104,11 @@
         ("row_bytes", as_u64(settings.row_bytes)),
         ("object_bytes", as_u64(settings.object_bytes)),
         ("memory_mb", settings.memory_mb),
+        (
+            "max_caller_connections",
+            settings.max_caller_connections.map_or(1, as_u64),
+        ),
+        ("connections_mb", settings.connections_mb.map_or(1, as_u64)),
         ("keep_addresses_s", settings.keep_addresses_s),
         ("keep_batches_ms", settings.keep_batches_ms),
     ];
