--- a/src/server/run.rs
+++ b/src/server/run.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    claims, clean, crash, crash_rows,
+    claims, clean, connections, crash, crash_rows,
     duties::{self, DutyHandle},
     fleet,
     front::{ListenerKind, serve},
@@ -83,6 +83,7 @@
     tokio::spawn(stream_rows::clean_periodically(server.clone()));
     tokio::spawn(paths::run_checks(server.clone()));
     tokio::spawn(expire_periodically(server.clone(), dropped_lines));
+    tokio::spawn(connections::close_expired_periodically(server.clone()));
     tokio::spawn(permits::expire_periodically(server.clone()));
     tokio::spawn(clean::delete_old_batches(server.clone()));
     let probing = server.clone();
