Order endpoints only once the list of endpoints is whole

Trainers waited 8 s for the samples of their first step: endpoints that start with the VMs are listed one after the other within 4 s, and the first holder of the duties took the few that it saw for all. It ordered the least number for the data centres that seemed empty, which removed the endpoints that were about to be listed.

The scaler now starts from a list that has not grown for 5 s.

--- a/src/core/scale/mod.rs
+++ b/src/core/scale/mod.rs
@@ -8,6 +8,7 @@
 mod inputs;
 mod outcome;
 mod scaler;
+mod settling;
 mod signals;
 mod spread;
 mod window;
@@ -17,5 +18,6 @@
     inputs::{BatchWork, EndpointGroup, EndpointKind, ScaleInputs, Supply, WorkDue},
     outcome::{ScaleDecision, ScaleOrder, ScaleOutcome, ScaleReason},
     scaler::ServiceScaler,
+    settling::SupplySettling,
     signals::{LoadSignals, ServiceLoad},
 };
--- a/src/server/duties/scale.rs
+++ b/src/server/duties/scale.rs
@@ -7,7 +7,7 @@
         routes::ScaleLimits,
         scale::{
             EndpointGroup, EndpointKind, ScaleDecision, ScaleInputs, ScaleOrder, ScaleOutcome,
-            ServiceScaler, Supply,
+            ServiceScaler, Supply, SupplySettling,
         },
     },
     daemon::now_ms,
@@ -24,6 +24,7 @@
 pub(super) struct ScaleDuty {
     fence: u64,
     services: BTreeMap<Name, ServiceScaler>,
+    settling: BTreeMap<Name, SupplySettling>,
     decide_at_ms: u64,
     /// The last time of the platform's clock, which never goes back here.
     platform_ms: u64,
@@ -48,6 +49,7 @@
         if fence != self.fence {
             self.fence = fence;
             self.services.clear();
+            self.settling.clear();
         }
         if now_ms() < self.decide_at_ms {
             return;
@@ -60,6 +62,7 @@
             settings.is_some_and(|settings| settings.scale_limits.is_some())
         };
         self.services.retain(|service, _| is_scaled(service));
+        self.settling.retain(|service, _| is_scaled(service));
         self.totals.retain(|service, _| is_scaled(service));
         for (service, settings) in routes.pools() {
             if let Some(limits) = &settings.scale_limits {
@@ -83,6 +86,11 @@
         let Some(supply) = scaling::supply_of(server, service) else {
             return;
         };
+        let listed = supply.values().map(|supply| supply.ready).sum();
+        let settling = self.settling.entry(service.clone()).or_default();
+        if !settling.is_settled(self.platform_ms, listed) {
+            return;
+        }
         let work = scaling::work_of(server, service, self.platform_ms);
         let inputs = ScaleInputs {
             now_ms: self.platform_ms,
@@ -92,7 +100,6 @@
         };
         let scaler = self.services.entry(service.clone()).or_default();
         let mut decision = scaler.decide(&inputs);
-        let listed = supply.values().map(|supply| supply.ready).sum();
         self.totals
             .insert(service.clone(), (decision.wanted, listed));
         let orders = std::mem::take(&mut decision.orders);
