--- a/src/server/caller_body.rs
+++ b/src/server/caller_body.rs
@@ -1,6 +1,6 @@
 //! Reads the body of a caller's request.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -51,7 +51,7 @@
 /// caller's deadline, and `BadRequest` if it cannot be read.
 pub(crate) async fn read_caller_body(
     server: &Server,
-    open: &OpenConnection,
+    open: &Arc<OpenConnection>,
     mut body: Incoming,
     terms: BodyTerms,
 ) -> Result<Bytes, Refusal> {
@@ -64,15 +64,15 @@
         }
     };
     if read.is_err() {
-        discard_unread(body);
+        discard_unread(body, open.clone());
     }
     read
 }
 
 /// Reads the rest of the body of a refused request in the background.
-pub(crate) fn discard_unread(body: Incoming) {
+pub(crate) fn discard_unread(body: Incoming, open: Arc<OpenConnection>) {
     if !body.is_end_stream() {
-        tokio::spawn(discard(body));
+        tokio::spawn(discard(body, open));
     }
 }
 
@@ -131,7 +131,7 @@
 }
 
 /// Reads the rest of a refused body and drops it.
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: Incoming, open: Arc<OpenConnection>) {
     let rest = async { while let Some(Ok(_)) = body.frame().await {} };
     if tokio::time::timeout(Duration::from_millis(DISCARD_MS), rest)
         .await
@@ -139,4 +139,5 @@
     {
         tracing::debug!("connection closed: its caller still sends a refused body");
     }
+    open.end_discard();
 }
--- a/src/server/connections/open.rs
+++ b/src/server/connections/open.rs
@@ -100,6 +100,14 @@
         self.set_phase(ConnectionPhase::Running)
     }
 
+    /// Records that the rest of a refused body was read: it is not the start of a head.
+    pub(crate) fn end_discard(&self) {
+        let phase = *lock(&self.phase);
+        if phase == ConnectionPhase::Head {
+            self.set_phase(ConnectionPhase::Idle);
+        }
+    }
+
     /// Records that the whole answer was handed on.
     pub(super) fn end_run(&self) {
         self.set_phase(ConnectionPhase::Idle);
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -210,7 +210,7 @@
     server: Arc<Server>,
     request: Request<Incoming>,
     kind: ListenerKind,
-    open: &OpenConnection,
+    open: &Arc<OpenConnection>,
 ) -> Response<Body> {
     if request.body().is_end_stream() {
         if !open.begin_run() {
@@ -298,7 +298,7 @@
 async fn respond_to_caller(
     server: &Arc<Server>,
     request: Request<Incoming>,
-    open: &OpenConnection,
+    open: &Arc<OpenConnection>,
 ) -> Response<Body> {
     let started_ms = now_ms();
     server.metrics.requests.inc();
@@ -323,7 +323,7 @@
     let route = routes.find(&head.host, &head.path);
     let caller = accounts::authenticate(&routes, route.map(|route| &**route), &parts.headers);
     if let Err(refusal) = caller {
-        discard_unread(body);
+        discard_unread(body, open.clone());
         return refusal_response(server, &id, &refusal);
     }
     let terms = BodyTerms {
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -21,6 +21,7 @@
     mod relisted_samplers_survive_outages;
     mod runs_move_off_slow_samplers;
     mod shares_prefer_their_endpoint_slices;
+    mod stalled_connections_close_first;
     mod streams_outlive_their_vms;
     mod streams_stay_at_their_software;
     pub mod support;
