--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -24,6 +24,7 @@
     mod runs_move_off_slow_samplers;
     mod samples_end_first_at_uneven_endpoints;
     mod shares_prefer_their_endpoint_slices;
+    mod stalled_connections_close_first;
     mod streams_outlive_their_vms;
     mod streams_stay_at_their_software;
     pub mod support;
