Spread writes of usage counts and test the duties under load

In a load test of the counts, VMs that began to write at the same time went on doing so together: 360 VMs made bursts of up to 1,094 writes in 10 s. Each VM now has slots that follow each other by rank on the store's clock; one that has not written for an interval writes at once, if one write of each VM fits into a second. Counts whose row has another version are written again at once, since a wait of another interval would make them late. Reports that were not accepted give way to those that were sent less often, so that none holds up the others.

--- a/src/core/duties/counts.rs
+++ b/src/core/duties/counts.rs
@@ -1,15 +1,8 @@
 use std::collections::BTreeMap;
 
-use super::UsageReport;
+use super::{UsageReport, WritePace};
 use crate::core::Name;
 
-/// How long a change waits for further ones before it is written, in milliseconds.
-const COALESCE_MS: u64 = 50;
-/// The shortest interval between the writes of a VM, in milliseconds.
-const MIN_WRITE_INTERVAL_MS: u64 = 100;
-/// The writes of all VMs together, per second: they stay under 100, and 360 VMs still
-/// write each window within the 4 s until its counts are collected.
-const FLEET_WRITES_PER_S: u64 = 97;
 /// The most windows that one write covers.
 const MAX_WINDOWS_PER_WRITE: usize = 16;
 /// How many windows whose counts are written are kept, so that a refusal that comes late
@@ -53,14 +46,15 @@
 /// # Examples
 ///
 /// ```
-/// use chicoryreach::core::duties::UsageCounts;
+/// use chicoryreach::core::duties::{UsageCounts, WritePace};
 ///
+/// let pace = WritePace::new(1, 0, 0);
 /// let mut counts = UsageCounts::default();
 /// counts.on_begun(7, &"club".into(), 1_000);
-/// assert_eq!(counts.write_at_ms(1), Some(1_050));
+/// assert_eq!(counts.write_at_ms(&pace), Some(1_050));
 /// let writes = counts.begin_write(1_050);
 /// counts.on_written(&writes, 40);
-/// assert_eq!(counts.write_at_ms(1), None);
+/// assert_eq!(counts.write_at_ms(&pace), None);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct UsageCounts {
@@ -97,11 +91,9 @@
 
     /// Returns when the next write is due, if anything is to be written.
     #[must_use]
-    pub fn write_at_ms(&self, live_vms: u64) -> Option<u64> {
+    pub fn write_at_ms(&self, pace: &WritePace) -> Option<u64> {
         let changed_ms = self.changed_ms?;
-        let interval_ms = (live_vms * 1_000 / FLEET_WRITES_PER_S).max(MIN_WRITE_INTERVAL_MS);
-        let paced_ms = self.write_begun_ms.map_or(0, |begun| begun + interval_ms);
-        Some(paced_ms.max(changed_ms + COALESCE_MS))
+        Some(pace.write_at_ms(changed_ms, self.write_begun_ms))
     }
 
     /// Returns what is to be written now; the newest windows, if there are many.
--- a/src/core/duties/mod.rs
+++ b/src/core/duties/mod.rs
@@ -7,6 +7,7 @@
 mod true_time;
 mod usage_report;
 mod windows;
+mod write_pace;
 
 pub use self::{
     calls::{CallAnswer, DutyCalls},
@@ -16,4 +17,5 @@
     true_time::median_offset_ms,
     usage_report::UsageReport,
     windows::UsageWindows,
+    write_pace::WritePace,
 };
--- a/src/core/duties/reports.rs
+++ b/src/core/duties/reports.rs
@@ -17,7 +17,7 @@
 /// assert_eq!(reports.due_to_store(&windows, 18_999), None);
 /// assert_eq!(reports.due_to_store(&windows, 19_000), Some(2));
 /// reports.on_stored(2, UsageReport::default());
-/// assert_eq!(reports.next_to_send(0).map(|(window, _)| window), Some(2));
+/// assert_eq!(reports.next_to_send().map(|(window, _)| window), Some(2));
 /// assert_eq!(reports.first_open(), 2);
 /// reports.on_acknowledged(2);
 /// assert_eq!(reports.first_open(), 3);
@@ -25,7 +25,23 @@
 #[derive(Clone, Debug)]
 pub struct Reports {
     next_window: u64,
-    unacknowledged: BTreeMap<u64, UsageReport>,
+    unacknowledged: BTreeMap<u64, Unacknowledged>,
+}
+
+#[derive(Clone, Debug)]
+struct Unacknowledged {
+    report: UsageReport,
+    /// How often the report was sent without success.
+    failures: u32,
+}
+
+impl From<UsageReport> for Unacknowledged {
+    fn from(report: UsageReport) -> Self {
+        Self {
+            report,
+            failures: 0,
+        }
+    }
 }
 
 impl Reports {
@@ -37,8 +53,10 @@
     {
         let stored = stored.into_iter();
         // What is stored of earlier windows was acknowledged.
-        let unacknowledged: BTreeMap<u64, UsageReport> =
-            stored.filter(|(window, _)| *window >= first_open).collect();
+        let open = stored.filter(|(window, _)| *window >= first_open);
+        let unacknowledged: BTreeMap<u64, Unacknowledged> = open
+            .map(|(window, report)| (window, report.into()))
+            .collect();
         let last = unacknowledged.keys().next_back();
         Self {
             next_window: last.map_or(first_open, |window| window + 1),
@@ -55,15 +73,24 @@
 
     /// Records that the report of the next window was stored.
     pub fn on_stored(&mut self, window: u64, report: UsageReport) {
-        self.unacknowledged.insert(window, report);
+        self.unacknowledged.insert(window, report.into());
         self.next_window = window + 1;
     }
 
-    /// Returns the first report from a window on that is to be sent.
+    /// Returns the report that is to be sent next: of those that failed least often the
+    /// oldest, so that one that is never accepted holds up no other.
     #[must_use]
-    pub fn next_to_send(&self, from_window: u64) -> Option<(u64, &UsageReport)> {
-        let mut waiting = self.unacknowledged.range(from_window..);
-        waiting.next().map(|(window, report)| (*window, report))
+    pub fn next_to_send(&self) -> Option<(u64, &UsageReport)> {
+        let waiting = self.unacknowledged.iter();
+        let (window, next) = waiting.min_by_key(|(window, next)| (next.failures, **window))?;
+        Some((*window, &next.report))
+    }
+
+    /// Records that a report was sent without success.
+    pub fn on_failed(&mut self, window: u64) {
+        if let Some(failed) = self.unacknowledged.get_mut(&window) {
+            failed.failures = failed.failures.saturating_add(1);
+        }
     }
 
     /// Records that the platform has accepted the report of a window.
--- a/src/server/duties/lease.rs
+++ b/src/server/duties/lease.rs
@@ -46,6 +46,7 @@
         return;
     }
     if let Some(fence) = before {
+        handle.metrics().set_usage_report_age(0);
         tracing::info!(fence, "duties lost: this VM no longer holds them");
     }
     if let Some(fence) = fence {
--- a/src/server/duties/usage/collect.rs
+++ b/src/server/duties/usage/collect.rs
@@ -45,9 +45,6 @@
         let rows = read.await?.rows;
         let row = rows.iter().find(|row| &*row.key == PROGRESS_KEY);
         let known: Option<ProgressRow> = row.and_then(decode);
-        if known.is_some_and(|known| known.fence > fence) {
-            return Ok(None);
-        }
         let first_open = match known {
             Some(known) => known.first_open,
             // What an unreadable row said is lost, and reports were made before.
--- a/src/server/duties/usage/report.rs
+++ b/src/server/duties/usage/report.rs
@@ -30,8 +30,6 @@
     collected: BTreeMap<u64, Vec<Name>>,
     /// The first open window that is stored.
     stored_first_open: u64,
-    /// The first window of the reports that are not sent in this pass yet.
-    send_from: u64,
 }
 
 impl UsageDuty {
@@ -103,7 +101,6 @@
             stored_first_open: reports.first_open(),
             reports,
             collected: BTreeMap::new(),
-            send_from: 0,
         }
     }
 
@@ -125,10 +122,9 @@
         Ok(true)
     }
 
-    /// Sends one report. One that is rejected does not hold up those of later windows.
+    /// Sends one report.
     async fn send_next(&mut self, handle: &DutyHandle) -> Result<bool, StoreError> {
-        let next = self.reports.next_to_send(self.send_from);
-        let Some((window, report)) = next.or_else(|| self.reports.next_to_send(0)) else {
+        let Some((window, report)) = self.reports.next_to_send() else {
             return Ok(true);
         };
         let report: UsageReport = report.clone();
@@ -150,7 +146,6 @@
                     "report of usage sent"
                 );
                 self.reports.on_acknowledged(window);
-                self.send_from = window;
                 return self.record_acknowledged(handle).await;
             }
             DutyOutcome::NotHeld => {}
@@ -162,7 +157,7 @@
                     ?outcome,
                     "report of usage rejected"
                 );
-                self.send_from = window + 1;
+                self.reports.on_failed(window);
             }
             DutyOutcome::Paced | DutyOutcome::Failed(_) => {
                 tracing::warn!(
@@ -172,7 +167,7 @@
                     ?outcome,
                     "report of usage not accepted"
                 );
-                self.send_from = 0;
+                self.reports.on_failed(window);
             }
         }
         Ok(true)
--- a/src/server/duties/usage/time.rs
+++ b/src/server/duties/usage/time.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     core::duties::{UsageCounts, UsageWindows, median_offset_ms},
-    daemon::unix_ms,
+    daemon::{now_ms, unix_ms},
     platform::Store,
     server::state::{Server, lock},
     settings::{DutyKind, PlatformApiSettings},
@@ -50,6 +50,12 @@
     Some(earliest_ms.midpoint(latest_ms))
 }
 
+/// Returns how far the store's clock is ahead of this VM's monotonic one.
+pub(super) fn store_ahead_ms(store: &Store) -> Option<i64> {
+    let store_ms = i64::try_from(store_ms(store)?).ok()?;
+    Some(store_ms - i64::try_from(now_ms()).ok()?)
+}
+
 /// Returns the offset of this VM's time of day from the store's clock, in milliseconds.
 pub(crate) fn own_offset_ms(store: &Store) -> Option<i64> {
     let store_ms = i64::try_from(store_ms(store)?).ok()?;
--- a/src/server/duties/usage/write.rs
+++ b/src/server/duties/usage/write.rs
@@ -4,14 +4,18 @@
     super::Duties,
     UsageState,
     rows::{USAGE_TABLE, count_key},
+    time::store_ahead_ms,
 };
 use crate::{
-    core::duties::CountWrite,
+    core::duties::{CountWrite, WritePace},
     daemon::{now_ms, sleep_until},
     platform::{Condition, Tx, TxOutcome},
     server::state::{Server, lock},
 };
 
+/// How often a write is tried at once: a row may have another version after an answer was
+/// lost, or was deleted.
+const MAX_ATTEMPTS: usize = 2;
 /// How long the end of the process may be delayed to write the last counts, in
 /// milliseconds.
 const FLUSH_TIMEOUT_MS: u64 = 250;
@@ -20,9 +24,8 @@
 pub(crate) async fn write_counts(server: Arc<Server>, duties: Arc<Duties>) {
     let Some(usage) = &duties.usage else { return };
     loop {
-        let live_vms = lock(&server.members).live_vms().count();
-        let live_vms = u64::try_from(live_vms).unwrap_or(u64::MAX).max(1);
-        let write_at_ms = lock(&usage.counts).write_at_ms(live_vms);
+        let pace = pace(&server);
+        let write_at_ms = lock(&usage.counts).write_at_ms(&pace);
         let Some(write_at_ms) = write_at_ms else {
             usage.changed.notified().await;
             continue;
@@ -32,6 +35,17 @@
     }
 }
 
+/// Returns the pace of this VM's writes among the live VMs.
+fn pace(server: &Server) -> WritePace {
+    let members = lock(&server.members);
+    let (mut live_vms, mut rank) = (0, 0);
+    for (vm, _) in members.live_vms() {
+        live_vms += 1;
+        rank += u64::from(*vm < server.settings.vm);
+    }
+    WritePace::new(live_vms, rank, store_ahead_ms(&server.store).unwrap_or(0))
+}
+
 /// Writes the counts that are left before the process ends.
 pub(crate) async fn flush_counts(server: &Server) {
     let usage = server
@@ -53,11 +67,10 @@
 }
 
 async fn write_once(server: &Server, usage: &UsageState) {
-    let writes = lock(&usage.counts).begin_write(now_ms());
-    if !writes.is_empty() {
-        match encode(server, &writes) {
-            Ok(tx) => send(server, usage, &writes, &tx).await,
-            Err(error) => tracing::error!(%error, "counts of usage not encoded"),
+    for _ in 0..MAX_ATTEMPTS {
+        let writes = lock(&usage.counts).begin_write(now_ms());
+        if writes.is_empty() || !is_repeated_at_once(server, usage, &writes).await {
+            break;
         }
     }
     let unwritten = lock(&usage.counts).unwritten();
@@ -79,11 +92,20 @@
     Ok(tx)
 }
 
-async fn send(server: &Server, usage: &UsageState, writes: &[CountWrite], tx: &Tx) {
-    match server.store.transact(tx).await {
+/// Writes counts, and returns whether rows had other versions, which are now known.
+async fn is_repeated_at_once(server: &Server, usage: &UsageState, writes: &[CountWrite]) -> bool {
+    let tx = match encode(server, writes) {
+        Ok(tx) => tx,
+        Err(error) => {
+            tracing::error!(%error, "counts of usage not encoded");
+            return false;
+        }
+    };
+    match server.store.transact(&tx).await {
         Ok(TxOutcome::Committed(row_version)) => {
             lock(&usage.counts).on_written(writes, row_version);
             log_late(server, usage, writes);
+            false
         }
         Ok(TxOutcome::Conflict(rows)) => {
             let mut counts = lock(&usage.counts);
@@ -94,10 +116,12 @@
                 }
             }
             counts.on_not_written(now_ms());
+            true
         }
         Err(error) => {
             lock(&usage.counts).on_not_written(now_ms());
             tracing::debug!(%error, "counts of usage not written yet");
+            false
         }
     }
 }
--- a/src/server/http_client.rs
+++ b/src/server/http_client.rs
@@ -32,6 +32,9 @@
 /// The timeout for establishing a connection, in milliseconds: far more than a
 /// round trip, far less than a caller's timeout.
 pub(crate) const CONNECT_TIMEOUT_MS: u64 = 500;
+/// How long the kernel tries to deliver what a VM has sent that may be frozen by now, in
+/// milliseconds, where a late arrival would do harm.
+const MAX_UNACKNOWLEDGED_MS: u64 = 1_000;
 /// How long an idle connection is kept if the other side sends no `keep-alive`
 /// header, in milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 4_000;
@@ -546,7 +549,7 @@
     };
     stream.set_zero_linger().map_err(not_set)?;
     SockRef::from(&stream)
-        .set_tcp_user_timeout(Some(Duration::from_millis(timeout_ms)))
+        .set_tcp_user_timeout(Some(Duration::from_millis(MAX_UNACKNOWLEDGED_MS)))
         .map_err(not_set)?;
     start_http(address, stream).await
 }
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -24,4 +24,5 @@
     mod streams_outlive_their_vms;
     mod streams_stay_at_their_software;
     pub mod support;
+    mod usage_is_counted_exactly;
 }
--- a/tests/process_serve/singleton_duties.rs
+++ b/tests/process_serve/singleton_duties.rs
@@ -138,7 +138,16 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reports_count_each_request_once_over_vms_of_which_one_is_killed() {
     let (fleet, api) = start(3).await;
-    // Attempts that are refused as not run count nothing.
+    // A request that no endpoint runs counts nothing.
+    for sampler in &fleet.plain_samplers {
+        sampler.inject_answer_faults(AnswerFault::Refused, 3);
+    }
+    let status = post(&fleet, 0, "/slips/1", "refused", CLUB_KEY).await;
+    assert_eq!(status, 429);
+    for sampler in &fleet.plain_samplers {
+        sampler.clear_answer_faults();
+    }
+    // One that is refused and sent again counts once.
     for sampler in &fleet.plain_samplers[1..] {
         sampler.inject_answer_faults(AnswerFault::Refused, 4);
     }
@@ -196,6 +205,13 @@
     let requests = counted["requests"].as_u64().expect("a number");
     assert!(!reports(&api).contains_key(&window));
     fleet.signal(first, Signal::KILL);
+    // A report that is composed anew would contain these late counts.
+    let late = rmp_serde::to_vec_named(&json!({"counts": {"club": 5}})).expect("it is encoded");
+    let key = format!("{window:012}/vm-late/1");
+    let late = STANDARD.encode(late);
+    fleet
+        .store
+        .with_store(|store| store.put("usage", &key, late));
     api.set_state(ApiState::Up);
     wait_for_reports(&api).await;
     assert_orderly(&api);
@@ -210,7 +226,17 @@
 async fn a_holder_that_was_frozen_past_its_tenure_makes_no_call() {
     let (fleet, api) = start(2).await;
     let first = wait_for_holder(&fleet, &api).await;
+    // It is frozen within the back-off of at least 200 ms before its fourth call, which it
+    // would send as soon as it runs again.
+    api.set_state(ApiState::Down);
+    wait_until("reports that are not accepted", || {
+        let log = fleet.vms[first].log_text();
+        (log.matches("report of usage not accepted").count() >= 3).then_some(())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
     fleet.signal(first, Signal::STOP);
+    api.set_state(ApiState::Up);
     wait_until("another holder", || {
         holder(&fleet, &api).filter(|holder| *holder != first)
     })
