Tell the slot time of samples in one of eight reports

Every VM reads the rows of all others each second. The two sums of the slot time were in each row of a VM with samples, about 30 bytes a VM; at the planned 360 VMs that would come close to the bound of control work by itself. They change little, so that one report of eight tells them, and the holder of the duties remembers the last of each VM.

--- a/crates/standins/src/fleet/platform_api.rs
+++ b/crates/standins/src/fleet/platform_api.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     state: ApiState,
+    /// The data centre that has no endpoint available.
+    dry: Option<String>,
     calls: Vec<DutyCall>,
 }
 
@@ -79,6 +81,11 @@
         lock(&self.shared).state = state;
     }
 
+    /// Refuses orders of endpoints in a data centre.
+    pub fn set_dry(&self, data_centre: &str) {
+        lock(&self.shared).dry = Some(data_centre.to_owned());
+    }
+
     /// Returns the calls so far, in the order of their arrival.
     #[must_use]
     pub fn calls(&self) -> Vec<DutyCall> {
@@ -110,9 +117,11 @@
     let Ok(fence) = fence.parse() else {
         return status_answer(StatusCode::BAD_REQUEST, "no fence");
     };
-    let Ok(body) = serde_json::from_slice(&body) else {
+    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
         return status_answer(StatusCode::BAD_REQUEST, "not JSON");
     };
+    let zone = body["zone"].as_str().map(str::to_owned);
+    let is_dry = zone.is_some() && zone == lock(&shared).dry;
     lock(&shared).calls.push(DutyCall {
         at,
         path,
@@ -123,5 +132,8 @@
     if state == ApiState::LosesAnswers {
         std::future::pending::<()>().await;
     }
+    if is_dry {
+        return status_answer(StatusCode::CONFLICT, "none available");
+    }
     status_answer(StatusCode::OK, "")
 }
--- a/src/core/scale/mod.rs
+++ b/src/core/scale/mod.rs
@@ -10,6 +10,7 @@
 mod scaler;
 mod settling;
 mod signals;
+mod slot_times;
 mod spread;
 mod window;
 
@@ -20,4 +21,5 @@
     scaler::ServiceScaler,
     settling::SupplySettling,
     signals::{LoadSignals, ServiceLoad},
+    slot_times::SlotTimes,
 };
--- a/src/core/scale/signals.rs
+++ b/src/core/scale/signals.rs
@@ -6,6 +6,9 @@
 
 /// The weight of earlier samples against a new one.
 const EARLIER_WEIGHT: f64 = 0.99;
+/// The number of reports of which one tells the slot time of samples: it changes little, and
+/// every VM reads the reports of all others.
+const REPORTS_PER_SLOT_TIME: u32 = 8;
 
 /// What one VM tells the others of its work at a service.
 ///
@@ -20,7 +23,7 @@
     /// room.
     pub refused: u32,
     /// The tokens that the trainers estimated for complete samples; earlier ones count
-    /// less.
+    /// less. 0 in most reports.
     pub sample_tokens: u32,
     /// The slot time of runs of samples, weighted likewise.
     pub sample_slot_ms: u32,
@@ -56,6 +59,24 @@
     refused: u32,
     sample_tokens: f64,
     sample_slot_ms: f64,
+    /// The reports until the next one that tells the slot time.
+    reports_to_skip: u32,
+}
+
+impl ServiceSignals {
+    /// Returns the sums of complete samples if this report is to tell them.
+    fn take_slot_time(&mut self) -> (u32, u32) {
+        let tokens = round(self.sample_tokens);
+        if tokens == 0 {
+            return (0, 0);
+        }
+        if self.reports_to_skip > 0 {
+            self.reports_to_skip -= 1;
+            return (0, 0);
+        }
+        self.reports_to_skip = REPORTS_PER_SLOT_TIME - 1;
+        (tokens, round(self.sample_slot_ms))
+    }
 }
 
 /// What one VM observes of its work, by service.
@@ -110,7 +131,7 @@
     }
 
     /// Returns the report on a service at whose endpoints `in_flight` requests of this VM
-    /// are in flight. Refusals are reported once.
+    /// are in flight. Refusals are reported once, the slot time of samples now and then.
     pub fn take_report(&mut self, service: &str, in_flight: u32) -> ServiceLoad {
         let Some(signals) = self.services.get_mut(service) else {
             return ServiceLoad {
@@ -118,11 +139,12 @@
                 ..ServiceLoad::default()
             };
         };
+        let (sample_tokens, sample_slot_ms) = signals.take_slot_time();
         ServiceLoad {
             callers_in_flight: in_flight.saturating_sub(signals.samples_running),
             refused: std::mem::take(&mut signals.refused),
-            sample_tokens: round(signals.sample_tokens),
-            sample_slot_ms: round(signals.sample_slot_ms),
+            sample_tokens,
+            sample_slot_ms,
         }
     }
 }
--- a/src/server/duties/scale.rs
+++ b/src/server/duties/scale.rs
@@ -7,7 +7,7 @@
         routes::ScaleLimits,
         scale::{
             EndpointGroup, EndpointKind, ScaleDecision, ScaleInputs, ScaleOrder, ScaleOutcome,
-            ServiceScaler, Supply, SupplySettling,
+            ServiceScaler, SlotTimes, Supply, SupplySettling,
         },
     },
     daemon::now_ms,
@@ -25,6 +25,7 @@
     fence: u64,
     services: BTreeMap<Name, ServiceScaler>,
     settling: BTreeMap<Name, SupplySettling>,
+    slot_times: BTreeMap<Name, SlotTimes>,
     decide_at_ms: u64,
     /// The last time of the platform's clock, which never goes back here.
     platform_ms: u64,
@@ -63,6 +64,7 @@
         };
         self.services.retain(|service, _| is_scaled(service));
         self.settling.retain(|service, _| is_scaled(service));
+        self.slot_times.retain(|service, _| is_scaled(service));
         self.totals.retain(|service, _| is_scaled(service));
         for (service, settings) in routes.pools() {
             if let Some(limits) = &settings.scale_limits {
@@ -91,7 +93,8 @@
         if !settling.is_settled(self.platform_ms, listed) {
             return;
         }
-        let work = scaling::work_of(server, service, self.platform_ms);
+        let slot_times = self.slot_times.entry(service.clone()).or_default();
+        let work = scaling::work_of(server, service, self.platform_ms, slot_times);
         let inputs = ScaleInputs {
             now_ms: self.platform_ms,
             limits,
--- a/src/server/scaling/inputs.rs
+++ b/src/server/scaling/inputs.rs
@@ -5,7 +5,7 @@
         batch::BatchHead,
         pool::EndpointStage,
         routes::{Route, RouteTable},
-        scale::{BatchWork, EndpointGroup, EndpointKind, ServiceLoad, Supply, WorkDue},
+        scale::{BatchWork, EndpointGroup, EndpointKind, SlotTimes, Supply, WorkDue},
     },
     server::{
         claims::KnownBatch,
@@ -46,11 +46,26 @@
     Some(supply)
 }
 
-/// Returns the work of a service at a time of the platform's clock.
-pub(crate) fn work_of(server: &Server, service: &str, platform_ms: u64) -> WorkDue {
-    let loads = loads_of_all(server, service);
-    let slot_ms_per_token = (loads.sample_tokens > 0)
-        .then(|| f64::from(loads.sample_slot_ms) / f64::from(loads.sample_tokens));
+/// Returns the work of a service at a time of the platform's clock, and brings the slot
+/// times that the VMs tell up to date.
+pub(crate) fn work_of(
+    server: &Server,
+    service: &str,
+    platform_ms: u64,
+    slot_times: &mut SlotTimes,
+) -> WorkDue {
+    let (mut callers_in_flight, mut refused) = (0_u32, 0_u32);
+    {
+        let members = lock(&server.members);
+        slot_times.retain_live(&members.live_vms().map(|(vm, _)| vm.clone()).collect());
+        let loads = members.live_vms();
+        let loads = loads.filter_map(|(vm, row)| Some((vm, row.loads.get(service)?)));
+        for (vm, load) in loads {
+            slot_times.on_report(vm, *load);
+            callers_in_flight = callers_in_flight.saturating_add(load.callers_in_flight);
+            refused = refused.saturating_add(load.refused);
+        }
+    }
     let routes = server.routes();
     let batches = lock(&server.batches);
     let work = batches
@@ -59,26 +74,13 @@
         .filter_map(|batch| batch_work(&routes, service, platform_ms, batch));
     WorkDue {
         batches: work.collect(),
-        slot_ms_per_token,
-        callers_in_flight: loads.callers_in_flight,
+        slot_ms_per_token: slot_times.ms_per_token(),
+        callers_in_flight,
         // Each VM reports once a second.
-        refused_per_s: loads.refused,
+        refused_per_s: refused,
     }
 }
 
-/// Returns the sum of what all live VMs report of a service.
-fn loads_of_all(server: &Server, service: &str) -> ServiceLoad {
-    let members = lock(&server.members);
-    let rows = members.live_vms().map(|(_, row)| row);
-    let loads = rows.filter_map(|row| row.loads.get(service));
-    loads.fold(ServiceLoad::default(), |sum, load| ServiceLoad {
-        callers_in_flight: sum.callers_in_flight.saturating_add(load.callers_in_flight),
-        refused: sum.refused.saturating_add(load.refused),
-        sample_tokens: sum.sample_tokens.saturating_add(load.sample_tokens),
-        sample_slot_ms: sum.sample_slot_ms.saturating_add(load.sample_slot_ms),
-    })
-}
-
 /// Returns the part of a batch that is a service's work, unless it is too old to matter.
 fn batch_work(
     routes: &RouteTable,
