--- a/tests/process_serve/singleton_duties.rs
+++ b/tests/process_serve/singleton_duties.rs
@@ -279,3 +279,21 @@
     let repeated = windows.windows(2).any(|pair| pair[0] == pair[1]);
     assert!(repeated, "nothing was repeated: {windows:?}");
 }
+
+/// Guards against a draining holder that keeps the duties, or ends with counts unwritten.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_holder_hands_over() {
+    let (fleet, api) = start(2).await;
+    let first = wait_for_holder(&fleet, &api).await;
+    assert_eq!(post(&fleet, first, "/slips/1", "r1", CLUB_KEY).await, 200);
+    fleet.signal(first, Signal::TERM);
+    wait_until("another holder", || {
+        holder(&fleet, &api).filter(|holder| *holder != first)
+    })
+    .await;
+    wait_for_reports(&api).await;
+    assert_orderly(&api);
+    assert_eq!(reported(&api, "club"), 1);
+    let log = fleet.vms[first].log_text();
+    assert!(log.contains("duties lost"), "{log}");
+}
