Move runs only if they are expected to end clearly earlier

Runs were cut and resumed elsewhere since the machine of their endpoint was slow for some hundred milliseconds: the mean time per event of eight events is high then, although the rest of the run would have been as fast as anywhere. A run that had been silent, or had not started, for eight typical event times moved to any endpoint if no pace of the run was measured yet, however slow that one was.

A move now compares the expected ends. The pace of a run is that of its fastest part, and counts once the run was measured for 1.3 s, longer than a machine is slow twice in a row. A silent or waiting run is expected to wait for as long again as it has waited. The other end includes the move and the prompt that is read again, and has to be earlier by 200 ms and by 15 % of the time left. An endpoint or run without a pace counts as typical.

--- a/src/core/pool/mod.rs
+++ b/src/core/pool/mod.rs
@@ -4,6 +4,7 @@
 mod completion;
 mod endpoint;
 mod load;
+mod move_target;
 mod pool;
 mod slice;
 mod slowdown;
