Decide what gives way when a service has too few places

Callers saw a full service in the order of arrival: an urgent or small request was refused or late like any other, and one account with nine tenths of the load took nine tenths of the places.

core::shortage holds a bounded waiting room. The next place goes to callers before training, then to the least work for its value, where a step of priority counts fourfold and what an account was given beyond its fair share counts as work. An eighth of the started work is reserved for work that is overdue, so that no kind and priority is starved. What cannot be in time is refused at once, and refused callers get times to return in their order.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 pub mod routing;
 pub mod run_ahead;
 pub mod sample;
+pub mod shortage;
 pub mod store_path;
 pub mod straggler;
 pub mod streams;
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -21,6 +21,9 @@
     mod relisted_samplers_survive_outages;
     mod runs_move_off_slow_samplers;
     mod shares_prefer_their_endpoint_slices;
+    mod shortage_costs_callers_least;
+    mod shortage_refuses_the_last;
+    pub mod shortage_world;
     mod streams_outlive_their_vms;
     mod streams_stay_at_their_software;
     pub mod support;
