Let callers, samples and score calls start in the order of the waiting room

A caller's request that found all endpoints full was refused at once with 429, whatever its priority, while samples and score calls polled for the places that became free.

Where accounts are configured, or routes of several priorities lead to a service, all of them enter its waiting room (server/shortage). The room is looked at when a request ends and every 10 ms, and gives out the places that the pool counts as free below the occupancy that each kind may use. A request waits only while it can be in time. Elsewhere everything is served as before.

Three samplers with 96 places and 196 requests of one account: without accounts 100 are refused; with them none is, and an urgent request that comes last runs as the 96th of 197, right after those that were running. Score calls of a batch run after all callers' requests that wait. Each line "short of room" tells one decision.

--- a/src/server/forward.rs
+++ b/src/server/forward.rs
@@ -14,6 +14,7 @@
     endpoint_exchange::SendProgress,
     front::CallerRequest,
     response::Body,
+    shortage::{Waiter, caller_entry},
     state::{InFlight, Server, lock},
     streams,
 };
@@ -55,7 +56,7 @@
 /// The number of requests per slot below which an endpoint is chosen for a
 /// first attempt or a retry: endpoints queue some requests beyond their slots,
 /// and refuse at once what they cannot queue.
-const ATTEMPT_MAX_OCCUPANCY: f64 = 4.0;
+pub(super) const ATTEMPT_MAX_OCCUPANCY: f64 = 4.0;
 /// The number of requests per slot below which an endpoint is chosen for a
 /// hedged request.
 const HEDGE_MAX_OCCUPANCY: f64 = 1.0;
@@ -90,6 +91,8 @@
     error_response: Option<Response<Body>>,
     /// Why the last attempt failed.
     message: String,
+    /// Whether it waited for room before its first attempt.
+    has_waited: bool,
     /// Until when the content is held, if it is.
     held_until_ms: Option<u64>,
 }
@@ -155,6 +158,7 @@
         may_have_run: false,
         error_response: None,
         message: String::new(),
+        has_waited: false,
         held_until_ms: None,
     };
     let first = forwarding.start_first(&mut state, answer_by_ms).await?;
@@ -162,6 +166,11 @@
     running.push(first);
     let is_idempotent = route.kind == RouteKind::Idempotent;
     let mut unsent_until_ms = request.started_ms + wait_ms * UNSENT_PERCENT / 100;
+    if state.has_waited {
+        // Its turn has just come, so that the time before it does not count.
+        let left_ms = answer_by_ms.saturating_sub(now_ms());
+        unsent_until_ms = unsent_until_ms.max(now_ms() + left_ms * UNSENT_PERCENT / 100);
+    }
     let mut hedge_at_ms = now_ms() + route.target_latency_ms * HEDGE_PERCENT / 100;
     loop {
         let may_hedge = is_idempotent && state.attempts_started < route.max_attempts;
@@ -315,9 +324,27 @@
         answer_by_ms: u64,
     ) -> Result<Attempt, Refusal> {
         let choose = |avoid: &BTreeSet<Name>| self.choose_endpoint(avoid, Purpose::Caller);
-        let wait_until_ms = answer_by_ms.min(now_ms() + self.route.target_latency_ms);
-        let started =
-            content_runs::start(self.server, &self.content, wait_until_ms, choose).await?;
+        let start = || {
+            let wait_until_ms = answer_by_ms.min(now_ms() + self.route.target_latency_ms);
+            content_runs::start(self.server, &self.content, wait_until_ms, choose)
+        };
+        let entry = || {
+            caller_entry(
+                self.server,
+                self.route,
+                &self.service,
+                self.request,
+                answer_by_ms,
+            )
+        };
+        let started = match Waiter::enter(self.server, &self.service, entry) {
+            Some(mut waiter) => {
+                let started = waiter.start_in_turn(start).await?;
+                state.has_waited = waiter.has_waited();
+                started
+            }
+            None => start().await?,
+        };
         let in_flight = started.ok_or_else(|| no_endpoint_refusal(self.server, &self.service))?;
         Ok(self.attempt(state, in_flight, Purpose::Caller))
     }
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -10,7 +10,7 @@
 };
 use strum::IntoEnumIterator;
 
-use super::http_client::Reachability;
+use super::{http_client::Reachability, shortage::ShortageMetrics};
 use crate::{
     core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason},
     error::ErrorKind,
@@ -34,6 +34,7 @@
     endpoint_connects: Family<Labels, Counter>,
     cut_paths: Family<Labels, Gauge>,
     relayed_requests: Family<Labels, Counter>,
+    pub(crate) shortage: ShortageMetrics,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -65,6 +66,7 @@
             endpoint_connects: Family::default(),
             cut_paths: Family::default(),
             relayed_requests: Family::default(),
+            shortage: ShortageMetrics::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -85,6 +87,7 @@
         };
         metrics.register();
         metrics.register_paths();
+        metrics.shortage.register(&mut metrics.registry);
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -45,6 +45,7 @@
 mod sample;
 mod score;
 mod share;
+mod shortage;
 mod silence;
 mod state;
 mod stream;
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -11,6 +11,7 @@
     progress::UnsavedTexts,
     run_once::run_once,
     score,
+    shortage::{TrainingTurn, sample_entry},
     state::{InFlight, Server, lock},
     text_share::TextShare,
 };
@@ -41,7 +42,7 @@
 const MAX_RUN_RETRY_DOUBLINGS: u32 = 5;
 /// The occupancy below which an endpoint is sent a run. A run that is queued at
 /// one endpoint cannot start at another that becomes free sooner.
-const MAX_RUN_OCCUPANCY: f64 = 1.0;
+pub(super) const MAX_RUN_OCCUPANCY: f64 = 1.0;
 /// The time between two events of a run until a pace is known, in milliseconds.
 const DEFAULT_EVENT_MS: f64 = 20.0;
 /// How often the quarantine is asked again whether a sample may run, in
@@ -303,6 +304,7 @@
         let server = self.job.server.clone();
         let mut avoid = self.avoid.clone();
         let discard_at_ms = now_ms() + self.regeneration_ms();
+        let mut turn = TrainingTurn::default();
         loop {
             let route = server
                 .routes()
@@ -313,8 +315,27 @@
                 return Err(ReservationError::TimeOver);
             }
             self.discard_text_if_stuck(&route, discard_at_ms);
+            let job = &self.job;
+            let origin = self.text.origin();
+            let picked = self.pick_service(&route, origin);
+            let service = match (origin, turn.service()) {
+                (None, Some(service)) => Some(service.clone()),
+                _ => picked,
+            };
+            let entry = |service: &Name| sample_entry(job, &route, service);
+            let Some(max_occupancy) = turn
+                .wait(&server, service.as_ref(), MAX_RUN_OCCUPANCY, entry)
+                .await
+            else {
+                continue;
+            };
             let choose = |suspects: &BTreeSet<Name>| {
-                self.choose_endpoint(&route, &(&avoid | suspects), self.text.origin())
+                self.choose_endpoint(
+                    service.as_ref()?,
+                    &(&avoid | suspects),
+                    origin,
+                    max_occupancy,
+                )
             };
             let content = &self.job.content;
             let started = content_runs::try_start(&server, content, Purpose::Sample, choose);
@@ -326,8 +347,10 @@
                 }
             };
             if let Some(in_flight) = in_flight {
+                turn.on_started();
                 return Ok(Reservation { route, in_flight });
             }
+            turn.on_not_placed();
             // With no other endpoint free, those that failed before are tried.
             avoid.clear();
             let changed = server.pool_changed.notified();
@@ -356,26 +379,31 @@
         }
     }
 
+    /// Returns the service that runs the sample next.
+    fn pick_service(&self, route: &Route, origin: Option<&StreamOrigin>) -> Option<Name> {
+        let draw = rand::Rng::random(&mut *lock(&self.job.server.rng));
+        match origin {
+            Some(origin) => Some(origin.service.clone()),
+            None => route.pick_service(draw).cloned(),
+        }
+    }
+
     fn choose_endpoint(
         &self,
-        route: &Route,
+        service: &Name,
         avoid: &BTreeSet<Name>,
         origin: Option<&StreamOrigin>,
+        max_occupancy: f64,
     ) -> Option<Name> {
         let job = &self.job;
         let server = &job.server;
-        let draw = rand::Rng::random(&mut *lock(&server.rng));
-        let service = match origin {
-            Some(origin) => &origin.service,
-            None => route.pick_service(draw)?,
-        };
         let requirements = EndpointRequirements {
             service,
             data_centre: &server.settings.data_centre,
             avoid,
             weights: Some((&job.model, job.min_weights_version)),
             software: origin.map(|origin| &*origin.software),
-            max_occupancy: MAX_RUN_OCCUPANCY,
+            max_occupancy,
             connected: &server.http.connected_addresses(),
             purpose: Purpose::Sample,
             length_weight: job.length_weight,
@@ -412,7 +440,13 @@
         let is_served = is_routed && lock(&self.job.server.pool).has_ready(&origin);
         let is_late = now_ms() >= discard_at_ms;
         let no_endpoints = BTreeSet::new();
-        let is_free = |origin| self.choose_endpoint(route, &no_endpoints, origin).is_some();
+        let is_free = |origin| {
+            let service = self.pick_service(route, origin);
+            service.is_some_and(|service| {
+                self.choose_endpoint(&service, &no_endpoints, origin, MAX_RUN_OCCUPANCY)
+                    .is_some()
+            })
+        };
         if is_served && !(is_late && is_free(None) && !is_free(Some(&origin))) {
             return;
         }
--- a/src/server/score.rs
+++ b/src/server/score.rs
@@ -13,6 +13,7 @@
     metrics::elapsed_seconds,
     permits,
     sample::{HELD_CHECK_INTERVAL_MS, SampleJob},
+    shortage::{TrainingTurn, score_entry},
     state::{InFlight, lock},
 };
 use crate::{
@@ -35,7 +36,7 @@
 const SCORE_RETRY_DELAY_MS: u64 = 15;
 /// The occupancy below which an endpoint is sent score calls. The rest of its
 /// slots stays free for callers, who need them at once.
-const MAX_SCORE_OCCUPANCY: f64 = 0.84;
+pub(super) const MAX_SCORE_OCCUPANCY: f64 = 0.84;
 
 /// How one score call ended.
 enum CallEnd {
@@ -59,6 +60,7 @@
     let mut failures = job.failures.score_calls;
     let mut timeouts = 0;
     let mut avoid = BTreeSet::new();
+    let mut turn = TrainingTurn::default();
     loop {
         let route = server.routes().find(&call.host, &call.path).cloned();
         let clock = server.store.clock_bounds_ms();
@@ -71,17 +73,33 @@
         if failures >= route.max_attempts {
             return None;
         }
-        let choose = |suspects: &BTreeSet<Name>| choose_endpoint(job, &route, &(&avoid | suspects));
+        let draw = rand::Rng::random(&mut *lock(&server.rng));
+        let service = turn.service().or_else(|| route.pick_service(draw)).cloned();
+        let entry = |service: &Name| score_entry(job, &route, service, call);
+        let Some(max_occupancy) = turn
+            .wait(server, service.as_ref(), MAX_SCORE_OCCUPANCY, entry)
+            .await
+        else {
+            continue;
+        };
+        let choose = |suspects: &BTreeSet<Name>| {
+            choose_endpoint(job, service.as_ref()?, &(&avoid | suspects), max_occupancy)
+        };
         let started = content_runs::try_start(server, &content, Purpose::Score, choose);
         let in_flight = match started {
-            StartOutcome::Started(in_flight) => Some(in_flight),
+            StartOutcome::Started(in_flight) => {
+                turn.on_started();
+                Some(in_flight)
+            }
             StartOutcome::NoEndpoint | StartOutcome::Wait | StartOutcome::Unclaimed(_) => None,
             StartOutcome::Held { .. } => {
+                turn = TrainingTurn::default();
                 tokio::time::sleep(Duration::from_millis(HELD_CHECK_INTERVAL_MS)).await;
                 continue;
             }
         };
         let Some(in_flight) = in_flight else {
+            turn.on_not_placed();
             avoid.clear();
             tokio::time::sleep(Duration::from_millis(SCORE_RETRY_DELAY_MS)).await;
             continue;
@@ -117,15 +135,19 @@
     }
 }
 
-fn choose_endpoint(job: &SampleJob, route: &Route, avoid: &BTreeSet<Name>) -> Option<Name> {
+fn choose_endpoint(
+    job: &SampleJob,
+    service: &Name,
+    avoid: &BTreeSet<Name>,
+    max_occupancy: f64,
+) -> Option<Name> {
     let server = &job.server;
-    let draw = rand::Rng::random(&mut *lock(&server.rng));
     let requirements = EndpointRequirements {
-        service: route.pick_service(draw)?,
+        service,
         data_centre: &server.settings.data_centre,
         avoid,
         weights: None,
-        max_occupancy: MAX_SCORE_OCCUPANCY,
+        max_occupancy,
         connected: &server.http.connected_addresses(),
         purpose: Purpose::Score,
         software: None,
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -15,6 +15,7 @@
     memory::BodyMemory,
     metrics::Metrics,
     paths::PathChecks,
+    shortage::Rooms,
     silence::EndVerdicts,
     stream_rows::StreamRows,
 };
@@ -57,6 +58,8 @@
     pub(crate) relayed_requests: AtomicUsize,
     /// Notified when an endpoint may have a free slot.
     pub(crate) pool_changed: Notify,
+    /// What waits for room at the endpoints of a service.
+    pub(crate) waiting_rooms: Rooms,
     /// The newest weights version that a trainer named, by model.
     pub(crate) newest_weights: Mutex<BTreeMap<Name, u64>>,
     pub(crate) members: Mutex<Roster>,
@@ -124,6 +127,7 @@
             end_verdicts: Mutex::default(),
             relayed_requests: AtomicUsize::new(0),
             pool_changed: Notify::new(),
+            waiting_rooms: Rooms::default(),
             newest_weights: Mutex::default(),
             members: Mutex::default(),
             batches: Mutex::default(),
@@ -293,6 +297,7 @@
             crash_rows::publish_clearance(&self.server, clearance, &self.endpoint);
         }
         self.server.pool_changed.notify_one();
+        self.server.waiting_rooms.on_place_free();
     }
 }
 
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -19,6 +19,7 @@
     mod long_texts;
     mod odd_entries;
     mod requests_that_crash_samplers;
+    mod shortage_of_places;
     mod soak;
     mod stops_cut_no_request;
     mod streams_after_all_vms_are_lost;
