--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod run_ahead;
 pub mod sample;
 pub mod scale;
+pub mod shortage;
 pub mod store_path;
 pub mod straggler;
 pub mod streams;
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -10,7 +10,7 @@
 };
 use strum::IntoEnumIterator;
 
-use super::http_client::Reachability;
+use super::{http_client::Reachability, shortage::ShortageMetrics};
 use crate::{
     core::{
         connections::CloseReason, paths::PathReport, rate_limit::Purpose, retry::RetryReason,
@@ -45,6 +45,7 @@
     connections: Family<Labels, Gauge>,
     connection_bytes: Family<Labels, Gauge>,
     connections_closed: Family<Labels, Counter>,
+    pub(crate) shortage: ShortageMetrics,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -86,6 +87,7 @@
             connections: Family::default(),
             connection_bytes: Family::default(),
             connections_closed: Family::default(),
+            shortage: ShortageMetrics::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -111,6 +113,7 @@
         metrics.register_duties();
         metrics.register_scale();
         metrics.register_connections();
+        metrics.shortage.register(&mut metrics.registry);
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -48,6 +48,7 @@
 mod scaling;
 mod score;
 mod share;
+mod shortage;
 mod silence;
 mod state;
 mod stream;
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -25,6 +25,9 @@
     mod runs_stay_through_passing_slowdowns;
     mod samples_end_first_at_uneven_endpoints;
     mod shares_prefer_their_endpoint_slices;
+    mod shortage_costs_callers_least;
+    mod shortage_refuses_the_last;
+    pub mod shortage_world;
     mod stalled_connections_close_first;
     mod streams_outlive_their_vms;
     mod streams_stay_at_their_software;
--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -21,6 +21,7 @@
     mod long_texts;
     mod odd_entries;
     mod requests_that_crash_samplers;
+    mod shortage_of_places;
     mod singleton_duties;
     mod soak;
     mod stops_cut_no_request;
