--- a/src/core/pool/mod.rs
+++ b/src/core/pool/mod.rs
@@ -1,10 +1,13 @@
 //! The endpoints that a VM can use, and the choice of one for a request.
 
 mod choose;
+mod completion;
 mod endpoint;
 mod load;
+mod move_target;
 mod pool;
 mod slice;
+mod slowdown;
 
 pub use self::{
     choose::EndpointRequirements,
@@ -12,4 +15,5 @@
     load::{Load, LoadReport},
     pool::{ConnectionRule, Pool},
     slice::EndpointSlice,
+    slowdown::{SLOWDOWN_LIFETIME_MS, Slowdowns},
 };
--- a/src/core/scale/mod.rs
+++ b/src/core/scale/mod.rs
@@ -8,7 +8,9 @@
 mod inputs;
 mod outcome;
 mod scaler;
+mod settling;
 mod signals;
+mod slot_times;
 mod spread;
 mod window;
 
@@ -17,5 +19,7 @@
     inputs::{BatchWork, EndpointGroup, EndpointKind, ScaleInputs, Supply, WorkDue},
     outcome::{ScaleDecision, ScaleOrder, ScaleOutcome, ScaleReason},
     scaler::ServiceScaler,
+    settling::SupplySettling,
     signals::{LoadSignals, ServiceLoad},
+    slot_times::SlotTimes,
 };
--- a/src/server/caller_body.rs
+++ b/src/server/caller_body.rs
@@ -1,6 +1,6 @@
 //! Reads the body of a caller's request.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::{
+    connections::OpenConnection,
     memory::{BodyBuffer, BodyError, BodyPlan, stated_bytes},
     state::{Server, lock},
 };
@@ -50,32 +51,34 @@
 /// caller's deadline, and `BadRequest` if it cannot be read.
 pub(crate) async fn read_caller_body(
     server: &Server,
+    open: &Arc<OpenConnection>,
     mut body: Incoming,
     terms: BodyTerms,
 ) -> Result<Bytes, Refusal> {
     let patience_ms = terms.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
     let read = tokio::select! {
-        read = read_body(server, &mut body, terms, patience_ms) => read,
+        read = read_body(server, open, &mut body, terms, patience_ms) => read,
         () = sleep_until(terms.started_ms + patience_ms) => {
             let message = format!("the request body was not complete within {patience_ms} ms");
             Err(Refusal::new(ErrorKind::DeadlinePassed, message))
         }
     };
     if read.is_err() {
-        discard_unread(body);
+        discard_unread(body, open.clone());
     }
     read
 }
 
 /// Reads the rest of the body of a refused request in the background.
-pub(crate) fn discard_unread(body: Incoming) {
+pub(crate) fn discard_unread(body: Incoming, open: Arc<OpenConnection>) {
     if !body.is_end_stream() {
-        tokio::spawn(discard(body));
+        tokio::spawn(discard(body, open));
     }
 }
 
 async fn read_body(
     server: &Server,
+    open: &OpenConnection,
     body: &mut Incoming,
     terms: BodyTerms,
     patience_ms: u64,
@@ -88,7 +91,7 @@
         copies: terms.copies,
         wait_until_ms: terms.started_ms + patience_ms / MEMORY_WAIT_DIVISOR,
     };
-    let mut buffer = BodyBuffer::new(&server.request_memory, plan);
+    let mut buffer = BodyBuffer::new(&server.request_memory, plan).on_connection(open);
     buffer
         .check_stated()
         .map_err(|error| refusal_of(server, error, &plan))?;
@@ -128,7 +131,7 @@
 }
 
 /// Reads the rest of a refused body and drops it.
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: Incoming, open: Arc<OpenConnection>) {
     let rest = async { while let Some(Ok(_)) = body.frame().await {} };
     if tokio::time::timeout(Duration::from_millis(DISCARD_MS), rest)
         .await
@@ -136,4 +139,5 @@
     {
         tracing::debug!("connection closed: its caller still sends a refused body");
     }
+    open.end_discard();
 }
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -10,9 +10,12 @@
 };
 use strum::IntoEnumIterator;
 
-use super::http_client::Reachability;
+use super::{http_client::Reachability, shortage::ShortageMetrics};
 use crate::{
-    core::{paths::PathReport, rate_limit::Purpose, retry::RetryReason, scale::ScaleOutcome},
+    core::{
+        connections::CloseReason, paths::PathReport, rate_limit::Purpose, retry::RetryReason,
+        scale::ScaleOutcome,
+    },
     error::ErrorKind,
 };
 
@@ -39,6 +42,10 @@
     usage_counts_unwritten: Gauge,
     pub(crate) duties_held: Gauge,
     scale_orders: Family<Labels, Counter>,
+    connections: Family<Labels, Gauge>,
+    connection_bytes: Family<Labels, Gauge>,
+    connections_closed: Family<Labels, Counter>,
+    pub(crate) shortage: ShortageMetrics,
     pub(crate) requests: Counter,
     pub(crate) batches_accepted: Counter,
     pub(crate) samples_listed: Counter,
@@ -77,6 +84,10 @@
             usage_counts_unwritten: Gauge::default(),
             duties_held: Gauge::default(),
             scale_orders: Family::default(),
+            connections: Family::default(),
+            connection_bytes: Family::default(),
+            connections_closed: Family::default(),
+            shortage: ShortageMetrics::default(),
             requests: Counter::default(),
             batches_accepted: Counter::default(),
             samples_listed: Counter::default(),
@@ -101,6 +112,8 @@
         metrics.register_paths();
         metrics.register_duties();
         metrics.register_scale();
+        metrics.register_connections();
+        metrics.shortage.register(&mut metrics.registry);
         for kind in ErrorKind::iter() {
             let refusals = &metrics.refusals;
             refusals
@@ -333,6 +346,46 @@
             .inc();
     }
 
+    fn register_connections(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "connections",
+            "Accepted connections that are open, by listener",
+            self.connections.clone(),
+        );
+        registry.register(
+            "connection_bytes",
+            "What accepted connections may hold without bodies and answers, by listener",
+            self.connection_bytes.clone(),
+        );
+        registry.register(
+            "connections_closed",
+            "Accepted connections that this VM closed, by listener and reason",
+            self.connections_closed.clone(),
+        );
+    }
+
+    /// Records the open connections of a listener.
+    pub(crate) fn set_connections(&self, listener: &'static str, count: usize, bytes: usize) {
+        let gauge_value = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let labels = vec![("listener", listener)];
+        let connections = self.connections.get_or_create(&labels);
+        connections.set(gauge_value(count));
+        let connection_bytes = self.connection_bytes.get_or_create(&labels);
+        connection_bytes.set(gauge_value(bytes));
+    }
+
+    /// Records connections of a listener that this VM closed.
+    pub(crate) fn on_connections_closed(
+        &self,
+        listener: &'static str,
+        reason: CloseReason,
+        count: u64,
+    ) {
+        let labels = vec![("listener", listener), ("reason", reason.into())];
+        self.connections_closed.get_or_create(&labels).inc_by(count);
+    }
+
     pub(crate) fn on_refusal(&self, kind: ErrorKind) {
         let refusals = &self.refusals;
         refusals.get_or_create(&vec![("kind", kind.into())]).inc();
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -91,7 +91,7 @@
     let outgoing = Outgoing::of_background(Purpose::Sample, request, permit, until_ms);
     let sent = endpoint_exchange::send(server, &endpoint, address, outgoing);
     let sent = pin!(sent);
-    let reply = match wait_for_head(job, sent, in_flight, may_move).await {
+    let reply = match wait_for_head(job, sent, in_flight, text, may_move).await {
         HeadWait::Received(result) => match *result {
             Ok(reply) => reply,
             Err(error) => return on_exchange_error(job, in_flight, &error).await,
@@ -100,7 +100,7 @@
         HeadWait::TimedOut => return on_head_timeout(server, &endpoint, address),
     };
     let head = parse_answer_head(reply.status, &reply.headers);
-    record_answer_head(server, &endpoint, &head);
+    record_answer_head(server, in_flight, &head);
     if head.is_not_run {
         in_flight.mark_incomplete();
         let message = format!("endpoint refused with {}", reply.status);
@@ -158,6 +158,7 @@
     job: &SampleJob,
     mut sent: Pin<&mut F>,
     in_flight: &InFlight,
+    text: &SampleText,
     may_move: bool,
 ) -> HeadWait
 where
@@ -178,7 +179,8 @@
         if let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint) {
             known.on_stalled(now_ms());
         }
-        if may_move && job.has_better_endpoint(in_flight, &pace) {
+        let waited_ms = now_ms().saturating_sub(pace.last_progress_ms());
+        if may_move && job.ends_earlier_by_move(in_flight, text, &pace, waited_ms) {
             return HeadWait::SlowStart;
         }
     }
@@ -276,8 +278,11 @@
         }
         let is_better_elsewhere = || match verdict {
             RunVerdict::Steady => false,
-            RunVerdict::Slow => job.gains_by_move(in_flight, text, &pace),
-            RunVerdict::Silent => job.has_better_endpoint(in_flight, &pace),
+            RunVerdict::Slow => job.ends_earlier_by_move(in_flight, text, &pace, 0),
+            RunVerdict::Silent => {
+                let silent_ms = now_ms().saturating_sub(pace.last_progress_ms());
+                job.ends_earlier_by_move(in_flight, text, &pace, silent_ms)
+            }
         };
         let should_move = may_move
             && (is_better_elsewhere() || job.should_move_to_be_in_time(in_flight, text, &pace));
@@ -306,10 +311,11 @@
 /// Records an endpoint's time per event, without the wait for the first event: how long
 /// that is depends on what else runs there.
 fn record_pace(server: &Server, in_flight: &InFlight, pace: &RunPace) {
-    if let Some(event_ms) = pace.endpoint_ms_per_event()
+    if let (Some(event_ms), Some(from_ms)) = (pace.endpoint_ms_per_event(), pace.first_event_ms())
         && let Some(known) = lock(&server.pool).get_mut(&in_flight.endpoint)
+        && known.record.started_unix_ms == in_flight.incarnation
     {
-        known.on_pace(event_ms);
+        known.on_measured_pace(from_ms, pace.last_progress_ms(), event_ms);
     }
 }
 
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -12,6 +12,7 @@
     run_once::run_once,
     scaling::SlotUse,
     score,
+    shortage::{TrainingTurn, sample_entry},
     state::{InFlight, Server, lock},
     text_share::TextShare,
 };
@@ -42,7 +43,7 @@
 const MAX_RUN_RETRY_DOUBLINGS: u32 = 5;
 /// The occupancy below which an endpoint is sent a run. A run that is queued at
 /// one endpoint cannot start at another that becomes free sooner.
-const MAX_RUN_OCCUPANCY: f64 = 1.0;
+pub(super) const MAX_RUN_OCCUPANCY: f64 = 1.0;
 /// The time between two events of a run until a pace is known, in milliseconds.
 const DEFAULT_EVENT_MS: f64 = 20.0;
 /// How often the quarantine is asked again whether a sample may run, in
@@ -125,21 +126,34 @@
 }
 
 impl SampleJob {
-    /// Returns whether a slow run is expected to end earlier at another endpoint.
-    pub(crate) fn gains_by_move(
+    /// Returns whether a run that is slow, or has waited for `waited_ms`, is expected to
+    /// end clearly earlier at another endpoint.
+    pub(crate) fn ends_earlier_by_move(
         &self,
         in_flight: &InFlight,
         text: &SampleText,
         pace: &RunPace,
+        waited_ms: u64,
     ) -> bool {
-        let Some(here_ms) = pace.endpoint_ms_per_event() else {
+        let run_ms = pace.lasting_ms_per_event();
+        let known_ms = lock(&self.server.pool)
+            .get(&in_flight.endpoint)
+            .and_then(|known| known.pace);
+        // Without a wait, only a run that has been slow for long shows its endpoint slow.
+        if run_ms.is_none() && waited_ms == 0 {
             return false;
-        };
-        let run = self.run_in_progress(text);
-        let there_ms = self.search_elsewhere(in_flight, |pool, requirements, rng| {
-            pool.pace_elsewhere(now_ms(), requirements, rng)
+        }
+        let target = self.search_elsewhere(in_flight, |pool, requirements, rng| {
+            pool.move_target_pace(now_ms(), requirements, rng)
         });
-        there_ms.is_some_and(|there_ms| run.gains_by_move(here_ms, there_ms))
+        let Some(there_ms) = target else {
+            return false;
+        };
+        let here_ms = run_ms.or(known_ms);
+        let there_ms = there_ms.or(here_ms).unwrap_or(DEFAULT_EVENT_MS);
+        let here_ms = here_ms.unwrap_or(there_ms);
+        self.run_in_progress(text)
+            .ends_earlier_by_move(waited_ms, here_ms, there_ms)
     }
 
     fn run_in_progress(&self, text: &SampleText) -> RunInProgress {
@@ -151,14 +165,6 @@
         }
     }
 
-    /// Returns whether a run is expected to do better at another endpoint.
-    pub(crate) fn has_better_endpoint(&self, in_flight: &InFlight, pace: &RunPace) -> bool {
-        let event_ms = pace.ms_per_event();
-        self.search_elsewhere(in_flight, |pool, requirements, rng| {
-            pool.has_better_endpoint(now_ms(), requirements, event_ms, rng)
-        })
-    }
-
     /// Returns whether a run that may be late is expected to end earlier elsewhere.
     pub(crate) fn should_move_to_be_in_time(
         &self,
@@ -171,7 +177,7 @@
             .and_then(|known| known.pace);
         let clock = self.server.store.clock_bounds_ms();
         let (Some(run_ms), Some(endpoint_ms), Some((platform_ms, _))) =
-            (pace.endpoint_ms_per_event(), endpoint_ms, clock)
+            (pace.lasting_ms_per_event(), endpoint_ms, clock)
         else {
             return false;
         };
@@ -184,7 +190,7 @@
             return false;
         }
         let there_ms = self.search_elsewhere(in_flight, |pool, requirements, rng| {
-            pool.pace_elsewhere(now_ms(), requirements, rng)
+            pool.move_target_pace(now_ms(), requirements, rng).flatten()
         });
         there_ms.is_some_and(|there_ms| run.should_move(platform_ms, here_ms, there_ms))
     }
@@ -304,6 +310,7 @@
         let server = self.job.server.clone();
         let mut avoid = self.avoid.clone();
         let discard_at_ms = now_ms() + self.regeneration_ms();
+        let mut turn = TrainingTurn::default();
         loop {
             let route = server
                 .routes()
@@ -314,8 +321,27 @@
                 return Err(ReservationError::TimeOver);
             }
             self.discard_text_if_stuck(&route, discard_at_ms);
+            let job = &self.job;
+            let origin = self.text.origin();
+            let picked = self.pick_service(&route, origin);
+            let service = match (origin, turn.service()) {
+                (None, Some(service)) => Some(service.clone()),
+                _ => picked,
+            };
+            let entry = |service: &Name| sample_entry(job, &route, service);
+            let Some(max_occupancy) = turn
+                .wait(&server, service.as_ref(), MAX_RUN_OCCUPANCY, entry)
+                .await
+            else {
+                continue;
+            };
             let choose = |suspects: &BTreeSet<Name>| {
-                self.choose_endpoint(&route, &(&avoid | suspects), self.text.origin())
+                self.choose_endpoint(
+                    service.as_ref()?,
+                    &(&avoid | suspects),
+                    origin,
+                    max_occupancy,
+                )
             };
             let content = &self.job.content;
             let started = content_runs::try_start(&server, content, Purpose::Sample, choose);
@@ -327,8 +353,10 @@
                 }
             };
             if let Some(in_flight) = in_flight {
+                turn.on_started();
                 return Ok(Reservation { route, in_flight });
             }
+            turn.on_not_placed();
             // With no other endpoint free, those that failed before are tried.
             avoid.clear();
             let changed = server.pool_changed.notified();
@@ -357,26 +385,31 @@
         }
     }
 
+    /// Returns the service that runs the sample next.
+    fn pick_service(&self, route: &Route, origin: Option<&StreamOrigin>) -> Option<Name> {
+        let draw = rand::Rng::random(&mut *lock(&self.job.server.rng));
+        match origin {
+            Some(origin) => Some(origin.service.clone()),
+            None => route.pick_service(draw).cloned(),
+        }
+    }
+
     fn choose_endpoint(
         &self,
-        route: &Route,
+        service: &Name,
         avoid: &BTreeSet<Name>,
         origin: Option<&StreamOrigin>,
+        max_occupancy: f64,
     ) -> Option<Name> {
         let job = &self.job;
         let server = &job.server;
-        let draw = rand::Rng::random(&mut *lock(&server.rng));
-        let service = match origin {
-            Some(origin) => &origin.service,
-            None => route.pick_service(draw)?,
-        };
         let requirements = EndpointRequirements {
             service,
             data_centre: &server.settings.data_centre,
             avoid,
             weights: Some((&job.model, job.min_weights_version)),
             software: origin.map(|origin| &*origin.software),
-            max_occupancy: MAX_RUN_OCCUPANCY,
+            max_occupancy,
             connected: &server.http.connected_addresses(),
             purpose: Purpose::Sample,
             length_weight: job.length_weight,
@@ -413,7 +446,13 @@
         let is_served = is_routed && lock(&self.job.server.pool).has_ready(&origin);
         let is_late = now_ms() >= discard_at_ms;
         let no_endpoints = BTreeSet::new();
-        let is_free = |origin| self.choose_endpoint(route, &no_endpoints, origin).is_some();
+        let is_free = |origin| {
+            let service = self.pick_service(route, origin);
+            service.is_some_and(|service| {
+                self.choose_endpoint(&service, &no_endpoints, origin, MAX_RUN_OCCUPANCY)
+                    .is_some()
+            })
+        };
         if is_served && !(is_late && is_free(None) && !is_free(Some(&origin))) {
             return;
         }
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -8,6 +8,7 @@
 
 use super::{
     claims::Batches,
+    connections::Doors,
     crash,
     crash_rows::{self, CrashRows},
     duties::Duties,
@@ -16,6 +17,7 @@
     memory::BodyMemory,
     metrics::Metrics,
     paths::PathChecks,
+    shortage::Rooms,
     silence::EndVerdicts,
     stream_rows::StreamRows,
 };
@@ -59,6 +61,8 @@
     pub(crate) relayed_requests: AtomicUsize,
     /// Notified when an endpoint may have a free slot.
     pub(crate) pool_changed: Notify,
+    /// What waits for room at the endpoints of a service.
+    pub(crate) waiting_rooms: Rooms,
     /// The newest weights version that a trainer named, by model.
     pub(crate) newest_weights: Mutex<BTreeMap<Name, u64>>,
     pub(crate) members: Mutex<Roster>,
@@ -99,6 +103,8 @@
     pub(crate) metrics: Metrics,
     /// When this VM exits, once it was told to stop.
     pub(crate) stop: OnceLock<StopSchedule>,
+    /// The connections that are open, by listener.
+    pub(crate) doors: Doors,
     /// The number of open connections of callers.
     pub(crate) caller_connections: AtomicUsize,
     /// Becomes true at shutdown: each connection closes after the request in
@@ -116,6 +122,7 @@
         let http = Arc::new(ExchangeClient::new(answer_memory.clone()));
         Self {
             incarnation,
+            doors: Doors::new(&settings, &shares),
             store: Store::new(
                 settings.store_address,
                 settings.peer_address,
@@ -130,6 +137,7 @@
             end_verdicts: Mutex::default(),
             relayed_requests: AtomicUsize::new(0),
             pool_changed: Notify::new(),
+            waiting_rooms: Rooms::default(),
             newest_weights: Mutex::default(),
             members: Mutex::default(),
             batches: Mutex::default(),
@@ -301,6 +309,7 @@
             crash_rows::publish_clearance(&self.server, clearance, &self.endpoint);
         }
         self.server.pool_changed.notify_one();
+        self.server.waiting_rooms.on_place_free();
     }
 }
 
