Name the connections of a listener by what they are

The files and types of the accounting of connections were called doors, which is no term of the field. They are now the connections of a listener, and the set of listeners. Names only; the lints pass.

--- a/src/server/connections/door.rs
+++ b/src/server/connections/listener_connections.rs
@@ -17,13 +17,13 @@
 
 /// The open connections of one listener.
 #[derive(Debug)]
-pub(crate) struct Door {
+pub(crate) struct ListenerConnections {
     pub(super) kind: ListenerKind,
-    state: Mutex<DoorState>,
+    state: Mutex<ListenerState>,
 }
 
 #[derive(Debug)]
-struct DoorState {
+struct ListenerState {
     limits: ConnectionLimits,
     table: ConnectionTable,
     /// What tells the task of each connection to close it.
@@ -32,7 +32,7 @@
     closed: BTreeMap<CloseReason, u64>,
 }
 
-impl DoorState {
+impl ListenerState {
     fn close(&mut self, connections: Vec<(u64, CloseReason)>) {
         for (id, reason) in connections {
             *self.closed.entry(reason).or_default() += 1;
@@ -48,9 +48,9 @@
     }
 }
 
-impl Door {
+impl ListenerConnections {
     pub(super) const fn new(kind: ListenerKind, limits: ConnectionLimits) -> Self {
-        let state = DoorState {
+        let state = ListenerState {
             limits,
             table: ConnectionTable::new(),
             closers: BTreeMap::new(),
--- a/src/server/connections/doors.rs
+++ b/src/server/connections/listener_set.rs
@@ -2,7 +2,7 @@
 
 use rustix::process::{Resource, getrlimit};
 
-use super::door::Door;
+use super::listener_connections::ListenerConnections;
 use crate::{
     core::{connections::ConnectionLimits, memory::MemoryShares},
     server::{front::ListenerKind, state::Server},
@@ -29,10 +29,10 @@
 
 /// The open connections of all listeners.
 #[derive(Debug)]
-pub(crate) struct Doors {
-    callers: Arc<Door>,
-    peers: Arc<Door>,
-    others: [Arc<Door>; 3],
+pub(crate) struct ListenerSet {
+    callers: Arc<ListenerConnections>,
+    peers: Arc<ListenerConnections>,
+    others: [Arc<ListenerConnections>; 3],
 }
 
 /// Returns the parts of the memory and of the descriptors that a listener gets; the other
@@ -52,10 +52,10 @@
     limit.unwrap_or(DEFAULT_DESCRIPTORS)
 }
 
-impl Doors {
+impl ListenerSet {
     pub(crate) fn new(settings: &VmSettings, shares: &MemoryShares) -> Self {
         let descriptors = descriptor_limit();
-        let door = |kind: ListenerKind| {
+        let connections_of = |kind: ListenerKind| {
             let (memory_parts, descriptor_parts) = parts_of(kind);
             let max_connections = match (kind, settings.max_caller_connections) {
                 (ListenerKind::Callers, Some(max_connections)) => max_connections,
@@ -75,20 +75,20 @@
                 head_timeout_ms: DEFAULT_HEAD_TIMEOUT_MS,
                 answer_timeout_ms: DEFAULT_ANSWER_TIMEOUT_MS,
             };
-            Arc::new(Door::new(kind, limits))
+            Arc::new(ListenerConnections::new(kind, limits))
         };
         Self {
-            callers: door(ListenerKind::Callers),
-            peers: door(ListenerKind::Peers),
+            callers: connections_of(ListenerKind::Callers),
+            peers: connections_of(ListenerKind::Peers),
             others: [
-                door(ListenerKind::Readiness),
-                door(ListenerKind::Directory),
-                door(ListenerKind::Metrics),
+                connections_of(ListenerKind::Readiness),
+                connections_of(ListenerKind::Directory),
+                connections_of(ListenerKind::Metrics),
             ],
         }
     }
 
-    pub(crate) const fn of(&self, kind: ListenerKind) -> &Arc<Door> {
+    pub(crate) const fn of(&self, kind: ListenerKind) -> &Arc<ListenerConnections> {
         match kind {
             ListenerKind::Callers => &self.callers,
             ListenerKind::Peers => &self.peers,
@@ -98,7 +98,7 @@
         }
     }
 
-    fn all(&self) -> impl Iterator<Item = &Arc<Door>> {
+    fn all(&self) -> impl Iterator<Item = &Arc<ListenerConnections>> {
         [&self.callers, &self.peers].into_iter().chain(&self.others)
     }
 }
@@ -110,11 +110,11 @@
         tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         let limits = server.routes().caller_limits();
         let are_others_waiting = server.request_memory.large.waiting_count() > 0;
-        for door in server.doors.all() {
+        for connections in server.listeners.all() {
             if let Some(limits) = limits {
-                door.configure(&limits);
+                connections.configure(&limits);
             }
-            door.close_expired(are_others_waiting);
+            connections.close_expired(are_others_waiting);
         }
         checks += 1;
         if checks >= CHECKS_PER_LINE {
@@ -125,15 +125,15 @@
 }
 
 fn report(server: &Server) {
-    for door in server.doors.all() {
-        let listener: &'static str = door.kind.into();
-        let (open, used_bytes) = door.usage();
+    for connections in server.listeners.all() {
+        let listener: &'static str = connections.kind.into();
+        let (open, used_bytes) = connections.usage();
         server.metrics.set_connections(listener, open, used_bytes);
-        for (reason, count) in door.take_closed() {
+        for (reason, count) in connections.take_closed() {
             server
                 .metrics
                 .on_connections_closed(listener, reason, count);
-            tracing::warn!(listener, %reason, count, open, used_bytes, limits = ?door.limits(),
+            tracing::warn!(listener, %reason, count, open, used_bytes, limits = ?connections.limits(),
                 "connections closed");
         }
     }
--- a/src/server/connections/mod.rs
+++ b/src/server/connections/mod.rs
@@ -2,14 +2,14 @@
 //! descriptors, and closes those first that make no progress.
 
 mod answer;
-mod door;
-mod doors;
+mod listener_connections;
+mod listener_set;
 mod open;
 mod stream;
 
 pub(crate) use self::{
     answer::end_run_after,
-    doors::{DEFAULT_HEAD_BYTES, Doors, close_expired_periodically},
+    listener_set::{DEFAULT_HEAD_BYTES, ListenerSet, close_expired_periodically},
     open::OpenConnection,
     stream::CountedStream,
 };
--- a/src/server/connections/open.rs
+++ b/src/server/connections/open.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use super::door::Door;
+use super::listener_connections::ListenerConnections;
 use crate::{core::connections::ConnectionPhase, server::lock};
 
 /// How many bytes of a body count as progress: a sender of a byte now and then makes none.
@@ -14,7 +14,7 @@
 /// One open connection, which is counted until it is dropped.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
-    door: Arc<Door>,
+    listener: Arc<ListenerConnections>,
     id: u64,
     closer: Arc<Notify>,
     phase: Mutex<ConnectionPhase>,
@@ -26,9 +26,13 @@
 }
 
 impl OpenConnection {
-    pub(super) const fn new(door: Arc<Door>, id: u64, closer: Arc<Notify>) -> Self {
+    pub(super) const fn new(
+        listener: Arc<ListenerConnections>,
+        id: u64,
+        closer: Arc<Notify>,
+    ) -> Self {
         Self {
-            door,
+            listener,
             id,
             closer,
             phase: Mutex::new(ConnectionPhase::Idle),
@@ -45,7 +49,7 @@
 
     fn set_phase(&self, phase: ConnectionPhase) -> bool {
         *lock(&self.phase) = phase;
-        self.door.set_phase(self.id, phase)
+        self.listener.set_phase(self.id, phase)
     }
 
     /// Records bytes that were read from the connection.
@@ -59,7 +63,7 @@
                 let received = self.received_bytes.fetch_add(bytes, Ordering::SeqCst) + bytes;
                 if received >= PROGRESS_BYTES {
                     self.received_bytes.store(0, Ordering::SeqCst);
-                    self.door.on_progress(self.id);
+                    self.listener.on_progress(self.id);
                 }
             }
             ConnectionPhase::Head | ConnectionPhase::Waiting | ConnectionPhase::Running => {}
@@ -69,7 +73,7 @@
     /// Records whether the other side takes what is written.
     pub(super) fn on_write(&self, is_blocked: bool) {
         if self.is_blocked.swap(is_blocked, Ordering::SeqCst) != is_blocked {
-            self.door.set_blocked(self.id, is_blocked);
+            self.listener.set_blocked(self.id, is_blocked);
         }
     }
 
@@ -116,6 +120,6 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.door.remove(self.id);
+        self.listener.remove(self.id);
     }
 }
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -134,7 +134,7 @@
 }
 
 async fn serve_connection(server: Arc<Server>, stream: TcpStream, kind: ListenerKind) {
-    let open = server.doors.of(kind).open();
+    let open = server.listeners.of(kind).open();
     // With Nagle's algorithm a small response waits for the other side's
     // acknowledgement.
     if let Err(error) = stream.set_nodelay(true) {
--- a/src/server/state.rs
+++ b/src/server/state.rs
@@ -8,7 +8,7 @@
 
 use super::{
     claims::Batches,
-    connections::Doors,
+    connections::ListenerSet,
     crash,
     crash_rows::{self, CrashRows},
     duties::Duties,
@@ -104,7 +104,7 @@
     /// When this VM exits, once it was told to stop.
     pub(crate) stop: OnceLock<StopSchedule>,
     /// The connections that are open, by listener.
-    pub(crate) doors: Doors,
+    pub(crate) listeners: ListenerSet,
     /// The number of open connections of callers.
     pub(crate) caller_connections: AtomicUsize,
     /// Becomes true at shutdown: each connection closes after the request in
@@ -122,7 +122,7 @@
         let http = Arc::new(ExchangeClient::new(answer_memory.clone()));
         Self {
             incarnation,
-            doors: Doors::new(&settings, &shares),
+            listeners: ListenerSet::new(&settings, &shares),
             store: Store::new(
                 settings.store_address,
                 settings.peer_address,
