Run crowds of clients outside the limits apart from other tests

The tests of crowds stood among the tests of processes, which run beside each other, so that other load decided whether an ordinary request found processor time. They are a test program of their own now, and cargo runs programs one after the other. Crowds and bounds are as they were.

--- a/tests/process_serve.rs
+++ b/tests/process_serve.rs
@@ -11,7 +11,6 @@
     mod bodies_share_memory;
     mod budgets_on_busy_machines;
     mod clients_inside_the_limits;
-    mod clients_outside_the_limits;
     mod crashes_without_a_closed_connection;
     mod endpoints_are_ordered;
     mod invalid_answers_and_ended_batches;
--- a/tests/process_serve/clients_inside_the_limits.rs
+++ b/tests/process_serve/clients_inside_the_limits.rs
@@ -94,6 +94,8 @@
         peak_bytes < MEMORY_MB * 1_000_000,
         "{peak_bytes} bytes at the peak"
     );
+    let (open, limit) = fleet.vms[0].descriptors();
+    assert!(open < limit, "{open} of {limit} descriptors are open");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
