Take moves by expected end back, and fade paces only where machines slow down

A pace now fades with its age only if endpoints of the service report slowdowns, so that without the fourth figure endpoints are chosen as before.

One submitted its batch before the list of endpoints counted as whole; it now waits for the first order and checks as much as before.

--- a/src/core/batch/length.rs
+++ b/src/core/batch/length.rs
@@ -14,9 +14,6 @@
 const MOVE_MS: f64 = 250.0;
 /// By how much earlier a sample has to end for a move, in milliseconds.
 const MIN_MOVE_GAIN_MS: f64 = 200.0;
-/// By how much earlier a sample has to end for a move, in shares of the time left to it:
-/// how long it is and how fast the endpoints are is estimated only.
-const MIN_MOVE_GAIN: f64 = 0.15;
 /// The weight of earlier samples against a new one.
 const EARLIER_WEIGHT: f64 = 0.99;
 
@@ -103,35 +100,6 @@
         left * (here_ms - there_ms) > MOVE_MS
     }
 
-    /// Returns whether the sample is expected to end clearly earlier at an endpoint that
-    /// takes `there_ms` an event, with the move and the prompt that is read again, than
-    /// here.
-    ///
-    /// The run has waited for `waited_ms`, and is expected to wait as long again here: a
-    /// longer wait has more often a cause that lasts.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use chicoryreach::core::batch::RunInProgress;
-    ///
-    /// let run = RunInProgress { events: 8, hinted_events: Some(20.0), due_ms: 7_500 };
-    /// assert!(run.ends_earlier_by_move(800, 50.0, 50.0));
-    /// // Two events of a machine that is slow for a moment.
-    /// assert!(!run.ends_earlier_by_move(400, 50.0, 50.0));
-    /// // An endpoint that lasts to be slow.
-    /// assert!(run.ends_earlier_by_move(0, 140.0, 50.0));
-    /// ```
-    #[must_use]
-    pub fn ends_earlier_by_move(&self, waited_ms: u64, here_ms: f64, there_ms: f64) -> bool {
-        let events = to_f64(self.events);
-        let hinted = self.hinted_events.unwrap_or(events * HINTED_LENGTH_FACTOR);
-        let left = (hinted - events).max(events / 2.0).max(1.0);
-        let rest_ms = to_f64(waited_ms) + left * here_ms;
-        let moved_rest_ms = MOVE_MS + left * there_ms;
-        rest_ms - moved_rest_ms > MIN_MOVE_GAIN_MS.max(MIN_MOVE_GAIN * rest_ms)
-    }
-
     /// Returns whether the sample may end too late at the endpoint that runs it, which
     /// takes `here_ms` an event, and earlier at one that takes `there_ms`.
     ///
--- a/src/core/pool/completion.rs
+++ b/src/core/pool/completion.rs
@@ -25,6 +25,8 @@
     pub(super) pace: Option<f64>,
     /// The median of the reported slowdowns, or 1 if most endpoints report none.
     slowdown: f64,
+    /// Whether endpoints report slowdowns, so that their speeds change.
+    has_slowdowns: bool,
 }
 
 impl Typical {
@@ -34,6 +36,7 @@
         // If the machines of most endpoints are slow, being slow is usual.
         let is_known = factors.len() * 2 > endpoints.len();
         Self {
+            has_slowdowns: endpoints.iter().any(|e| e.slowdowns.has_reports()),
             pace: typical_pace(endpoints),
             slowdown: median(factors).filter(|_| is_known).unwrap_or(1.0),
         }
@@ -61,6 +64,9 @@
     let faded_ms = endpoint.pace_measured_ms.map_or(0, |measured_ms| {
         now_ms.saturating_sub(measured_ms + PACE_TRUST_MS)
     });
+    if !typical.has_slowdowns {
+        return factor;
+    }
     let faded_ms = u32::try_from(faded_ms).map_or(PACE_FADE_MS, |ms| ms.min(PACE_FADE_MS));
     let trust = 1.0 - f64::from(faded_ms) / f64::from(PACE_FADE_MS);
     1.0 + (factor - 1.0) * trust
--- a/src/core/pool/mod.rs
+++ b/src/core/pool/mod.rs
@@ -4,7 +4,6 @@
 mod completion;
 mod endpoint;
 mod load;
-mod move_target;
 mod pool;
 mod slice;
 mod slowdown;
--- a/src/core/pool/slowdown.rs
+++ b/src/core/pool/slowdown.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Returns whether the endpoint has reported any slowdown.
+    #[must_use]
+    pub fn has_reports(&self) -> bool {
+        !self.reports.is_empty()
+    }
+
     /// Records a report, in percent of the usual time.
     pub fn on_report(&mut self, now_ms: u64, percent: u32) {
         let percent = percent.clamp(MIN_PERCENT, MAX_PERCENT);
--- a/src/server/run_once.rs
+++ b/src/server/run_once.rs
@@ -91,7 +91,7 @@
     let outgoing = Outgoing::of_background(Purpose::Sample, request, permit, until_ms);
     let sent = endpoint_exchange::send(server, &endpoint, address, outgoing);
     let sent = pin!(sent);
-    let reply = match wait_for_head(job, sent, in_flight, text, may_move).await {
+    let reply = match wait_for_head(job, sent, in_flight, may_move).await {
         HeadWait::Received(result) => match *result {
             Ok(reply) => reply,
             Err(error) => return on_exchange_error(job, in_flight, &error).await,
@@ -158,7 +158,6 @@
     job: &SampleJob,
     mut sent: Pin<&mut F>,
     in_flight: &InFlight,
-    text: &SampleText,
     may_move: bool,
 ) -> HeadWait
 where
@@ -179,8 +178,7 @@
         if let Some(known) = lock(&job.server.pool).get_mut(&in_flight.endpoint) {
             known.on_stalled(now_ms());
         }
-        let waited_ms = now_ms().saturating_sub(pace.last_progress_ms());
-        if may_move && job.ends_earlier_by_move(in_flight, text, &pace, waited_ms) {
+        if may_move && job.has_better_endpoint(in_flight, &pace) {
             return HeadWait::SlowStart;
         }
     }
@@ -278,11 +276,8 @@
         }
         let is_better_elsewhere = || match verdict {
             RunVerdict::Steady => false,
-            RunVerdict::Slow => job.ends_earlier_by_move(in_flight, text, &pace, 0),
-            RunVerdict::Silent => {
-                let silent_ms = now_ms().saturating_sub(pace.last_progress_ms());
-                job.ends_earlier_by_move(in_flight, text, &pace, silent_ms)
-            }
+            RunVerdict::Slow => job.gains_by_move(in_flight, text, &pace),
+            RunVerdict::Silent => job.has_better_endpoint(in_flight, &pace),
         };
         let should_move = may_move
             && (is_better_elsewhere() || job.should_move_to_be_in_time(in_flight, text, &pace));
--- a/src/server/sample.rs
+++ b/src/server/sample.rs
@@ -126,34 +126,21 @@
 }
 
 impl SampleJob {
-    /// Returns whether a run that is slow, or has waited for `waited_ms`, is expected to
-    /// end clearly earlier at another endpoint.
-    pub(crate) fn ends_earlier_by_move(
+    /// Returns whether a slow run is expected to end earlier at another endpoint.
+    pub(crate) fn gains_by_move(
         &self,
         in_flight: &InFlight,
         text: &SampleText,
         pace: &RunPace,
-        waited_ms: u64,
     ) -> bool {
-        let run_ms = pace.lasting_ms_per_event();
-        let known_ms = lock(&self.server.pool)
-            .get(&in_flight.endpoint)
-            .and_then(|known| known.pace);
-        // Without a wait, only a run that has been slow for long shows its endpoint slow.
-        if run_ms.is_none() && waited_ms == 0 {
-            return false;
-        }
-        let target = self.search_elsewhere(in_flight, |pool, requirements, rng| {
-            pool.move_target_pace(now_ms(), requirements, rng)
-        });
-        let Some(there_ms) = target else {
+        let Some(here_ms) = pace.endpoint_ms_per_event() else {
             return false;
         };
-        let here_ms = run_ms.or(known_ms);
-        let there_ms = there_ms.or(here_ms).unwrap_or(DEFAULT_EVENT_MS);
-        let here_ms = here_ms.unwrap_or(there_ms);
-        self.run_in_progress(text)
-            .ends_earlier_by_move(waited_ms, here_ms, there_ms)
+        let run = self.run_in_progress(text);
+        let there_ms = self.search_elsewhere(in_flight, |pool, requirements, rng| {
+            pool.pace_elsewhere(now_ms(), requirements, rng)
+        });
+        there_ms.is_some_and(|there_ms| run.gains_by_move(here_ms, there_ms))
     }
 
     fn run_in_progress(&self, text: &SampleText) -> RunInProgress {
@@ -165,6 +152,14 @@
         }
     }
 
+    /// Returns whether a run is expected to do better at another endpoint.
+    pub(crate) fn has_better_endpoint(&self, in_flight: &InFlight, pace: &RunPace) -> bool {
+        let event_ms = pace.ms_per_event();
+        self.search_elsewhere(in_flight, |pool, requirements, rng| {
+            pool.has_better_endpoint(now_ms(), requirements, event_ms, rng)
+        })
+    }
+
     /// Returns whether a run that may be late is expected to end earlier elsewhere.
     pub(crate) fn should_move_to_be_in_time(
         &self,
@@ -177,7 +172,7 @@
             .and_then(|known| known.pace);
         let clock = self.server.store.clock_bounds_ms();
         let (Some(run_ms), Some(endpoint_ms), Some((platform_ms, _))) =
-            (pace.lasting_ms_per_event(), endpoint_ms, clock)
+            (pace.endpoint_ms_per_event(), endpoint_ms, clock)
         else {
             return false;
         };
@@ -190,7 +185,7 @@
             return false;
         }
         let there_ms = self.search_elsewhere(in_flight, |pool, requirements, rng| {
-            pool.move_target_pace(now_ms(), requirements, rng).flatten()
+            pool.pace_elsewhere(now_ms(), requirements, rng)
         });
         there_ms.is_some_and(|there_ms| run.should_move(platform_ms, here_ms, there_ms))
     }
--- a/tests/process_serve/endpoints_are_ordered.rs
+++ b/tests/process_serve/endpoints_are_ordered.rs
@@ -44,8 +44,14 @@
     let autoscale = json!({"min": 1, "max": 8, "boot_s": 0.5, "spot_price": 0.15,
         "zone_prices": {"dc-1": 1.0, "dc-2": 0.8}});
     let (fleet, api) = start(Some(autoscale)).await;
-    fleet.submit_batch(0, "b1", SAMPLES, 1).await;
     let deadline = Instant::now() + WAIT_TIMEOUT;
+    // The first order, for the data centre without endpoints, shows that the list of
+    // endpoints is taken for whole.
+    while api.calls().is_empty() {
+        assert!(Instant::now() < deadline, "nothing is ordered");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fleet.submit_batch(0, "b1", SAMPLES, 1).await;
     let is_for_batch =
         |order: &DutyCall| order.body["zone"] == "dc-1" && order.body["spot"] == true;
     while !api.calls().iter().any(is_for_batch) {
