--- a/review/standin-2/src/many_items.rs
+++ b/review/standin-2/src/many_items.rs
@@ -41,16 +41,29 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let status = call.await.ok().flatten().map_or(0, |answer| answer.status);
-    record.line(format!("batch job b1 of {items} items, {bytes} bytes of 33554432, sent to vm-0: {status}"));
+    record.line(format!(
+        "batch job b1 of {items} items, {bytes} bytes of 33554432, sent to vm-0: {status}"
+    ));
     let began = Instant::now();
     let mut next_line = Instant::now();
     while began.elapsed() < WATCHED && !watch.is_fault() {
         watch.check(&mut fleet, record).await;
         if Instant::now() >= next_line {
             next_line = Instant::now() + Duration::from_secs(5);
-            let runs: usize = fleet.model_samplers.iter().map(|sampler| sampler.run_request_ids().len()).sum();
-            let peaks: Vec<u64> = fleet.vms.iter().map(|vm| vm.peak_bytes() / 1_000_000).collect();
-            record.line(format!("ends by memory {:?}, {runs} runs, peaks {peaks:?} MB", watch.ends));
+            let runs: usize = fleet
+                .model_samplers
+                .iter()
+                .map(|sampler| sampler.run_request_ids().len())
+                .sum();
+            let peaks: Vec<u64> = fleet
+                .vms
+                .iter()
+                .map(|vm| vm.peak_bytes() / 1_000_000)
+                .collect();
+            record.line(format!(
+                "ends by memory {:?}, {runs} runs, peaks {peaks:?} MB",
+                watch.ends
+            ));
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
--- a/review/standin-2/src/store_front.rs
+++ b/review/standin-2/src/store_front.rs
@@ -61,7 +61,11 @@
 }
 
 async fn answer(store: SocketAddr, terms: Terms, request: Request<Incoming>) -> Answer {
-    let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .to_owned();
     let (parts, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
         return status_answer(StatusCode::BAD_REQUEST, "the body is incomplete");
@@ -80,7 +84,10 @@
         return status_answer(StatusCode::BAD_GATEWAY, "the store is away");
     };
     if !path.starts_with("/v1/blob-get/") {
-        return Response::from_parts(parts, Full::new(body).map_err(|never| match never {}).boxed());
+        return Response::from_parts(
+            parts,
+            Full::new(body).map_err(|never| match never {}).boxed(),
+        );
     }
     terms.object_reads.fetch_add(1, Ordering::SeqCst);
     let rest = (body, terms);
@@ -90,7 +97,9 @@
         }
         let chunk = body.split_to(CHUNK_BYTES.min(body.len()));
         terms.read.take(chunk.len()).await;
-        terms.object_bytes.fetch_add(chunk.len() as u64, Ordering::SeqCst);
+        terms
+            .object_bytes
+            .fetch_add(chunk.len() as u64, Ordering::SeqCst);
         if body.is_empty() {
             terms.object_reads_whole.fetch_add(1, Ordering::SeqCst);
         }
