--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 //! With `TROUBLE=0` it leaves the disruption out.
 
+mod body_reads;
 mod client;
 mod fleet;
 mod killed_together;
@@ -38,6 +39,7 @@
             "many-items" => many_items::play(has_trouble, &mut record).await,
             "slow-link" => slow_link::play(has_trouble, &mut record).await,
             "torn-list" => torn_list::play(has_trouble, &mut record).await,
+            "body-reads" => body_reads::play(has_trouble, &mut record).await,
             other => panic!("no case {other}"),
         };
         record.line(match outcome {
